--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Tool versions are pinned here; the linter is built from source on first use.
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+GOLANGCI := $(BIN)/golangci-lint
+MODULES := ./... ./entry/... ./cli/... ./standin/...
+FUZZ_TIME ?= 120s
+
+.PHONY: all build demo test lint fmt fuzz bench generate clean
+
+all: build
+
+build: ## builds the three programs into bin/
+	go build -o $(BIN)/tamarackd ./entry
+	go build -o $(BIN)/tamarackctl ./cli
+	go build -o $(BIN)/tamarackstandin ./standin
+
+demo: build ## runs the system on stand-ins and makes cold and warm calls
+	bash scripts/demo.sh
+
+test: lint ## formatter, linter and all tests, with fixed seeds
+	go vet $(MODULES)
+	go test -count=1 $(MODULES)
+
+lint: $(GOLANGCI)
+	$(GOLANGCI) fmt --diff $(MODULES)
+	$(GOLANGCI) run $(MODULES)
+
+fmt: $(GOLANGCI)
+	$(GOLANGCI) fmt $(MODULES)
+
+$(GOLANGCI):
+	GOBIN=$(BIN) GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+generate: ## regenerates gen/; needs the network, CI does not run it
+	GOBIN=$(BIN) GOWORK=off go install github.com/bufbuild/buf/cmd/buf@v1.75.0
+	GOBIN=$(BIN) GOWORK=off go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(BIN) GOWORK=off go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
+	PATH=$(BIN):$$PATH $(BIN)/buf generate
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cli/main.go
@@ -0,0 +1,4 @@
+// Command tamarackctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command tamarackd is the entry daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command tamarackstandin serves stand-ins for the platform and for endpoints.
+package main
+
+func main() {}
