--- a/fake/log.go
+++ b/fake/log.go
@@ -14,8 +14,9 @@
 
 // Errors of Log.
 var (
-	// ErrLogDown is the answer to a request that had no effect.
-	ErrLogDown = errors.New("fake log is down")
+	// ErrLogDown is the answer to a request that had no effect, like a refused
+	// connection. It is an ErrNotAppended.
+	ErrLogDown = errors.Mark(errors.New("fake log is down"), tamarackknot.ErrNotAppended)
 	// ErrLogAnswerLost is the answer to an append that took effect.
 	ErrLogAnswerLost = errors.New("fake log lost the answer to the append")
 )
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,104 @@
+package journal
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/fake"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a change that one host accepts and another does not see, and
+// against a lost answer that makes the writer append a second effect.
+func TestProposeIsReadBackEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour, 2000)
+		defer c.close()
+		a, b := c.start("a"), c.start("b")
+		time.Sleep(time.Second)
+		rev := mustApply(t, a, deployment("x", 1), 0)
+		c.log.LoseAnswers(2)
+		rev2 := mustApply(t, a, deployment("x", 2), rev)
+		out, err := propose(b, time.Second, apply(deployment("x", 3), rev))
+		require.NoError(t, err)
+		require.Equal(t, tamarackknot.ReasonConflict, out.Reason)
+		require.Equal(t, rev2, out.Current)
+		require.Contains(t, out.Detail, "has revision 2, the write is based on revision 1")
+		time.Sleep(time.Second)
+		require.NoError(t, c.check())
+	})
+}
+
+// Guards against the outage of section 5.1 of the task list of this package:
+// a record that was appended and expired before any host read it must not stop
+// the hosts or make them differ, and a new host must start from what they
+// write.
+func TestRecordThatExpiredUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Minute, 2000)
+		defer c.close()
+		for _, name := range []string{"a", "b", "d"} {
+			c.start(name)
+		}
+		time.Sleep(time.Second)
+		rev := mustApply(t, c.hosts["a"], deployment("x", 1), 0)
+		time.Sleep(time.Second)
+		c.log.SetFaults(fake.LogFaults{ReadsDown: true})
+		_, err := propose(c.hosts["a"], time.Second, apply(deployment("x", 2), rev))
+		require.ErrorIs(t, err, tamarackknot.ErrOutcomeUnknown)
+		time.Sleep(3 * time.Minute)
+		_, err = propose(c.hosts["a"], time.Second, apply(deployment("x", 2), rev))
+		require.ErrorIs(t, err, tamarackknot.ErrNotAppended, "a host that cannot read does not append")
+		c.log.SetFaults(fake.LogFaults{})
+		time.Sleep(30 * time.Second)
+		require.NoError(t, c.check())
+		mustApply(t, c.hosts["b"], deployment("x", 3), rev)
+		for _, name := range []string{"a", "b", "d"} {
+			c.stop(name)
+		}
+		c.start("e")
+		time.Sleep(10 * time.Second)
+		require.NoError(t, c.check())
+		c.hosts["e"].Read(func(s tamarackknot.State) {
+			r, ok := s.Resource(tamarackknot.KindDeployment, "x")
+			require.True(t, ok)
+			require.Equal(t, 3, r.Deployment.Priority)
+		})
+	})
+}
+
+// Guards against a key that runs twice because two hosts were told that they
+// hold it, and against more than 20 key appends a second.
+func TestClaimKeyBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour, 2000)
+		defer c.close()
+		a := c.start("a")
+		time.Sleep(time.Second)
+		before := c.log.Appends()
+		accepted := make(chan bool, 1000)
+		for i := range 1000 {
+			go func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				key := tamarackknot.KeyClaim{Key: string(rune('a' + i%100)), Digest: "d", Created: time.Now()}
+				out, err := a.ClaimKey(context.Background(), key)
+				accepted <- err == nil && out.Accepted
+			}()
+		}
+		n := 0
+		for range 1000 {
+			if <-accepted {
+				n++
+			}
+		}
+		require.Equal(t, 100, n)
+		require.LessOrEqual(t, c.log.Appends()-before, int64(22))
+	})
+}
--- /dev/null
+++ b/journal/metrics.go
@@ -0,0 +1,36 @@
+package journal
+
+import "github.com/rcrowley/go-metrics"
+
+// histogramSize is the reservoir of the histogram in values.
+const histogramSize = 1028
+
+// meters are the journal's metrics. Counters and histograms only: the meters
+// and timers of the library run a goroutine that never ends.
+type meters struct {
+	applied      metrics.Gauge
+	records      metrics.Counter
+	rejected     metrics.Counter
+	appends      metrics.Counter
+	appendErrors metrics.Counter
+	readErrors   metrics.Counter
+	restores     metrics.Counter
+	snapshots    metrics.Counter
+	peerRecords  metrics.Counter
+	propose      metrics.Histogram // milliseconds from proposal to read-back
+}
+
+func newMeters(r metrics.Registry) meters {
+	return meters{
+		applied:      metrics.GetOrRegisterGauge("journal.applied", r),
+		records:      metrics.GetOrRegisterCounter("journal.records", r),
+		rejected:     metrics.GetOrRegisterCounter("journal.rejected", r),
+		appends:      metrics.GetOrRegisterCounter("journal.appends", r),
+		appendErrors: metrics.GetOrRegisterCounter("journal.appendErrors", r),
+		readErrors:   metrics.GetOrRegisterCounter("journal.readErrors", r),
+		restores:     metrics.GetOrRegisterCounter("journal.restores", r),
+		snapshots:    metrics.GetOrRegisterCounter("journal.snapshots", r),
+		peerRecords:  metrics.GetOrRegisterCounter("journal.peerRecords", r),
+		propose:      metrics.GetOrRegisterHistogram("journal.proposeMs", r, metrics.NewUniformSample(histogramSize)),
+	}
+}
--- /dev/null
+++ b/journal/peers.go
@@ -0,0 +1,165 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// Methods of tamarackknot.Peers.
+const (
+	methodRecords = "records"
+	methodState   = "state"
+)
+
+const (
+	// peerTimeout bounds a call. A state at the target size has about 1 MB.
+	peerTimeout = 2 * time.Second
+	// maxRecordsBytes bounds the records in one answer.
+	maxRecordsBytes = 1 << 20
+)
+
+type recordsParams struct {
+	From tamarackknot.Offset `json:"from"`
+}
+
+type recordsResult struct {
+	peerHead
+	// First is the oldest offset that the peer keeps.
+	First   tamarackknot.Offset `json:"first"`
+	Records []peerRecord        `json:"records,omitempty"`
+}
+
+type peerRecord struct {
+	Offset tamarackknot.Offset `json:"offset"`
+	Data   []byte              `json:"data"` // may be malformed JSON, so it is not embedded
+}
+
+// peerHead says how far the state of a peer is.
+type peerHead struct {
+	Ready   bool                `json:"ready"`
+	Applied tamarackknot.Offset `json:"applied"`
+}
+
+type stateParams struct {
+	// After asks for a state newer than this offset.
+	After tamarackknot.Offset `json:"after"`
+	// HeadOnly asks for no chunks.
+	HeadOnly bool `json:"headOnly,omitempty"`
+}
+
+type stateResult struct {
+	peerHead
+	// Covers is the offset of the encoded state, which may be older than
+	// Applied if the peer has the records between.
+	Covers tamarackknot.Offset `json:"covers,omitempty"`
+	Chunks [][]byte            `json:"chunks,omitempty"`
+}
+
+func (j *Journal) head() peerHead {
+	return peerHead{Ready: j.complete && j.isReady(), Applied: j.ledger.Applied()}
+}
+
+func (j *Journal) handleRecords(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var p recordsParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, errors.Wrap(err, "decode parameters of records")
+	}
+	var res recordsResult
+	err := j.do(ctx, func() {
+		res.peerHead, res.First = j.head(), j.ring.first()
+		for _, r := range j.ring.from(p.From, maxRecordsBytes) {
+			res.Records = append(res.Records, peerRecord{Offset: r.Offset, Data: r.Data})
+		}
+	})
+	return &res, err
+}
+
+func (j *Journal) handleState(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var p stateParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, errors.Wrap(err, "decode parameters of state")
+	}
+	var res stateResult
+	var encodeErr error
+	err := j.do(ctx, func() { res, encodeErr = j.stateAfter(p) })
+	return &res, errors.CombineErrors(err, encodeErr)
+}
+
+// stateAfter answers with the state that was encoded last if the ring has all
+// records since, so that many joining hosts cost one encoding.
+func (j *Journal) stateAfter(p stateParams) (stateResult, error) {
+	head := j.head()
+	if p.HeadOnly || !head.Ready || head.Applied < p.After {
+		return stateResult{peerHead: head}, nil
+	}
+	if j.encoded.Chunks == nil || j.encoded.Covers <= p.After || j.encoded.Covers+1 < j.ring.first() {
+		chunks, err := j.ledger.Encode()
+		if err != nil {
+			return stateResult{}, err
+		}
+		j.encoded = stateResult{Covers: head.Applied, Chunks: chunks}
+	}
+	return stateResult{peerHead: head, Covers: j.encoded.Covers, Chunks: j.encoded.Chunks}, nil
+}
+
+// fetch asks one peer for the records after the own state while the log
+// cannot be read.
+type fetch struct {
+	j    *Journal
+	peer string
+	from tamarackknot.Offset
+
+	res recordsResult
+	err error
+}
+
+func (j *Journal) fetchFromPeers() {
+	if j.logUp() || j.recovering || j.fetching {
+		return
+	}
+	peers := j.others()
+	if len(peers) == 0 {
+		return
+	}
+	j.fetching = true
+	f := &fetch{j: j, peer: peers[rand.IntN(len(peers))], from: j.ledger.Applied() + 1}
+	j.wg.Go(f.run)
+}
+
+func (f *fetch) run() {
+	ctx, cancel := context.WithTimeout(f.j.ctx, peerTimeout)
+	defer cancel()
+	f.err = f.j.cfg.Peers.Call(ctx, f.peer, methodRecords, recordsParams{From: f.from}, &f.res)
+	f.j.fetched <- *f
+}
+
+func (j *Journal) handleFetch(f fetch) {
+	j.fetching = false
+	if f.err != nil || !f.res.Ready {
+		return
+	}
+	if !j.complete || f.res.First > j.ledger.Applied()+1 && f.res.Applied > j.ledger.Applied() {
+		j.recover(tamarackknot.LogPage{})
+		return
+	}
+	records := make([]tamarackknot.LogRecord, 0, len(f.res.Records))
+	for _, r := range f.res.Records {
+		records = append(records, tamarackknot.LogRecord(r))
+	}
+	before := j.ledger.Applied()
+	j.applyRecords(records)
+	applied := j.ledger.Applied()
+	j.metrics.peerRecords.Inc(int64(applied - before))
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.maxApplied = max(j.maxApplied, f.res.Applied)
+	if f.res.Applied >= applied && applied >= j.maxApplied {
+		j.status.PeerContact = time.Now()
+	}
+}
--- /dev/null
+++ b/ledger/key.go
@@ -0,0 +1,158 @@
+package ledger
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"slices"
+	"time"
+	"unique"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// maxKeyLength bounds keys and digests in bytes; both are hashes in hex.
+const maxKeyLength = 128
+
+// keyID is the start of the SHA-256 of a key. 128 bits keep collisions out of
+// a caller's reach.
+type keyID [16]byte
+
+type keyEntry struct {
+	digest  uint64 // xxhash of the digest of the request
+	owner   unique.Handle[tamarackknot.Process]
+	created int64 // nanoseconds since 1970
+	// claimed is the record time of the claim, in nanoseconds since 1970.
+	claimed int64
+	expires int64 // seconds since 1970, rounded up
+}
+
+// keySet holds the claimed keys, with buckets by the second in which they
+// expire.
+type keySet struct {
+	entries map[keyID]keyEntry
+	buckets map[int64][]keyID
+	order   secondHeap
+}
+
+func newKeySet() keySet {
+	return keySet{entries: make(map[keyID]keyEntry), buckets: make(map[int64][]keyID)}
+}
+
+func (s *keySet) add(id keyID, e keyEntry) {
+	s.entries[id] = e
+	if _, ok := s.buckets[e.expires]; !ok {
+		heap.Push(&s.order, e.expires)
+	}
+	s.buckets[e.expires] = append(s.buckets[e.expires], id)
+}
+
+// expire removes the keys that expired before now.
+func (s *keySet) expire(now time.Time) {
+	for len(s.order) > 0 && s.order[0] < now.Unix() {
+		sec := heap.Pop(&s.order).(int64)
+		for _, id := range s.buckets[sec] {
+			// A key that was freed and claimed again may be in another bucket.
+			if e, ok := s.entries[id]; ok && e.expires == sec {
+				delete(s.entries, id)
+			}
+		}
+		delete(s.buckets, sec)
+	}
+}
+
+// secondHeap is a container/heap of the seconds that have a bucket.
+type secondHeap []int64
+
+func (h secondHeap) Len() int           { return len(h) }
+func (h secondHeap) Less(i, j int) bool { return h[i] < h[j] }
+func (h secondHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *secondHeap) Push(x any) { *h = append(*h, x.(int64)) }
+
+// Pop implements heap.Interface.
+func (h *secondHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// keyExpiry is the second, rounded up, after which a key is dropped. A key that
+// cannot be claimed any more cannot be accepted a second time.
+func (l *Ledger) keyExpiry(created time.Time) int64 {
+	return created.Add(l.cfg.KeyMaxAge+l.cfg.KeyGrace).Unix() + 1
+}
+
+func newKeyID(key string) keyID {
+	sum := sha256.Sum256([]byte(key))
+	return keyID(sum[:len(keyID{})])
+}
+
+func (l *Ledger) claimKeys(rec *tamarackknot.Record, out tamarackknot.Outcome) tamarackknot.Outcome {
+	out.Keys = make([]tamarackknot.KeyOutcome, len(rec.Keys.Claims))
+	for i, c := range rec.Keys.Claims {
+		out.Keys[i] = l.claimKey(rec, c)
+	}
+	return accept(out)
+}
+
+func (l *Ledger) claimKey(rec *tamarackknot.Record, c tamarackknot.KeyClaim) tamarackknot.KeyOutcome {
+	if c.Key == "" || len(c.Key) > maxKeyLength || len(c.Digest) > maxKeyLength {
+		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonInvalid}
+	}
+	id, digest := newKeyID(c.Key), xxhash.Sum64String(c.Digest)
+	if e, ok := l.keys.entries[id]; ok {
+		out := tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict, Owner: e.owner.Value()}
+		if e.digest != digest {
+			out.Reason = tamarackknot.ReasonInvalid
+		}
+		return out
+	}
+	if l.time.After(c.Created.Add(l.cfg.KeyMaxAge)) {
+		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonExpired}
+	}
+	if c.Created.After(rec.Time.Add(keyFutureLimit)) {
+		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonInvalid}
+	}
+	owner := tamarackknot.Process{Host: rec.Host, Incarnation: rec.Incarnation}
+	l.keys.add(id, keyEntry{
+		digest: digest, owner: unique.Make(owner),
+		created: c.Created.UnixNano(), claimed: rec.Time.UnixNano(),
+		expires: l.keyExpiry(c.Created),
+	})
+	return tamarackknot.KeyOutcome{Accepted: true, Owner: owner}
+}
+
+func (l *Ledger) freeKeys(rec *tamarackknot.Record, out tamarackknot.Outcome) tamarackknot.Outcome {
+	out.Keys = make([]tamarackknot.KeyOutcome, len(rec.KeysFree.Claims))
+	owner := unique.Make(tamarackknot.Process{Host: rec.Host, Incarnation: rec.Incarnation})
+	for i, c := range rec.KeysFree.Claims {
+		id := newKeyID(c.Key)
+		e, ok := l.keys.entries[id]
+		switch {
+		case !ok:
+			out.Keys[i].Reason = tamarackknot.ReasonNotFound
+		// A late copy of an earlier record must not free a later claim of the
+		// same process.
+		case e.owner != owner || rec.Time.UnixNano() < e.claimed:
+			out.Keys[i].Reason, out.Keys[i].Owner = tamarackknot.ReasonConflict, e.owner.Value()
+		default:
+			delete(l.keys.entries, id)
+			out.Keys[i].Accepted, out.Keys[i].Owner = true, e.owner.Value()
+		}
+	}
+	return accept(out)
+}
+
+// sortedIDs returns the ids of all keys in an order that is the same on every
+// host.
+func (s *keySet) sortedIDs() []keyID {
+	ids := make([]keyID, 0, len(s.entries))
+	for id := range s.entries {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b keyID) int { return slices.Compare(a[:], b[:]) })
+	return ids
+}
--- a/record.go
+++ b/record.go
@@ -188,6 +188,15 @@
 	ConfigOffset Offset
 	// LogContact is the time of the last successful read of the log.
 	LogContact time.Time
+	// PeerContact is the time of the last answer of a peer that was at least
+	// as up to date as this process.
+	PeerContact time.Time
+	// Head is the newest offset that this process knows to exist.
+	Head Offset
+	// Stale says that for 10 s there was contact neither with the log nor with
+	// a peer that is at least as up to date, while other entry hosts are
+	// listed.
+	Stale bool
 }
 
 // Journal connects this process to the log: it folds what is read and appends
--- a/resource.go
+++ b/resource.go
@@ -131,8 +131,11 @@
 // Replica is the reservation of a replica slot of a target and of its memory
 // on an endpoint, from the accepted claim to the accepted release.
 type Replica struct {
-	Target   string       `json:"target"`
-	Endpoint string       `json:"endpoint"`
+	Target   string `json:"target"`
+	Endpoint string `json:"endpoint"`
+	// Base is the base model of an adapter at the time of the claim, empty for
+	// a model. It outlives the removal of the adapter.
+	Base     string       `json:"base,omitempty"`
 	Version  string       `json:"version"`
 	MemoryMB int64        `json:"memoryMB"`
 	State    ReplicaState `json:"state"`
