Add operators' API, command line and daemon settings

Cause: operators need to change and watch configuration, and every daemon setting needs a documented flag, a variable and a checked range. Ruled out: retrying a write at the next entry host after a broken connection, because the write may have been appended; the command line goes on only after an answer that says that nothing was changed.

--- /dev/null
+++ b/cli/commands/apply.go
@@ -0,0 +1,156 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+	"golang.org/x/sync/errgroup"
+
+	"tamarackknot.example/tamarackknot/cli/manifest"
+	operatorv1 "tamarackknot.example/tamarackknot/gen/operator/v1"
+)
+
+// applyConcurrency bounds the writes in flight; each waits for its record to
+// be read back.
+const applyConcurrency = 8
+
+// waitInterval is how often --wait asks for the status.
+const waitInterval = 200 * time.Millisecond
+
+func (a *app) apply() *command {
+	var file string
+	var wait bool
+	sub := flaggy.NewSubcommand("apply")
+	sub.Description = "creates or changes the resources of a YAML file"
+	sub.String(&file, "f", "file", "the file, - for standard input")
+	sub.Bool(&wait, "w", "wait", "wait until every change is in force on all entry hosts and every endpoint is ready")
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		if file == "" {
+			return errors.Mark(errors.New("apply: --file is required"), errUsage)
+		}
+		items, err := manifest.ReadFile(file)
+		if err != nil {
+			return errors.Mark(err, errUsage)
+		}
+		applied, err := a.applyAll(ctx, items)
+		if err != nil {
+			return err
+		}
+		if wait {
+			if err := a.waitTrue(ctx, applied); err != nil {
+				return err
+			}
+		}
+		return a.printApplied(applied)
+	}}
+}
+
+// applied is a resource whose change was accepted.
+type applied struct {
+	Resource *operatorv1.Resource
+	Changed  bool
+}
+
+// applyAll writes the items kind by kind, since a resource must exist before
+// others refer to it.
+func (a *app) applyAll(ctx context.Context, items []manifest.Item) ([]applied, error) {
+	out := make([]applied, len(items))
+	for start := 0; start < len(items); {
+		end := start
+		kind := items[start].Resource.GetKind()
+		for end < len(items) && items[end].Resource.GetKind() == kind {
+			end++
+		}
+		g, ctx := errgroup.WithContext(ctx)
+		g.SetLimit(applyConcurrency)
+		for i := start; i < end; i++ {
+			g.Go(func() error {
+				var err error
+				out[i], err = a.applyItem(ctx, items[i])
+				return errors.Wrap(err, items[i].Source)
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return nil, err
+		}
+		start = end
+	}
+	return out, nil
+}
+
+func (a *app) applyItem(ctx context.Context, item manifest.Item) (applied, error) {
+	if !item.Pinned {
+		stored, err := a.fetch(ctx, item.Resource.GetKind(), item.Resource.GetMetadata().GetName())
+		if err != nil && connect.CodeOf(err) != connect.CodeNotFound {
+			return applied{}, err
+		}
+		item.Resource.Metadata.Revision = stored.GetMetadata().GetRevision()
+	}
+	resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.ApplyResponse], error) {
+		return c.Apply(ctx, connect.NewRequest(&operatorv1.ApplyRequest{Resource: item.Resource}))
+	})
+	if err != nil {
+		return applied{}, err
+	}
+	return applied{resp.GetResource(), resp.GetChanged()}, nil
+}
+
+func (a *app) fetch(ctx context.Context, kind, name string) (*operatorv1.Resource, error) {
+	resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.GetResponse], error) {
+		return c.Get(ctx, connect.NewRequest(&operatorv1.GetRequest{Kind: kind, Name: name}))
+	})
+	return resp.GetResource(), err
+}
+
+// waitTrue waits until the resources are in force on all entry hosts, at
+// their present revision or a later one, and the endpoints among them ready.
+func (a *app) waitTrue(ctx context.Context, want []applied) error {
+	for {
+		missing, err := a.missing(ctx, want)
+		if err != nil {
+			return err
+		}
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Mark(fmt.Errorf("accepted, but not true after %d s: %s", a.settings.TimeoutSeconds, missing), errTimeout)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+// missing describes the first condition that does not hold yet.
+func (a *app) missing(ctx context.Context, want []applied) (string, error) {
+	resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.ListResponse], error) {
+		return c.List(ctx, connect.NewRequest(&operatorv1.ListRequest{}))
+	})
+	if ctx.Err() != nil {
+		return "the status could not be read", nil
+	}
+	if err != nil {
+		return "", err
+	}
+	stored := map[string]*operatorv1.Resource{}
+	for _, r := range resp.GetResources() {
+		stored[r.GetKind()+"/"+r.GetMetadata().GetName()] = r
+	}
+	for _, w := range want {
+		key := w.Resource.GetKind() + "/" + w.Resource.GetMetadata().GetName()
+		r := stored[key]
+		if r.GetMetadata().GetRevision() < w.Resource.GetMetadata().GetRevision() {
+			return key + " is not in force on the answering entry host", nil
+		}
+		for _, c := range r.GetStatus().GetConditions() {
+			if c.GetStatus() != "True" && !r.GetEndpoint().GetDraining() {
+				return fmt.Sprintf("%s: %s is %s (%s) %s", key, c.GetType(), c.GetStatus(), c.GetReason(), c.GetMessage()), nil
+			}
+		}
+	}
+	return "", nil
+}
--- /dev/null
+++ b/cli/commands/write.go
@@ -0,0 +1,101 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	operatorv1 "tamarackknot.example/tamarackknot/gen/operator/v1"
+)
+
+func (a *app) delete() *command {
+	var kind, name string
+	var revision int64
+	sub := flaggy.NewSubcommand("delete")
+	sub.Description = "removes a resource"
+	sub.AddPositionalValue(&kind, "kind", 1, true, "deployment, model, adapter, service or endpoint")
+	sub.AddPositionalValue(&name, "name", 2, true, "name of the resource")
+	sub.Int64(&revision, "r", "revision", "remove only this revision; without it, the stored one")
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		if revision == 0 {
+			r, err := a.fetch(ctx, kind, name)
+			if err != nil {
+				return err
+			}
+			revision = r.GetMetadata().GetRevision()
+		}
+		resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.DeleteResponse], error) {
+			return c.Delete(ctx, connect.NewRequest(&operatorv1.DeleteRequest{Kind: kind, Name: name, Revision: revision}))
+		})
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(a.out, "%s/%s deleted at revision %d\n", kind, name, resp.GetRevision())
+		return err
+	}}
+}
+
+func (a *app) drain() *command   { return a.setDraining("drain", true) }
+func (a *app) undrain() *command { return a.setDraining("undrain", false) }
+
+// setDraining changes the draining mark of an endpoint. Draining is
+// configuration, so that it outlives every entry host.
+func (a *app) setDraining(verb string, draining bool) *command {
+	var name string
+	var wait bool
+	sub := flaggy.NewSubcommand(verb)
+	sub.Description = "takes an endpoint out of routing and placement"
+	if !draining {
+		sub.Description = "puts a drained endpoint back into routing and placement"
+	}
+	sub.AddPositionalValue(&name, "endpoint", 1, true, "name of the endpoint")
+	sub.Bool(&wait, "w", "wait", "wait until it is in force everywhere and, for drain, nothing is loaded there")
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		r, err := a.fetch(ctx, "endpoint", name)
+		if err != nil {
+			return err
+		}
+		spec := r.GetEndpoint()
+		if spec == nil {
+			return fmt.Errorf("endpoint %q: answer has no spec", name)
+		}
+		spec.Draining = draining
+		resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.ApplyResponse], error) {
+			return c.Apply(ctx, connect.NewRequest(&operatorv1.ApplyRequest{Resource: r}))
+		})
+		if err != nil {
+			return err
+		}
+		one := []applied{{resp.GetResource(), resp.GetChanged()}}
+		if wait {
+			if err := a.waitTrue(ctx, one); err != nil {
+				return err
+			}
+			if err := a.waitEmpty(ctx, name, draining); err != nil {
+				return err
+			}
+		}
+		return a.printApplied(one)
+	}}
+}
+
+// waitEmpty waits until no replica is reserved on a draining endpoint.
+func (a *app) waitEmpty(ctx context.Context, name string, draining bool) error {
+	for draining {
+		r, err := a.fetch(ctx, "endpoint", name)
+		if err != nil && ctx.Err() == nil {
+			return err
+		}
+		n := len(r.GetStatus().GetReplicas())
+		if err == nil && n == 0 {
+			return nil
+		}
+		if !sleep(ctx, waitInterval) {
+			return errors.Mark(fmt.Errorf("draining, but %d replicas are still reserved on endpoint %q", n, name), errTimeout)
+		}
+	}
+	return nil
+}
--- a/cli/main.go
+++ b/cli/main.go
@@ -1,4 +1,12 @@
 // Command tamarackctl is the operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"tamarackknot.example/tamarackknot/cli/commands"
+)
+
+func main() {
+	os.Exit(int(commands.Run(os.Args[1:], os.Stdout, os.Stderr)))
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,12 @@
 // Command tamarackd is the entry daemon.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"tamarackknot.example/tamarackknot/entry/commands"
+)
+
+func main() {
+	os.Exit(commands.Run(os.Args[1:], os.Stderr))
+}
--- /dev/null
+++ b/entry/settings/settings.go
@@ -0,0 +1,131 @@
+// Package settings reads and checks the settings of the entry daemon.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/caarlos0/env/v11"
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+)
+
+// envPrefix stands before the names in the struct tags of Settings.
+const envPrefix = "TAMARACKD_"
+
+// Settings of one entry daemon. Flags take precedence over the environment.
+type Settings struct {
+	Name                  string `env:"NAME"`
+	FailureDomain         string `env:"FAILURE_DOMAIN"`
+	CallerAddress         string `env:"CALLER_ADDRESS"`
+	PeerAddress           string `env:"PEER_ADDRESS"`
+	OperatorAddress       string `env:"OPERATOR_ADDRESS"`
+	PlatformURL           string `env:"PLATFORM_URL"`
+	LogLevel              string `env:"LOG_LEVEL" envDefault:"info"`
+	LogRetentionSeconds   int    `env:"LOG_RETENTION_SECONDS" envDefault:"86400"`
+	ReportIntervalMillis  int    `env:"REPORT_INTERVAL_MILLIS" envDefault:"1000"`
+	DefaultTimeoutSeconds int    `env:"DEFAULT_TIMEOUT_SECONDS" envDefault:"30"`
+	MaxBodyMB             int    `env:"MAX_BODY_MB" envDefault:"8"`
+	ReplayMB              int    `env:"REPLAY_MB" envDefault:"8"`
+	MaxQueue              int    `env:"MAX_QUEUE" envDefault:"1024"`
+	DrainTimeoutSeconds   int    `env:"DRAIN_TIMEOUT_SECONDS" envDefault:"620"`
+}
+
+// levels are the accepted log levels.
+func levels() []string { return []string{"debug", "info", "warn", "error"} }
+
+// intOption is a whole number with its flag, range and meaning.
+type intOption struct {
+	value    *int
+	flag     string
+	low      int
+	high     int
+	help     string
+	variable string
+}
+
+func (s *Settings) ints() []intOption {
+	return []intOption{
+		{&s.LogRetentionSeconds, "log-retention", 10, 30 * 86400, "seconds for which the platform's log keeps records", "LOG_RETENTION_SECONDS"},
+		{&s.ReportIntervalMillis, "report-interval", 50, 10000, "milliseconds between two reports read from an endpoint", "REPORT_INTERVAL_MILLIS"},
+		{&s.DefaultTimeoutSeconds, "default-timeout", 1, 600, "seconds until the deadline of a request that names none", "DEFAULT_TIMEOUT_SECONDS"},
+		{&s.MaxBodyMB, "max-body", 1, 1024, "largest request body in MB", "MAX_BODY_MB"},
+		{&s.ReplayMB, "replay", 0, 1024, "memory in MB for answers that a repeated key replays", "REPLAY_MB"},
+		{&s.MaxQueue, "max-queue", 1, 100000, "requests that may wait for one target", "MAX_QUEUE"},
+		{&s.DrainTimeoutSeconds, "drain-timeout", 1, 3600, "seconds after SIGTERM at which requests still in flight are given up; the default is above the longest request deadline", "DRAIN_TIMEOUT_SECONDS"},
+	}
+}
+
+// Parse reads the environment, then the arguments, and checks the result.
+func Parse(args []string) (Settings, error) {
+	var s Settings
+	if err := env.ParseWithOptions(&s, env.Options{Prefix: envPrefix}); err != nil {
+		return s, errors.Wrap(err, "environment")
+	}
+	p := flaggy.NewParser("tamarackd")
+	p.Description = "serves callers and operators in front of model endpoints. Every flag can also be set in the environment"
+	p.DisableShowVersionWithVersion()
+	p.String(&s.Name, "n", "name", "name of this host in the platform's host list (TAMARACKD_NAME)")
+	p.String(&s.FailureDomain, "d", "failure-domain", "failure domain of this host (TAMARACKD_FAILURE_DOMAIN)")
+	p.String(&s.CallerAddress, "c", "caller-address", "IP:port for callers (TAMARACKD_CALLER_ADDRESS)")
+	p.String(&s.PeerAddress, "p", "peer-address", "IP:port for other entry hosts (TAMARACKD_PEER_ADDRESS)")
+	p.String(&s.OperatorAddress, "o", "operator-address", "IP:port for operators (TAMARACKD_OPERATOR_ADDRESS)")
+	p.String(&s.PlatformURL, "u", "platform-url", "http URL of the platform's log and host list (TAMARACKD_PLATFORM_URL)")
+	p.String(&s.LogLevel, "l", "log-level", "debug, info, warn or error (TAMARACKD_LOG_LEVEL)")
+	for _, o := range s.ints() {
+		p.Int(o.value, "", o.flag, fmt.Sprintf("%s, %d to %d (%s%s)", o.help, o.low, o.high, envPrefix, o.variable))
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return s, errors.Wrap(err, "flags")
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	for _, o := range []struct{ flag, value string }{
+		{"name", s.Name},
+		{"failure-domain", s.FailureDomain},
+	} {
+		if strings.TrimSpace(o.value) == "" {
+			return fmt.Errorf("--%s: empty, a name is required", o.flag)
+		}
+	}
+	for _, o := range []struct{ flag, value string }{
+		{"caller-address", s.CallerAddress},
+		{"peer-address", s.PeerAddress},
+		{"operator-address", s.OperatorAddress},
+	} {
+		if err := checkAddress(o.value); err != nil {
+			return errors.Wrapf(err, "--%s", o.flag)
+		}
+	}
+	u, err := url.Parse(s.PlatformURL)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return fmt.Errorf("--platform-url: %q is not of the form http://IP:port", s.PlatformURL)
+	}
+	if !slices.Contains(levels(), s.LogLevel) {
+		return fmt.Errorf("--log-level: %q is not one of %v", s.LogLevel, levels())
+	}
+	for _, o := range s.ints() {
+		if *o.value < o.low || *o.value > o.high {
+			return fmt.Errorf("--%s: %d is not from %d to %d", o.flag, *o.value, o.low, o.high)
+		}
+	}
+	return nil
+}
+
+// checkAddress accepts IP:port. Peers and callers are given the address as it
+// is, so an unspecified IP is of no use to them.
+func checkAddress(s string) error {
+	ap, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return fmt.Errorf("%q is not of the form IP:port", s)
+	}
+	if ap.Addr().IsUnspecified() || ap.Port() == 0 {
+		return fmt.Errorf("%q must name the IP and port under which others reach this host", s)
+	}
+	return nil
+}
