--- a/fake/engine.go
+++ b/fake/engine.go
@@ -264,6 +264,9 @@
 	for _, r := range e.replicas {
 		e.drop(r)
 	}
+	// A new process does not report what the old one held.
+	e.reports = lagging[tamarackknot.Report]{}
+	e.publish()
 }
 
 // acquire takes a slot for a request to a loaded target, waiting for one in
--- a/fake/history.go
+++ b/fake/history.go
@@ -88,6 +88,14 @@
 	return h.peakReplicas[target]
 }
 
+// AllPeakReplicas returns the highest number of replicas at the same time of
+// each target that was ever in memory.
+func (h *History) AllPeakReplicas() map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.peakReplicas)
+}
+
 // Total returns how many replicas are in memory, and the highest number so
 // far.
 func (h *History) Total() (now, peak int) {
--- /dev/null
+++ b/standin/commands/group.go
@@ -0,0 +1,144 @@
+package commands
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Forms of the groups in --engines and --services.
+const (
+	engineGroupForm = "name=periyar-flow,deployment=periyar,count=20,port=9101,memoryMB=81920," +
+		"slots=8,queue=4,fencing=0.5,domains=kochi-1+kochi-2+kochi-3"
+	serviceGroupForm = "name=periyar-app,deployment=periyar,count=3,port=9131,slots=32,domains=kochi-1+kochi-2+kochi-3"
+)
+
+// Limits of groups.
+const (
+	maxGroupCount = 1000
+	maxPort       = 65535
+	maxSlots      = 100_000
+)
+
+// endpointGroup holds what groups of engines and of services share.
+type endpointGroup struct {
+	text       string
+	name       string
+	deployment string
+	count      int
+	port       int
+	slots      int
+	domains    []string
+}
+
+type engineGroup struct {
+	endpointGroup
+	memoryMB int64
+	queue    int
+	// fencing is the share of the engines that honour fencing numbers.
+	fencing float64
+}
+
+type serviceGroup struct {
+	endpointGroup
+}
+
+// endpointName returns the name of the endpoint with index i from 0:
+// name-01, name-02 and so on.
+func (g endpointGroup) endpointName(i int) string {
+	return fmt.Sprintf("%s-%02d", g.name, i+1)
+}
+
+func (g endpointGroup) endpointPort(i int) uint16 {
+	return uint16(g.port + i)
+}
+
+func (g endpointGroup) domain(i int) string {
+	return g.domains[i%len(g.domains)]
+}
+
+// fences spreads the share of engines with fencing evenly over the group.
+func (g engineGroup) fences(i int) bool {
+	return int(float64(i+1)*g.fencing) > int(float64(i)*g.fencing)
+}
+
+func (c *checker) engineGroup(option, text string) engineGroup {
+	fields := c.fields(option, text, engineGroupForm)
+	g := engineGroup{
+		endpointGroup: c.endpointGroup(option, text, fields),
+		memoryMB:      c.int(option+" memoryMB", fields["memoryMB"], 1, maxMemoryMB),
+		queue:         int(c.int(option+" queue", fields["queue"], 0, maxSlots)),
+		fencing:       c.float(option+" fencing", fields["fencing"], 0, 1),
+	}
+	return g
+}
+
+func (c *checker) serviceGroup(option, text string) serviceGroup {
+	return serviceGroup{endpointGroup: c.endpointGroup(option, text, c.fields(option, text, serviceGroupForm))}
+}
+
+func (c *checker) endpointGroup(option, text string, fields map[string]string) endpointGroup {
+	g := endpointGroup{
+		text:       text,
+		name:       c.name(option+" name", fields["name"]),
+		deployment: c.name(option+" deployment", fields["deployment"]),
+		count:      int(c.int(option+" count", fields["count"], 1, maxGroupCount)),
+		port:       int(c.int(option+" port", fields["port"], 1, maxPort)),
+		slots:      int(c.int(option+" slots", fields["slots"], 1, maxSlots)),
+	}
+	for d := range strings.SplitSeq(fields["domains"], "+") {
+		g.domains = append(g.domains, c.name(option+" domains", d))
+	}
+	if g.port+g.count-1 > maxPort {
+		c.fail(option, text, fmt.Sprintf("a port and a count whose last port is at most %d", maxPort))
+	}
+	return g
+}
+
+// fields splits "key=value,key=value" and requires each key of form once.
+func (c *checker) fields(option, text, form string) map[string]string {
+	fields := make(map[string]string)
+	for part := range strings.SplitSeq(text, ",") {
+		key, value, ok := strings.Cut(part, "=")
+		if _, twice := fields[key]; !ok || twice {
+			c.fail(option, text, "the form "+form)
+		}
+		fields[key] = value
+	}
+	keys := 0
+	for part := range strings.SplitSeq(form, ",") {
+		key, _, _ := strings.Cut(part, "=")
+		if _, ok := fields[key]; !ok {
+			c.fail(option, text, fmt.Sprintf("the form %s; %s is missing", form, key))
+		}
+		keys++
+	}
+	if len(fields) != keys {
+		c.fail(option, text, "only the keys of the form "+form)
+	}
+	return fields
+}
+
+func (c *checker) name(option, text string) string {
+	if !regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`).MatchString(text) {
+		c.fail(option, text, "a name of lower-case letters, digits, dots and hyphens")
+	}
+	return text
+}
+
+func (c *checker) int(option, text string, least, most int64) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < least || n > most {
+		c.fail(option, text, fmt.Sprintf("a whole number from %d to %d", least, most))
+	}
+	return n
+}
+
+func (c *checker) float(option, text string, least, most float64) float64 {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n >= least && n <= most) {
+		c.fail(option, text, fmt.Sprintf("a number from %g to %g", least, most))
+	}
+	return n
+}
