Add endpoint table, router and callers' API

Cause: entry hosts need a data plane: replica selection, queueing and forwarding with accurate notRun. Change: packages endpoint, routing and caller with a first end-to-end test of a cold and a warm request under synctest; internal/journaltest has the stand-ins. Ruled out: waiting before the index is synced; it delayed the wake-up of a cold request by syncInterval.

--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,302 @@
+// Package caller serves the HTTP API for callers: OpenAI-compatible routes and
+// plain services, forwarded to endpoints.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/endpoint"
+	"tamarackknot.example/tamarackknot/routing"
+)
+
+// Address is an entry host to which callers may connect.
+type Address struct {
+	Address       string `json:"address"` // IP:port
+	FailureDomain string `json:"failureDomain"`
+	// KeepUntil is when a caller must ask again.
+	KeepUntil time.Time `json:"keepUntil"`
+}
+
+// Addresses selects the entry hosts that callers are told of.
+type Addresses interface {
+	// Addresses returns entry hosts in order of preference for a caller in a
+	// failure domain; an empty domain means that the caller gave none.
+	Addresses(failureDomain string) []Address
+}
+
+// GateState is whether this host may serve requests.
+type GateState string
+
+// The states of the gate. A draining host still serves.
+const (
+	GateReady    GateState = "ready"
+	GateNotReady GateState = "notReady" // the state is not complete yet
+	GateStale    GateState = "stale"    // cut off from log and fresher peers
+	GateDraining GateState = "draining"
+)
+
+// Gate tells whether this host may serve requests.
+type Gate interface {
+	Gate() GateState
+}
+
+// Config holds the dependencies and settings of a Server.
+type Config struct {
+	Journal   tamarackknot.Journal
+	Members   tamarackknot.Members
+	Router    *routing.Router
+	Table     *endpoint.Table
+	Addresses Addresses
+	Gate      Gate
+	Logger    *log.Logger
+	// Registry is served on /metrics.
+	Registry metrics.Registry
+	// DialContext connects to endpoints; net.Dialer's if nil.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaxBody bounds a request body, MaxBuffered a response that is checked
+	// before it is relayed, MaxKept the responses kept for repeats of keyed
+	// requests, all in bytes; 8 MB, 32 MB and 64 MB if 0.
+	MaxBody     int64
+	MaxBuffered int
+	MaxKept     int
+}
+
+// Server is the HTTP handler of the callers' API.
+type Server struct {
+	cfg     Config
+	shared  *http.Transport // keeps connections, for repeatable requests
+	fresh   *http.Transport // a new connection for each request
+	keys    *keyStore
+	lastID  atomic.Uint64
+	frees   sync.WaitGroup
+	filters []filter
+	metrics serverMetrics
+}
+
+type serverMetrics struct {
+	inFlight metrics.Counter
+	bytes    metrics.Counter
+	retries  metrics.Counter
+	duration metrics.Histogram // ms, whole requests
+	queued   metrics.Histogram // us, until a replica was granted
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// New returns a server. It starts no goroutines.
+func New(cfg Config) *Server {
+	if cfg.DialContext == nil {
+		cfg.DialContext = (&net.Dialer{}).DialContext
+	}
+	if cfg.MaxBody == 0 {
+		cfg.MaxBody = 8 << 20
+	}
+	if cfg.MaxBuffered == 0 {
+		cfg.MaxBuffered = 32 << 20
+	}
+	if cfg.MaxKept == 0 {
+		cfg.MaxKept = 64 << 20
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	s := &Server{
+		cfg:    cfg,
+		shared: newTransport(cfg.DialContext, true),
+		fresh:  newTransport(cfg.DialContext, false),
+		keys:   newKeyStore(cfg.MaxKept),
+		// Samples as in go-metrics' timers, which need a goroutine.
+		metrics: serverMetrics{
+			inFlight: metrics.NewRegisteredCounter("caller.inFlight", cfg.Registry),
+			bytes:    metrics.NewRegisteredCounter("caller.bytes", cfg.Registry),
+			retries:  metrics.NewRegisteredCounter("caller.retries", cfg.Registry),
+			duration: metrics.NewRegisteredHistogram("caller.durationMs", cfg.Registry, newSample()),
+			queued:   metrics.NewRegisteredHistogram("caller.queuedUs", cfg.Registry, newSample()),
+		},
+	}
+	s.filters = []filter{
+		(*exchange).limits, (*exchange).headers, (*exchange).gate, (*exchange).readBody, (*exchange).resolve,
+		(*exchange).replay, (*exchange).acquire, (*exchange).claimKey, (*exchange).forward,
+	}
+	return s
+}
+
+func newSample() metrics.Sample {
+	return metrics.NewExpDecaySample(1028, 0.015)
+}
+
+// Close waits until keys of requests that did not run are freed, or until ctx
+// ends, and closes idle connections. Call it after http.Server.Shutdown.
+func (s *Server) Close(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.frees.Wait()
+		close(done)
+	}()
+	s.shared.CloseIdleConnections()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch path := r.URL.Path; {
+	case path == "/healthz":
+		w.WriteHeader(http.StatusOK)
+	case path == "/readyz":
+		s.serveReady(w)
+	case path == "/metrics":
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(s.cfg.Registry, w)
+	case path == "/v1/entryhosts":
+		s.serveEntryHosts(w, r)
+	case path == "/v1/models":
+		s.serveModels(w, r)
+	default:
+		s.serveForwarded(w, r)
+	}
+}
+
+func (s *Server) serveReady(w http.ResponseWriter) {
+	state := s.cfg.Gate.Gate()
+	if state != GateReady {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = fmt.Fprintln(w, state)
+}
+
+func onlyGet(w http.ResponseWriter, r *http.Request) bool {
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return true
+	}
+	methodNotAllowed(r, "GET, HEAD").write(w, time.Now())
+	return false
+}
+
+func methodNotAllowed(r *http.Request, allow string) *failure {
+	f := invalid("method", r.Method, allow)
+	f.status, f.code, f.allow = http.StatusMethodNotAllowed, "methodNotAllowed", allow
+	return f
+}
+
+type entryHostList struct {
+	EntryHosts []Address `json:"entryHosts"`
+}
+
+func (s *Server) serveEntryHosts(w http.ResponseWriter, r *http.Request) {
+	if !onlyGet(w, r) {
+		return
+	}
+	now := time.Now()
+	hosts := s.cfg.Addresses.Addresses(r.URL.Query().Get("failureDomain"))
+	if len(hosts) == 0 {
+		unavailable("noEntryHosts", "no entry host is known to be ready", now.Add(time.Second)).write(w, now)
+		return
+	}
+	writeJSON(w, entryHostList{EntryHosts: hosts})
+}
+
+// modelList is the answer of OpenAI's route for models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"` //nolint:tagliatelle // as in OpenAI's API
+}
+
+func (s *Server) serveModels(w http.ResponseWriter, r *http.Request) {
+	if !onlyGet(w, r) {
+		return
+	}
+	if f := s.gateFailure(time.Now()); f != nil {
+		f.write(w, time.Now())
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	s.cfg.Journal.Read(func(st tamarackknot.State) {
+		for _, res := range st.Resources(tamarackknot.KindModel) {
+			list.Data = append(list.Data, modelItem{
+				ID: res.Metadata.Name, Object: "model", OwnedBy: res.Model.Deployment,
+			})
+		}
+		for _, res := range st.Resources(tamarackknot.KindAdapter) {
+			list.Data = append(list.Data, modelItem{
+				ID: res.Metadata.Name, Object: "model", OwnedBy: res.Adapter.Deployment,
+			})
+		}
+	})
+	writeJSON(w, list)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain structs only
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// gateFailure returns the answer to a request that this host may not serve.
+func (s *Server) gateFailure(now time.Time) *failure {
+	switch s.cfg.Gate.Gate() {
+	case GateReady, GateDraining:
+		return nil
+	case GateStale:
+		return unavailable("stale", "this entry host is cut off and its configuration may be out of date; "+
+			"use another address from /v1/entryhosts", now.Add(time.Second))
+	case GateNotReady:
+	}
+	return unavailable("notReady", "this entry host has not read the configuration yet; "+
+		"use another address from /v1/entryhosts", now.Add(time.Second))
+}
+
+// route is where a path leads.
+type route struct {
+	plain   bool   // leads to a plain service
+	service string // prefix of the plain service
+	path    string // at the endpoint, escaped
+}
+
+func parseRoute(r *http.Request) (route, *failure) {
+	path := r.URL.EscapedPath()
+	switch path {
+	case "/v1/chat/completions", "/v1/completions":
+		if r.Method != http.MethodPost {
+			return route{}, methodNotAllowed(r, http.MethodPost)
+		}
+		return route{path: path}, nil
+	}
+	if rest, ok := strings.CutPrefix(path, "/services/"); ok {
+		if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+			return route{}, methodNotAllowed(r, "any but CONNECT and TRACE")
+		}
+		prefix, tail, _ := strings.Cut(rest, "/")
+		return route{plain: true, service: prefix, path: "/" + tail}, nil
+	}
+	f := invalid("path", path, "/v1/chat/completions, /v1/completions, /v1/models, /v1/entryhosts "+
+		"and /services/<prefix>/...")
+	f.status, f.code = http.StatusNotFound, "notFound"
+	return route{}, f
+}
--- /dev/null
+++ b/endpoint/entry.go
@@ -0,0 +1,149 @@
+package endpoint
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// Entry is what this host knows of one endpoint. Its methods may be called
+// from any goroutine; those used by routing take no lock.
+type Entry struct {
+	name      string
+	spec      atomic.Pointer[tamarackknot.EndpointSpec]
+	inFlight  atomic.Int64
+	others    atomic.Int64
+	signUntil atomic.Int64 // Unix time in ns
+	polling   atomic.Bool
+
+	mu         sync.Mutex
+	reported   bool
+	report     tamarackknot.Report
+	receivedAt time.Time
+	changed    bool // since the last push to peers
+	polledAt   time.Time
+	failures   int // failed polls in a row
+	sign       tamarackknot.EndpointSign
+	// sharedUntil is the deadline of the last sign told to the other hosts.
+	sharedUntil time.Time
+}
+
+func newEntry(res *tamarackknot.Resource) *Entry {
+	e := &Entry{name: res.Metadata.Name, receivedAt: time.Now()}
+	e.spec.Store(res.Endpoint)
+	return e
+}
+
+// Name is the name of the endpoint resource.
+func (e *Entry) Name() string { return e.name }
+
+// Spec is the accepted configuration of the endpoint; it is never modified.
+func (e *Entry) Spec() *tamarackknot.EndpointSpec { return e.spec.Load() }
+
+// Load returns this host's requests in flight and the share of the other hosts
+// according to the last report.
+func (e *Entry) Load() (own, others int64) {
+	return e.inFlight.Load(), e.others.Load()
+}
+
+// Available reports whether the endpoint may get new work at the time now.
+func (e *Entry) Available(now time.Time) bool {
+	return !e.spec.Load().Draining && e.signUntil.Load() <= now.UnixNano()
+}
+
+// TryStart counts a request in flight unless all slots are taken.
+func (e *Entry) TryStart() bool {
+	slots := int64(e.spec.Load().Slots)
+	for {
+		own := e.inFlight.Load()
+		if own+e.others.Load() >= slots {
+			return false
+		}
+		if e.inFlight.CompareAndSwap(own, own+1) {
+			return true
+		}
+	}
+}
+
+// Done ends a request that TryStart counted.
+func (e *Entry) Done() {
+	if e.inFlight.Add(-1) < 0 {
+		panic("endpoint: more requests ended than started on " + e.name)
+	}
+}
+
+// observe stores a report made at the endpoint. The share of other hosts is
+// what the report counts beyond this host's own requests. Of reports pushed by
+// peers an older one is ignored; a report polled by this host is always newer,
+// whatever the endpoint's clock says.
+func (e *Entry) observe(r tamarackknot.Report, pushed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if pushed && e.reported && r.Time.Before(e.report.Time) {
+		return
+	}
+	if !e.reported || !sameReport(e.report, r) {
+		e.changed = true
+	}
+	e.report, e.reported, e.receivedAt = r, true, time.Now()
+	if !pushed {
+		e.polledAt, e.failures = e.receivedAt, 0
+	}
+	e.others.Store(max(0, int64(r.Running+r.Waiting)-e.inFlight.Load()))
+}
+
+// touch records that a peer has seen the same report again.
+func (e *Entry) touch() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.receivedAt = time.Now()
+}
+
+// mark stores a sign. It reports whether it is the first one in force, and
+// whether it is the first one in force that is meant for the other hosts too.
+func (e *Entry) mark(s tamarackknot.EndpointSign, shared bool) (first, firstShared bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	first = !e.sign.Until.After(now)
+	if first || s.Until.After(e.sign.Until) {
+		e.sign = s
+		e.signUntil.Store(s.Until.UnixNano())
+	}
+	if shared {
+		firstShared = !e.sharedUntil.After(now)
+		e.sharedUntil = s.Until
+	}
+	return first, firstShared
+}
+
+// unmark ends a sign that was given for reason.
+func (e *Entry) unmark(reason string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sign.Reason == reason {
+		e.sign = tamarackknot.EndpointSign{}
+		e.signUntil.Store(0)
+	}
+}
+
+// sameReport compares everything but the time.
+func sameReport(a, b tamarackknot.Report) bool {
+	if a.Leaving != b.Leaving || a.Running != b.Running || a.Waiting != b.Waiting ||
+		len(a.Loaded) != len(b.Loaded) || len(a.Cached) != len(b.Cached) {
+		return false
+	}
+	for i := range a.Loaded {
+		if a.Loaded[i] != b.Loaded[i] {
+			return false
+		}
+	}
+	for i := range a.Cached {
+		if a.Cached[i] != b.Cached[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/journaltest/journal.go
@@ -0,0 +1,274 @@
+// Package journaltest has in-memory stand-ins for the journal and for
+// placement, for the tests of packages that use them.
+package journaltest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// Store is the state that the journals of several hosts share.
+type Store struct {
+	mu        sync.RWMutex
+	changed   chan struct{}
+	applied   tamarackknot.Offset
+	resources map[tamarackknot.Kind]map[string]*tamarackknot.Resource
+	sorted    map[tamarackknot.Kind][]*tamarackknot.Resource
+	byTarget  map[string][]tamarackknot.Replica
+	byPlace   map[string][]tamarackknot.Replica
+	keys      map[string]claimed
+}
+
+type claimed struct {
+	claim tamarackknot.KeyClaim
+	owner tamarackknot.Process
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		changed:   make(chan struct{}),
+		resources: map[tamarackknot.Kind]map[string]*tamarackknot.Resource{},
+		sorted:    map[tamarackknot.Kind][]*tamarackknot.Resource{},
+		byTarget:  map[string][]tamarackknot.Replica{},
+		byPlace:   map[string][]tamarackknot.Replica{},
+		keys:      map[string]claimed{},
+	}
+}
+
+func (s *Store) change(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+	s.applied++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Apply sets resources.
+func (s *Store) Apply(list ...*tamarackknot.Resource) {
+	s.change(func() {
+		for _, r := range list {
+			if s.resources[r.Kind] == nil {
+				s.resources[r.Kind] = map[string]*tamarackknot.Resource{}
+			}
+			r.Metadata.Revision = s.applied + 1
+			s.resources[r.Kind][r.Metadata.Name] = r
+			s.sorted[r.Kind] = nil
+		}
+	})
+}
+
+// Remove deletes a resource.
+func (s *Store) Remove(kind tamarackknot.Kind, name string) {
+	s.change(func() {
+		delete(s.resources[kind], name)
+		s.sorted[kind] = nil
+	})
+}
+
+// Place sets the state of the replica of a target on an endpoint; an empty
+// state removes it.
+func (s *Store) Place(target, endpoint string, state tamarackknot.ReplicaState) {
+	s.change(func() {
+		t, _ := s.target(target)
+		set := func(list []tamarackknot.Replica) []tamarackknot.Replica {
+			list = slices.DeleteFunc(slices.Clone(list), func(r tamarackknot.Replica) bool {
+				return r.Target == target && r.Endpoint == endpoint
+			})
+			if state == "" {
+				return list
+			}
+			return append(list, tamarackknot.Replica{
+				Target: target, Endpoint: endpoint, State: state, Version: t.Version,
+			})
+		}
+		s.byTarget[target] = set(s.byTarget[target])
+		s.byPlace[endpoint] = set(s.byPlace[endpoint])
+	})
+}
+
+func (s *Store) target(name string) (tamarackknot.Target, bool) {
+	if r, ok := s.resources[tamarackknot.KindModel][name]; ok {
+		return tamarackknot.Target{Name: name, Deployment: r.Model.Deployment, Version: r.Model.Version}, true
+	}
+	if r, ok := s.resources[tamarackknot.KindAdapter][name]; ok {
+		return tamarackknot.Target{
+			Name: name, Deployment: r.Adapter.Deployment, Base: r.Adapter.Model, Version: r.Adapter.Version,
+		}, true
+	}
+	return tamarackknot.Target{}, false
+}
+
+// view implements tamarackknot.State.
+type view struct{ s *Store }
+
+var _ tamarackknot.State = view{}
+
+func (v view) Applied() tamarackknot.Offset                         { return v.s.applied }
+func (v view) ConfigOffset() tamarackknot.Offset                    { return v.s.applied }
+func (v view) Time() time.Time                                      { return time.Now() }
+func (v view) Target(name string) (tamarackknot.Target, bool)       { return v.s.target(name) }
+func (v view) Replicas(target string) []tamarackknot.Replica        { return v.s.byTarget[target] }
+func (v view) EndpointReplicas(place string) []tamarackknot.Replica { return v.s.byPlace[place] }
+func (v view) ReservedMB(string) int64                              { return 0 }
+func (v view) Basis(string) tamarackknot.Offset                     { return 0 }
+func (v view) Resource(k tamarackknot.Kind, n string) (*tamarackknot.Resource, bool) {
+	r, ok := v.s.resources[k][n]
+	return r, ok
+}
+
+func (v view) Resources(k tamarackknot.Kind) []*tamarackknot.Resource {
+	return v.s.sorted[k]
+}
+
+// Journal is the journal of one host.
+type Journal struct {
+	Store   *Store
+	Process tamarackknot.Process
+	// Fault, if set, is asked before each claim of a key; the error it returns
+	// is the result, and applied says whether the claim takes effect anyway.
+	Fault func() (err error, applied bool) //nolint:revive,staticcheck // the error is the main result
+	// Delay of each claim.
+	Delay time.Duration
+}
+
+var _ tamarackknot.Journal = (*Journal)(nil)
+
+// Propose is not supported.
+func (*Journal) Propose(context.Context, tamarackknot.Change) (tamarackknot.Outcome, error) {
+	return tamarackknot.Outcome{}, errors.Wrap(tamarackknot.ErrNotAppended, "not supported")
+}
+
+// ClaimKey implements tamarackknot.Journal; the first claim of a key wins.
+func (j *Journal) ClaimKey(ctx context.Context, c tamarackknot.KeyClaim) (tamarackknot.KeyOutcome, error) {
+	if j.Delay > 0 {
+		select {
+		case <-time.After(j.Delay):
+		case <-ctx.Done():
+			return tamarackknot.KeyOutcome{}, errors.Wrap(tamarackknot.ErrNotAppended, "claim")
+		}
+	}
+	if j.Fault != nil {
+		if err, applied := j.Fault(); err != nil {
+			if applied {
+				j.claim(c)
+			}
+			return tamarackknot.KeyOutcome{}, err
+		}
+	}
+	return j.claim(c), nil
+}
+
+func (j *Journal) claim(c tamarackknot.KeyClaim) tamarackknot.KeyOutcome {
+	out := tamarackknot.KeyOutcome{Accepted: true, Owner: j.Process}
+	j.Store.change(func() {
+		held, ok := j.Store.keys[c.Key]
+		switch {
+		case !ok:
+			j.Store.keys[c.Key] = claimed{claim: c, owner: j.Process}
+		case held.claim.Digest != c.Digest:
+			out = tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonInvalid, Owner: held.owner}
+		default:
+			out = tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict, Owner: held.owner}
+		}
+	})
+	return out
+}
+
+// FreeKey implements tamarackknot.Journal.
+func (j *Journal) FreeKey(_ context.Context, c tamarackknot.KeyClaim) error {
+	j.Store.change(func() {
+		if j.Store.keys[c.Key].owner == j.Process {
+			delete(j.Store.keys, c.Key)
+		}
+	})
+	return nil
+}
+
+// Read implements tamarackknot.Journal.
+func (j *Journal) Read(fn func(tamarackknot.State)) {
+	s := j.Store
+	s.mu.Lock()
+	for k, byName := range s.resources {
+		if s.sorted[k] == nil {
+			for _, r := range byName {
+				s.sorted[k] = append(s.sorted[k], r)
+			}
+			slices.SortFunc(s.sorted[k], func(a, b *tamarackknot.Resource) int {
+				return strings.Compare(a.Metadata.Name, b.Metadata.Name)
+			})
+		}
+	}
+	s.mu.Unlock()
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	fn(view{s})
+}
+
+// Changed implements tamarackknot.Journal.
+func (j *Journal) Changed() <-chan struct{} {
+	j.Store.mu.RLock()
+	defer j.Store.mu.RUnlock()
+	return j.Store.changed
+}
+
+// Status implements tamarackknot.Journal.
+func (j *Journal) Status() tamarackknot.JournalStatus {
+	return tamarackknot.JournalStatus{Ready: true}
+}
+
+// Placement records demand and answers with a settable forecast.
+type Placement struct {
+	mu       sync.Mutex
+	demand   map[string]tamarackknot.Demand
+	forecast tamarackknot.Forecast
+	// OnWant, if set, is called on its own goroutine for each demand.
+	OnWant func(tamarackknot.Demand)
+}
+
+var _ tamarackknot.Placement = (*Placement)(nil)
+
+// Want implements tamarackknot.Placement.
+func (p *Placement) Want(d tamarackknot.Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.demand == nil {
+		p.demand = map[string]tamarackknot.Demand{}
+	}
+	p.demand[d.Target] = d
+	if p.OnWant != nil {
+		go p.OnWant(d)
+	}
+}
+
+// Used implements tamarackknot.Placement.
+func (*Placement) Used(string, time.Time) {}
+
+// Forecast implements tamarackknot.Placement.
+func (p *Placement) Forecast(string) tamarackknot.Forecast {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.forecast
+}
+
+// SetForecast sets the answer for all targets.
+func (p *Placement) SetForecast(f tamarackknot.Forecast) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forecast = f
+}
+
+// Demand returns the last demand for a target.
+func (p *Placement) Demand(target string) tamarackknot.Demand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand[target]
+}
--- /dev/null
+++ b/routing/queue.go
@@ -0,0 +1,236 @@
+package routing
+
+import (
+	"container/heap"
+	"sync/atomic"
+	"time"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// target is the routing state of a model, an adapter or a plain service.
+type target struct {
+	key        Key
+	hash       uint64
+	candidates atomic.Pointer[[]candidate]
+	waiting    atomic.Int64 // length of queue
+
+	// Guarded by Router.mu.
+	queue   waiters
+	told    tamarackknot.Demand
+	retries float64 // that the retry budget allows now
+
+	// serviceTime is the moving average of how long a slot is held, in ns.
+	serviceTime atomic.Int64
+}
+
+// waiter is a queued request.
+type waiter struct {
+	req Request
+	seq uint64
+	pos int // in the heap; -1 once answered
+	// answer has room for the one answer that a waiter gets.
+	answer chan answer
+}
+
+type answer struct {
+	grant     Grant
+	choice    choice
+	rejection *Rejection
+}
+
+// waiters is a heap ordered by priority, then deadline, then arrival.
+type waiters []*waiter
+
+var _ heap.Interface = (*waiters)(nil)
+
+func (q waiters) Len() int           { return len(q) }
+func (q waiters) Less(i, j int) bool { return q[i].before(q[j]) }
+
+func (q waiters) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].pos, q[j].pos = i, j
+}
+
+// Push implements heap.Interface.
+func (q *waiters) Push(x any) {
+	w, _ := x.(*waiter)
+	w.pos = len(*q)
+	*q = append(*q, w)
+}
+
+// Pop implements heap.Interface.
+func (q *waiters) Pop() any {
+	old := *q
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	w.pos = -1
+	return w
+}
+
+func (w *waiter) before(o *waiter) bool {
+	if w.req.Priority != o.req.Priority {
+		return w.req.Priority > o.req.Priority
+	}
+	if !w.req.Deadline.Equal(o.req.Deadline) {
+		return w.req.Deadline.Before(o.req.Deadline)
+	}
+	return w.seq < o.seq
+}
+
+func (r *Router) push(t *target, w *waiter) {
+	r.seq++
+	w.seq = r.seq
+	heap.Push(&t.queue, w)
+	r.queued++
+	t.waiting.Store(int64(len(t.queue)))
+	r.waiting[t] = true
+	r.anyWaiting.Store(true)
+}
+
+func (r *Router) remove(t *target, w *waiter) {
+	heap.Remove(&t.queue, w.pos)
+	r.queued--
+	t.waiting.Store(int64(len(t.queue)))
+	if len(t.queue) == 0 {
+		delete(r.waiting, t)
+		r.anyWaiting.Store(len(r.waiting) > 0)
+	}
+}
+
+// dispatch grants free slots to the queue of a target, first in order first.
+func (r *Router) dispatch(t *target, now time.Time) {
+	for len(t.queue) > 0 {
+		w := t.queue[0]
+		c, ok := r.take(t, &w.req, now)
+		if !ok {
+			break
+		}
+		r.remove(t, w)
+		w.answer <- answer{grant: r.grant(t, c, now), choice: c}
+	}
+	r.tell(t)
+}
+
+// dispatchFreed grants a slot freed on an endpoint to the first in order of
+// all requests that wait for a target there.
+func (r *Router) dispatchFreed(name string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.index.endpoints[name]
+	if p == nil {
+		return
+	}
+	var next *target
+	for _, t := range p.targets {
+		if len(t.queue) > 0 && (next == nil || t.queue[0].before(next.queue[0])) {
+			next = t
+		}
+	}
+	if next != nil {
+		r.dispatch(next, now)
+	}
+}
+
+// tell sends the demand for a target to placement if it has changed.
+func (r *Router) tell(t *target) {
+	if t.key.Service != "" {
+		return
+	}
+	d := tamarackknot.Demand{Target: t.key.Model, Waiting: len(t.queue)}
+	for _, w := range t.queue {
+		if d.Earliest.IsZero() || w.req.Deadline.Before(d.Earliest) {
+			d.Earliest = w.req.Deadline
+		}
+		d.Priority = max(d.Priority, w.req.Priority)
+	}
+	if d != t.told {
+		t.told = d
+		r.cfg.Placement.Want(d)
+	}
+}
+
+func (r *Router) reject(t *target, w *waiter, rej Rejection) {
+	r.remove(t, w)
+	w.answer <- answer{rejection: &rej}
+}
+
+func (r *Router) rejectAll(t *target, rej Rejection) {
+	for len(t.queue) > 0 {
+		r.reject(t, t.queue[0], rej)
+	}
+	r.tell(t)
+}
+
+// review rejects the requests of a queue that will not be served in time.
+func (r *Router) review(t *target, now time.Time) {
+	var late []*waiter
+	var rejs []Rejection
+	for _, w := range t.queue {
+		if rej := r.hopeless(t, w, now); rej != nil {
+			late, rejs = append(late, w), append(rejs, *rej)
+		}
+	}
+	for i, w := range late {
+		r.reject(t, w, rejs[i])
+	}
+	r.tell(t)
+}
+
+// hopeless returns a rejection if a queued request is not expected to be
+// served by its deadline.
+func (r *Router) hopeless(t *target, w *waiter, now time.Time) *Rejection {
+	var f tamarackknot.Forecast
+	if t.key.Service == "" {
+		f = r.cfg.Placement.Forecast(t.key.Model)
+	}
+	slots := t.slots(w.req.Version, now)
+	if slots == 0 {
+		switch {
+		case f.Refused:
+			return &Rejection{Reason: RejectRefused, Detail: f.Reason, RetryAt: f.RetryAt}
+		case f.ReadyAt.After(w.req.Deadline):
+			return &Rejection{
+				Reason: RejectTooLate, RetryAt: f.ReadyAt,
+				Detail: "a replica is expected to be loaded at " + f.ReadyAt.Format(time.RFC3339) + ", after the deadline",
+			}
+		}
+		return nil
+	}
+	held := t.serviceTime.Load()
+	if held == 0 {
+		return nil
+	}
+	ahead := 0
+	for _, o := range t.queue {
+		if o.before(w) {
+			ahead++
+		}
+	}
+	ready := now.Add(time.Duration(int64(ahead+1) * held / slots))
+	if !ready.After(w.req.Deadline) || (!f.ReadyAt.IsZero() && !f.ReadyAt.After(w.req.Deadline)) {
+		return nil
+	}
+	return &Rejection{
+		Reason: RejectTooLate, RetryAt: ready,
+		Detail: "all replicas are full and the queue is expected to reach the request at " +
+			ready.Format(time.RFC3339) + ", after the deadline",
+	}
+}
+
+// slots is the number of slots of the replicas that are available, full ones
+// included.
+func (t *target) slots(version string, now time.Time) int64 {
+	var n int64
+	list := t.candidates.Load()
+	if list == nil {
+		return 0
+	}
+	for i := range *list {
+		if c := &(*list)[i]; c.version == version && c.entry.Available(now) {
+			n += int64(c.entry.Spec().Slots)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/routing/score.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"tamarackknot.example/tamarackknot/endpoint"
+)
+
+const (
+	// maxScored bounds the candidates scored for one request. Of more, a
+	// window at a random position is scored.
+	maxScored = 256
+	// The bonuses are in units of the share of an endpoint's slots in use.
+	prefixBonus = 0.25
+	domainBonus = 0.10
+	// triedPenalty puts an endpoint that failed this request behind all others.
+	triedPenalty = 10
+	// prefixSlots is the number of prompt prefixes remembered.
+	prefixSlots = 1 << 14
+)
+
+// choice is the result of scoring.
+type choice struct {
+	entry      *endpoint.Entry
+	score      float64
+	own        int64
+	others     int64
+	candidates int
+	eligible   int
+	prefix     bool
+	domain     bool
+}
+
+// choose filters the candidates of a target and returns the one with the
+// lowest score; its entry is nil if none can take the request.
+func (r *Router) choose(t *target, req *Request, now time.Time) choice {
+	var best choice
+	list := t.candidates.Load()
+	if list == nil || len(*list) == 0 {
+		return best
+	}
+	cs := *list
+	n := len(cs)
+	remembered := r.prefixes.get(t.hash ^ req.Prefix)
+	start := rand.IntN(n) //nolint:gosec // spreads ties
+	best.candidates = n
+	for i := range min(n, maxScored) {
+		c := &cs[(start+i)%n]
+		if c.version != req.Version || !c.entry.Available(now) {
+			continue
+		}
+		spec := c.entry.Spec()
+		own, others := c.entry.Load()
+		if own+others >= int64(spec.Slots) {
+			continue
+		}
+		best.eligible++
+		score := float64(own+others+1) / float64(spec.Slots)
+		prefix := req.Prefix != 0 && remembered == c.entry
+		domain := spec.FailureDomain == r.cfg.FailureDomain
+		if prefix {
+			score -= prefixBonus
+		}
+		if domain {
+			score -= domainBonus
+		}
+		if req.tried(c.entry) {
+			score += triedPenalty
+		}
+		if best.entry == nil || score < best.score {
+			best.entry, best.score, best.own, best.others = c.entry, score, own, others
+			best.prefix, best.domain = prefix, domain
+		}
+	}
+	return best
+}
+
+// prefixTable remembers the endpoint that last got a prompt prefix. Its
+// entries overwrite each other; a wrong hit costs only a misplaced bonus.
+type prefixTable struct {
+	slots [prefixSlots]struct {
+		hash  atomic.Uint64
+		entry atomic.Pointer[endpoint.Entry]
+	}
+}
+
+func (p *prefixTable) get(hash uint64) *endpoint.Entry {
+	s := &p.slots[hash%prefixSlots]
+	if s.hash.Load() != hash {
+		return nil
+	}
+	return s.entry.Load()
+}
+
+func (p *prefixTable) put(hash uint64, e *endpoint.Entry) {
+	s := &p.slots[hash%prefixSlots]
+	s.entry.Store(e)
+	s.hash.Store(hash)
+}
