--- a/engine.go
+++ b/engine.go
@@ -65,6 +65,9 @@
 	MemoryMB int64  `json:"memoryMB"`
 	// Loading says that the load has not finished; its memory is in use.
 	Loading bool `json:"loading,omitempty"`
+	// Running is the number of requests of this target that run or wait, 0 if
+	// the engine does not count them by target.
+	Running int `json:"running,omitempty"`
 }
 
 // CachedTarget is a checkpoint in an endpoint's cache.
--- /dev/null
+++ b/placement/index.go
@@ -0,0 +1,157 @@
+package placement
+
+import (
+	"container/heap"
+	"math/bits"
+	"sort"
+	"time"
+)
+
+const freeBuckets = 40
+
+// domain indexes the usable endpoints of a failure domain by free memory: the
+// bucket of an endpoint is the bit length of its free MB.
+type domain struct {
+	name    string
+	buckets [freeBuckets][]*endpoint
+}
+
+func (p *Policy) domain(name string) *domain {
+	i := sort.Search(len(p.domains), func(i int) bool { return p.domains[i].name >= name })
+	if i < len(p.domains) && p.domains[i].name == name {
+		return p.domains[i]
+	}
+	d := &domain{name: name}
+	p.domains = append(p.domains, nil)
+	copy(p.domains[i+1:], p.domains[i:])
+	p.domains[i] = d
+	return d
+}
+
+func freeBucket(mb int64) int {
+	if mb <= 0 {
+		return 0
+	}
+	return min(freeBuckets-1, bits.Len64(uint64(mb)))
+}
+
+func (p *Policy) unindex(e *endpoint) {
+	if e.bucket < 0 {
+		return
+	}
+	b := e.domain.buckets[e.bucket]
+	last := b[len(b)-1]
+	b[e.slot], last.slot = last, e.slot
+	e.domain.buckets[e.bucket] = b[:len(b)-1]
+	e.bucket = -1
+}
+
+// reindex moves an endpoint to the bucket of its free memory.
+func (p *Policy) reindex(e *endpoint) {
+	if !e.usable || e.domain == nil {
+		p.unindex(e)
+		return
+	}
+	b := freeBucket(e.free())
+	if b == e.bucket {
+		return
+	}
+	p.unindex(e)
+	e.bucket, e.slot = b, len(e.domain.buckets[b])
+	e.domain.buckets[b] = append(e.domain.buckets[b], e)
+}
+
+// withFree calls fn with up to n endpoints of a domain that have mb free, the
+// tightest fit first.
+func (d *domain) withFree(mb int64, n int, fn func(*endpoint)) {
+	for b := freeBucket(mb); b < freeBuckets && n > 0; b++ {
+		// Bounds the scan of the first bucket, which also holds endpoints with
+		// too little memory.
+		for _, e := range d.buckets[b][:min(len(d.buckets[b]), 8*n)] {
+			if n > 0 && e.free() >= mb {
+				n--
+				fn(e)
+			}
+		}
+	}
+}
+
+// replicaHeap orders loaded replicas by the time at which their idle unload is
+// to be considered.
+type replicaHeap []*replica
+
+func (h replicaHeap) Len() int           { return len(h) }
+func (h replicaHeap) Less(i, j int) bool { return h[i].checkAt.Before(h[j].checkAt) }
+func (h replicaHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heap, h[j].heap = i, j
+}
+
+// Push implements heap.Interface.
+func (h *replicaHeap) Push(x any) {
+	r := x.(*replica)
+	r.heap = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *replicaHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	r.heap = -1
+	return r
+}
+
+func (h *replicaHeap) drop(r *replica) {
+	if r.heap >= 0 {
+		heap.Remove(h, r.heap)
+	}
+}
+
+func (h *replicaHeap) set(r *replica, at time.Time) {
+	r.checkAt = at
+	if r.heap >= 0 {
+		heap.Fix(h, r.heap)
+		return
+	}
+	heap.Push(h, r)
+}
+
+// lowest calls fn with the n replicas that come first in the heap.
+func (h replicaHeap) lowest(n int, fn func(*replica)) {
+	if len(h) == 0 {
+		return
+	}
+	next := indexHeap{h: h, idx: []int{0}}
+	for ; n > 0 && len(next.idx) > 0; n-- {
+		i := heap.Pop(&next).(int)
+		fn(h[i])
+		for _, c := range []int{2*i + 1, 2*i + 2} {
+			if c < len(h) {
+				heap.Push(&next, c)
+			}
+		}
+	}
+}
+
+// indexHeap orders positions of a replicaHeap by their replicas.
+type indexHeap struct {
+	h   replicaHeap
+	idx []int
+}
+
+func (x indexHeap) Len() int           { return len(x.idx) }
+func (x indexHeap) Less(i, j int) bool { return x.h.Less(x.idx[i], x.idx[j]) }
+func (x indexHeap) Swap(i, j int)      { x.idx[i], x.idx[j] = x.idx[j], x.idx[i] }
+
+// Push implements heap.Interface.
+func (x *indexHeap) Push(v any) { x.idx = append(x.idx, v.(int)) }
+
+// Pop implements heap.Interface.
+func (x *indexHeap) Pop() any {
+	v := x.idx[len(x.idx)-1]
+	x.idx = x.idx[:len(x.idx)-1]
+	return v
+}
