--- /dev/null
+++ b/placement/mirror.go
@@ -0,0 +1,239 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// mirror is the loop's copy of the replicas in the journal.
+type mirror struct {
+	stale   bool
+	nextAt  time.Time
+	config  tamarackknot.Offset
+	applied tamarackknot.Offset
+	// replicas are the reservations by endpoint.
+	replicas  map[string][]tamarackknot.Replica
+	endpoints map[string]*tamarackknot.Resource
+	// refresh lists targets whose basis must be read again.
+	refresh map[string]struct{}
+}
+
+func newMirror() mirror {
+	return mirror{
+		stale:     true,
+		replicas:  make(map[string][]tamarackknot.Replica),
+		endpoints: make(map[string]*tamarackknot.Resource),
+		refresh:   make(map[string]struct{}),
+	}
+}
+
+// reset makes the next sync read everything.
+func (m *mirror) reset() {
+	*m = newMirror()
+}
+
+// targetReplicas is what the policy needs of one target.
+type targetReplicas struct {
+	name     string
+	basis    tamarackknot.Offset
+	replicas []tamarackknot.Replica
+}
+
+// sync copies configuration and replicas from the journal as far as they
+// changed. At the target size a copy takes milliseconds, so that the next one
+// waits in proportion.
+func (c *Controller) sync(now time.Time) {
+	m := &c.mirror
+	if len(c.planners) == 0 && len(c.work) == 0 || !m.stale || now.Before(m.nextAt) {
+		return
+	}
+	begin := time.Now()
+	m.stale = false
+	var resources map[tamarackknot.Kind][]*tamarackknot.Resource
+	var changed []targetReplicas
+	c.cfg.Journal.Read(func(s tamarackknot.State) {
+		if s.ConfigOffset() != m.config || m.config == 0 {
+			resources = make(map[tamarackknot.Kind][]*tamarackknot.Resource)
+			for _, k := range tamarackknot.Kinds() {
+				resources[k] = s.Resources(k)
+			}
+			m.config = s.ConfigOffset()
+			m.setEndpoints(resources[tamarackknot.KindEndpoint])
+			c.markNewTargets(resources)
+		}
+		if s.Applied() == m.applied && resources == nil && len(m.refresh) == 0 {
+			return
+		}
+		m.applied = s.Applied()
+		for name := range m.endpoints {
+			m.compare(name, s.EndpointReplicas(name))
+		}
+		for name := range m.refresh {
+			changed = append(changed, targetReplicas{name: name, basis: s.Basis(name), replicas: s.Replicas(name)})
+		}
+		clear(m.refresh)
+	})
+	if resources != nil {
+		for _, pl := range c.planners {
+			pl.configure(resources, now)
+		}
+	}
+	for _, pl := range c.planners {
+		for _, t := range changed {
+			pl.setReplicas(t, now)
+		}
+	}
+	m.nextAt = now.Add(syncShare * time.Since(begin))
+}
+
+func (m *mirror) setEndpoints(list []*tamarackknot.Resource) {
+	clear(m.endpoints)
+	for _, r := range list {
+		if r.Endpoint.Service == "" {
+			m.endpoints[r.Metadata.Name] = r
+		}
+	}
+	for name := range m.replicas {
+		if m.endpoints[name] == nil {
+			m.compare(name, nil)
+		}
+	}
+}
+
+// compare replaces the replicas of an endpoint and marks the targets that
+// changed.
+func (m *mirror) compare(endpoint string, fresh []tamarackknot.Replica) {
+	old := m.replicas[endpoint]
+	if slices.Equal(old, fresh) {
+		return
+	}
+	for _, r := range old {
+		if !slices.Contains(fresh, r) {
+			m.refresh[r.Target] = struct{}{}
+		}
+	}
+	for _, r := range fresh {
+		if !slices.Contains(old, r) {
+			m.refresh[r.Target] = struct{}{}
+		}
+	}
+	if len(fresh) == 0 {
+		delete(m.replicas, endpoint)
+		return
+	}
+	m.replicas[endpoint] = fresh
+}
+
+// markNewTargets reads the basis of targets that a planner does not know yet.
+func (c *Controller) markNewTargets(resources map[tamarackknot.Kind][]*tamarackknot.Resource) {
+	for _, k := range []tamarackknot.Kind{tamarackknot.KindModel, tamarackknot.KindAdapter} {
+		for _, r := range resources[k] {
+			if pl := c.planners[resourceDeployment(r)]; pl != nil && pl.targets[r.Metadata.Name] != r {
+				c.mirror.refresh[r.Metadata.Name] = struct{}{}
+			}
+		}
+	}
+}
+
+func resourceDeployment(r *tamarackknot.Resource) string {
+	switch {
+	case r.Model != nil:
+		return r.Model.Deployment
+	case r.Adapter != nil:
+		return r.Adapter.Deployment
+	case r.Endpoint != nil:
+		return r.Endpoint.Deployment
+	}
+	return ""
+}
+
+// configure hands changed resources of the deployment to the policy.
+func (pl *planner) configure(resources map[tamarackknot.Kind][]*tamarackknot.Resource, now time.Time) {
+	for _, r := range resources[tamarackknot.KindDeployment] {
+		if r.Metadata.Name == pl.deployment {
+			pl.policy.SetDeployment(*r.Deployment, now)
+		}
+	}
+	seen := make(map[string]struct{})
+	priority := make(map[string]int)
+	for _, r := range resources[tamarackknot.KindModel] {
+		if r.Model.Deployment == pl.deployment {
+			priority[r.Metadata.Name] = r.Model.Priority
+			pl.setTarget(r, seen, tamarackknot.Target{
+				Name: r.Metadata.Name, Deployment: pl.deployment, Version: r.Model.Version, MemoryMB: r.Model.MemoryMB,
+				MaxReplicas: r.Model.MaxReplicas, Priority: r.Model.Priority,
+			})
+		}
+	}
+	for _, r := range resources[tamarackknot.KindAdapter] {
+		if r.Adapter.Deployment == pl.deployment {
+			pl.setTarget(r, seen, tamarackknot.Target{
+				Name: r.Metadata.Name, Deployment: pl.deployment, Base: r.Adapter.Model, Version: r.Adapter.Version,
+				MemoryMB: r.Adapter.MemoryMB, MaxReplicas: r.Adapter.MaxReplicas, Priority: priority[r.Adapter.Model],
+			})
+		}
+	}
+	for name := range pl.targets {
+		if _, ok := seen[name]; !ok {
+			delete(pl.targets, name)
+			pl.policy.RemoveTarget(name)
+		}
+	}
+	pl.configureEndpoints(resources[tamarackknot.KindEndpoint])
+}
+
+func (pl *planner) setTarget(r *tamarackknot.Resource, seen map[string]struct{}, t tamarackknot.Target) {
+	seen[t.Name] = struct{}{}
+	if pl.targets[t.Name] == r {
+		return
+	}
+	pl.targets[t.Name] = r
+	pl.policy.SetTarget(t)
+	// The demand may have arrived before the target.
+	if _, ok := pl.demand[t.Name]; ok {
+		pl.changed[t.Name] = struct{}{}
+	}
+	// The reports name cached copies that were unknown until now.
+	for _, e := range pl.endpoints {
+		e.report = time.Time{}
+	}
+}
+
+func (pl *planner) configureEndpoints(list []*tamarackknot.Resource) {
+	seen := make(map[string]struct{})
+	for _, r := range list {
+		if r.Endpoint.Deployment != pl.deployment || r.Endpoint.Service != "" {
+			continue
+		}
+		name := r.Metadata.Name
+		seen[name] = struct{}{}
+		e := pl.endpoints[name]
+		if e == nil {
+			e = &plannerEndpoint{}
+			pl.endpoints[name] = e
+		}
+		if e.resource != r {
+			e.resource, e.known = r, false
+		}
+	}
+	for name := range pl.endpoints {
+		if _, ok := seen[name]; !ok {
+			delete(pl.endpoints, name)
+			pl.policy.RemoveEndpoint(name)
+		}
+	}
+}
+
+// setReplicas hands the reservations of a target to the policy if it belongs
+// to the deployment. A removed target is recognised by its endpoints.
+func (pl *planner) setReplicas(t targetReplicas, now time.Time) {
+	if pl.targets[t.name] == nil && !pl.policy.Knows(t.name) {
+		mine := slices.ContainsFunc(t.replicas, func(r tamarackknot.Replica) bool { return pl.endpoints[r.Endpoint] != nil })
+		if !mine {
+			return
+		}
+	}
+	pl.policy.SetReplicas(t.name, t.basis, t.replicas, now)
+}
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,246 @@
+package placement
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// planner holds what this host knows as the planner of one deployment.
+type planner struct {
+	deployment string
+	policy     *Policy
+	demand     map[string]map[string]hostDemand // by target and host
+	changed    map[string]struct{}              // targets whose demand sum may have changed
+	targets    map[string]*tamarackknot.Resource
+	endpoints  map[string]*plannerEndpoint
+	slow       bool
+	expireAt   time.Time
+}
+
+type hostDemand struct {
+	tamarackknot.Demand
+	expires time.Time
+}
+
+type plannerEndpoint struct {
+	resource *tamarackknot.Resource
+	report   time.Time
+	usable   bool
+	drain    bool
+	known    bool // usable and drain were handed to the policy
+}
+
+func newPlanner(deployment string, cfg PolicyConfig) *planner {
+	return &planner{
+		deployment: deployment,
+		policy:     NewPolicy(cfg),
+		demand:     make(map[string]map[string]hostDemand),
+		changed:    make(map[string]struct{}),
+		targets:    make(map[string]*tamarackknot.Resource),
+		endpoints:  make(map[string]*plannerEndpoint),
+	}
+}
+
+// selectPlanners starts and ends this host's role as planner.
+func (c *Controller) selectPlanners(now time.Time) {
+	if now.Sub(c.plansAt) < plannerInterval {
+		return
+	}
+	c.plansAt = now
+	var names []string
+	c.cfg.Journal.Read(func(s tamarackknot.State) {
+		for _, r := range s.Resources(tamarackknot.KindDeployment) {
+			names = append(names, r.Metadata.Name)
+		}
+	})
+	for _, name := range names {
+		mine := c.cfg.Members.Planner(name) == c.self.Host
+		_, have := c.planners[name]
+		switch {
+		case mine && !have:
+			c.planners[name] = newPlanner(name, c.cfg.Policy)
+			c.mirror.reset()
+			c.cfg.Log.Info("planner begins", "deployment", name)
+		case !mine && have:
+			delete(c.planners, name)
+			c.cfg.Log.Info("planner ends", "deployment", name)
+		}
+	}
+	for name := range c.planners {
+		if !slices.Contains(names, name) {
+			delete(c.planners, name)
+		}
+	}
+}
+
+// take replaces demand of a host.
+func (pl *planner) take(host string, demand []tamarackknot.Demand, now time.Time) {
+	for _, d := range demand {
+		hosts := pl.demand[d.Target]
+		old, had := hosts[host]
+		if d.Waiting == 0 {
+			if had {
+				delete(hosts, host)
+				pl.changed[d.Target] = struct{}{}
+			}
+			continue
+		}
+		if hosts == nil {
+			hosts = make(map[string]hostDemand)
+			pl.demand[d.Target] = hosts
+		}
+		hosts[host] = hostDemand{Demand: d, expires: now.Add(demandTTL)}
+		if !had || old.Demand != d {
+			pl.changed[d.Target] = struct{}{}
+		}
+	}
+}
+
+func (pl *planner) used(usage []usageEntry, now time.Time) {
+	for _, u := range usage {
+		pl.policy.Used(u.Target, u.First, u.Last, u.Count, now)
+	}
+}
+
+// sum hands the changed demand to the policy and drops what its host does not
+// renew.
+func (pl *planner) sum(now time.Time) {
+	if now.Sub(pl.expireAt) >= demandInterval {
+		pl.expireAt = now
+		for target, hosts := range pl.demand {
+			for host, d := range hosts {
+				if !now.Before(d.expires) {
+					delete(hosts, host)
+					pl.changed[target] = struct{}{}
+				}
+			}
+		}
+	}
+	for target := range pl.changed {
+		total := tamarackknot.Demand{Target: target}
+		for _, d := range pl.demand[target] {
+			total = mergeDemand(total, d.Demand)
+		}
+		if len(pl.demand[target]) == 0 {
+			delete(pl.demand, target)
+		}
+		pl.policy.SetDemand(total, now)
+	}
+	clear(pl.changed)
+}
+
+// waiting reports whether a planner on this host has demand.
+func (c *Controller) waiting() bool {
+	for _, pl := range c.planners {
+		if len(pl.demand) > 0 || len(pl.policy.active) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// takeReports hands new reports to the policies and notes loaded replicas that
+// their endpoints do not have.
+func (c *Controller) takeReports(now time.Time) {
+	if now.Sub(c.reportAt) < reportInterval || len(c.planners) == 0 {
+		return
+	}
+	c.reportAt = now
+	for _, pl := range c.planners {
+		running := 0
+		for name, e := range pl.endpoints {
+			r, ok := c.cfg.Reports.Report(name)
+			if ok && r.Time.After(e.report) {
+				e.report = r.Time
+				pl.policy.SetReport(name, r)
+				c.findAbsent(name, r, now)
+			}
+			running += r.Running
+			c.setUsable(pl, name, e, r, ok, now)
+		}
+		pl.policy.Observe(running, now)
+	}
+}
+
+// setUsable tells the policy when an endpoint begins or ceases to take loads.
+func (c *Controller) setUsable(pl *planner, name string, e *plannerEndpoint, r tamarackknot.Report, ok bool, now time.Time) {
+	spec := *e.resource.Endpoint
+	drain := spec.Draining || r.Leaving || c.hosts.leaving(name, spec.Address)
+	usable := ok && now.Sub(r.Time) < reportMaxAge && !c.cfg.Reports.Unreachable(name) &&
+		c.hosts.droppedSince(name, spec.Address).IsZero()
+	if e.known && e.usable == usable && e.drain == drain {
+		return
+	}
+	e.usable, e.drain, e.known = usable, drain, true
+	pl.policy.SetEndpoint(name, spec, usable, drain)
+}
+
+// findAbsent notes the loaded replicas that a report does not show.
+func (c *Controller) findAbsent(endpoint string, report tamarackknot.Report, now time.Time) {
+	for _, r := range c.mirror.replicas[endpoint] {
+		key := replicaKey{r.Target, r.Endpoint}
+		shown := slices.ContainsFunc(report.Loaded, func(l tamarackknot.LoadedTarget) bool { return l.Name == r.Target })
+		if shown || r.State != tamarackknot.ReplicaLoaded || !report.Time.After(r.Since) {
+			delete(c.absent, key)
+			continue
+		}
+		if _, ok := c.absent[key]; !ok {
+			c.absent[key] = now
+		}
+	}
+}
+
+// decide runs the policies and carries out their decisions.
+func (c *Controller) decide(ctx context.Context, now time.Time) {
+	for _, pl := range c.planners {
+		pl.sum(now)
+		begin := time.Now()
+		decisions := pl.policy.Decide(now)
+		c.time("decide", time.Since(begin))
+		for _, d := range decisions {
+			c.carryOut(ctx, pl, d, now)
+		}
+		if slow := pl.policy.Slow(); slow != pl.slow {
+			pl.slow = slow
+			c.cfg.Log.Warn("weight store speed changed", "deployment", pl.deployment, "slow", slow)
+		}
+	}
+}
+
+func (c *Controller) carryOut(ctx context.Context, pl *planner, d Decision, now time.Time) {
+	c.count("decisions." + string(d.Action))
+	fields := []any{"deployment", pl.deployment, "action", string(d.Action), "target", d.Target, "reason", d.Reason}
+	if d.Endpoint != "" {
+		fields = append(fields, "endpoint", d.Endpoint)
+	}
+	if d.For != "" {
+		fields = append(fields, "for", d.For)
+	}
+	if d.Cost > 0 {
+		fields = append(fields, "costSeconds", d.Cost)
+	}
+	if d.Tier != "" {
+		fields = append(fields, "tier", string(d.Tier), "readyIn", d.ReadyAt.Sub(now).Round(time.Millisecond))
+	}
+	if !d.RetryAt.IsZero() {
+		fields = append(fields, "retryIn", d.RetryAt.Sub(now).Round(time.Millisecond))
+	}
+	c.cfg.Log.Info("placement decision", fields...)
+	if d.Action == ActionReject {
+		return
+	}
+	if now.Sub(c.logFailed) < logBackoff {
+		pl.policy.Abandon(d)
+		return
+	}
+	change := tamarackknot.Change{}
+	if d.Action == ActionLoad {
+		change.Claim = &tamarackknot.Claim{Target: d.Target, Endpoint: d.Endpoint, Basis: d.Basis}
+	} else {
+		change.Unload = &tamarackknot.ReplicaChange{Target: d.Target, Endpoint: d.Endpoint, Fence: d.Fence}
+	}
+	c.propose(ctx, replicaKey{d.Target, d.Endpoint}, change, &d)
+}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -114,7 +114,7 @@
 	// loading holds the replicas whose load is under way.
 	loading []*replica
 	store   store
-	loads loadTimes
+	loads   loadTimes
 	// prior holds the idle gaps of all targets; it stands in for the history
 	// of a target with few calls.
 	prior   gaps
@@ -139,8 +139,8 @@
 	cached       []cachedCopy
 	plan         *plan
 	// derived is the demand of adapters that wait for this base model.
-	derived  tamarackknot.Demand
-	extraMB  int64 // memory of the largest adapter waiting for this base
+	derived tamarackknot.Demand
+	extraMB int64 // memory of the largest adapter waiting for this base
 	// needsBase is set on an adapter that found no room beside its base model.
 	needsBase bool
 	forecast  tamarackknot.Forecast
@@ -267,6 +267,13 @@
 	t.exists = false
 	t.demand = tamarackknot.Demand{}
 	p.dropPlan(t)
+	if len(t.replicas) == 0 && t.Base != "" {
+		p.dropCached(t)
+		delete(p.targets, name)
+		delete(p.active, t)
+		delete(p.dirty, t)
+		return
+	}
 	p.dirty[t] = struct{}{}
 }
 
@@ -588,3 +595,42 @@
 }
 
 func (e *endpoint) free() int64 { return e.spec.MemoryMB - e.used - e.promise }
+
+// Observe takes the number of requests that run at all endpoints.
+func (p *Policy) Observe(running int, now time.Time) { p.service.observe(running, now) }
+
+// Knows reports whether the policy has heard of a target.
+func (p *Policy) Knows(name string) bool { return p.targets[name] != nil }
+
+// Serving reports whether a replica of the target serves requests.
+func (p *Policy) Serving(name string) bool {
+	t := p.targets[name]
+	return t != nil && t.loaded() > 0
+}
+
+// LoadTier is the tier that the load of a target on an endpoint reads.
+func (p *Policy) LoadTier(name, endpoint string) (tamarackknot.Tier, bool) {
+	t := p.targets[name]
+	if t == nil {
+		return "", false
+	}
+	for _, r := range t.replicas {
+		if r.e.name == endpoint {
+			return r.tier, true
+		}
+	}
+	return "", false
+}
+
+// ExpectLoad is the expected duration of a load.
+func (p *Policy) ExpectLoad(name, endpoint string) time.Duration {
+	t := p.targets[name]
+	if t == nil {
+		return seconds(p.loads.expect(tamarackknot.TierRemote, 0))
+	}
+	tier, ok := p.LoadTier(name, endpoint)
+	if !ok {
+		tier = tamarackknot.TierRemote
+	}
+	return seconds(p.loads.expect(tier, t.MemoryMB))
+}
