Add peer mesh and membership, first version

Change: peer.Mesh carries jsonrpc2 over one dialled connection per peer with bounded queues; membership.Membership detects failures with 8 watchers per host on a hash ring and spreads only changes to 3 random peers a second.

Ruled out: heartbeats of all members through random gossip. 770 members refreshed every 3 s need 257 updates/s per host; 3 messages of 32 carry 96.

The mesh has no test yet.

--- /dev/null
+++ b/membership/hostlist.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+const (
+	pollInterval = 2 * time.Second
+	// confirmPolls is the number of polls in a row that must miss a host
+	// before it counts as gone.
+	confirmPolls = 2
+)
+
+var errEmptyList = errors.New("host list contains no entry host")
+
+// pollHosts reads the host list until Close.
+func (m *Membership) pollHosts() {
+	defer m.running.Done()
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		ctx, cancel := context.WithTimeout(m.ctx, pollInterval)
+		hosts, err := m.cfg.HostList.Hosts(ctx)
+		cancel()
+		if m.ctx.Err() != nil {
+			return
+		}
+		if err := m.takeHosts(hosts, err); err != nil {
+			m.cfg.Logger.Debug("poll host list", "err", err)
+		}
+		select {
+		case <-t.C:
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
+// takeHosts merges a poll. A list without any entry host is taken as a fault
+// of the list: believing it would declare every host gone.
+func (m *Membership) takeHosts(hosts []tamarackknot.Host, err error) error {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		if h.Role == tamarackknot.RoleEntry && h.Name != "" && len(h.Name) <= maxNameBytes {
+			present[h.Name] = true
+		}
+	}
+	if err == nil && len(present) == 0 {
+		err = errEmptyList
+	}
+	if err != nil {
+		m.readableSince = time.Time{}
+		return err
+	}
+	m.listRead = true
+	if m.readableSince.IsZero() {
+		m.readableSince = now
+	}
+	for _, h := range hosts {
+		if present[h.Name] && h.Role == tamarackknot.RoleEntry {
+			m.takeHost(h, now)
+		}
+	}
+	for _, mb := range m.byName {
+		if present[mb.host.Name] || !mb.listed {
+			continue
+		}
+		if mb.missedPolls++; mb.missedPolls >= confirmPolls {
+			mb.listed = false
+			mb.goneAt, mb.goneIncarnation = now, mb.incarnation
+		}
+	}
+	return nil
+}
+
+func (m *Membership) takeHost(h tamarackknot.Host, now time.Time) {
+	mb := m.members[h.Name]
+	if mb == nil {
+		if mb = m.add(h.Name, now); mb == nil {
+			return
+		}
+	}
+	mb.listed, mb.everListed, mb.missedPolls = true, true, 0
+	if mb == m.self {
+		return
+	}
+	mb.listLeaving = h.Leaving
+	// The list lags, so what a responsive member states of itself takes
+	// precedence.
+	if !mb.responsive() || mb.host.PeerAddress == "" {
+		mb.host = h
+	}
+}
--- /dev/null
+++ b/membership/message.go
@@ -0,0 +1,152 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+const (
+	methodGossip  = "gossip"
+	methodMembers = "members"
+
+	// maxUpdates limits the updates in a message.
+	maxUpdates = 32
+	// maxUpdateBytes limits the encoded updates of a message while changes
+	// spread, maxRepeatBytes those without changes. The control plane has 8
+	// KB/s per host for both directions; messages filled up to 1200 bytes
+	// throughout took 10.5 KB/s at 770 hosts.
+	maxUpdateBytes = 1200
+	maxRepeatBytes = 400
+	maxSigns       = 8
+	maxAsks        = 8
+	// maxPackedBytes rejects messages that no host of this version sends.
+	maxPackedBytes = 64 << 10
+	maxNameBytes   = 253
+	maxReasonBytes = 253
+)
+
+// standing is what a member says of itself.
+type standing uint8
+
+const (
+	standingAlive standing = iota
+	standingStale
+	standingLeaving
+	standingIdle // leaving, and no order outstanding
+)
+
+// fault is what the watchers of a member say of it.
+type fault uint8
+
+const (
+	faultNone fault = iota
+	faultSuspect
+	faultDead
+)
+
+// details locate a member; they are left out where the receiver is expected
+// to have them.
+type details struct {
+	_             struct{} `cbor:",toarray"`
+	Address       string
+	PeerAddress   string
+	FailureDomain string
+}
+
+// update is one member's state in a message. The CBOR array encoding takes
+// about 50 bytes without details.
+type update struct {
+	_           struct{} `cbor:",toarray"`
+	Host        string
+	Incarnation uuid.UUID
+	Standing    standing
+	Fault       fault
+	// Beat is the heartbeat number: milliseconds since the member started, by
+	// its own clock.
+	Beat uint64
+	// AgeMS is how long ago the member sent Beat, as the sender estimates.
+	AgeMS        uint64
+	Applied      tamarackknot.Offset
+	ConfigOffset tamarackknot.Offset
+	Details      *details
+}
+
+// size estimates the encoded size in bytes.
+func (u *update) size() int {
+	n := 48 + len(u.Host)
+	if u.Details != nil {
+		n += 4 + len(u.Details.Address) + len(u.Details.PeerAddress) + len(u.Details.FailureDomain)
+	}
+	return n
+}
+
+// sign is a tamarackknot.EndpointSign with the time left instead of a
+// deadline, because the clocks of two hosts may differ.
+type sign struct {
+	_        struct{} `cbor:",toarray"`
+	ID       uint64
+	Endpoint string
+	Reason   string
+	LeftMS   int64
+}
+
+// message is a gossip message. The first update is the sender's own.
+type message struct {
+	_       struct{}            `cbor:",toarray"`
+	Head    tamarackknot.Offset // newest log offset that any host is known to have applied
+	Updates []update
+	Signs   []sign
+	// Ask names members whose newest state the sender wants back at once.
+	Ask []string
+}
+
+// packed carries a CBOR message in the JSON parameters of a call.
+type packed struct {
+	Packed []byte `json:"packed"`
+}
+
+// membersParams asks for the next page of the member table after a name.
+type membersParams struct {
+	After string `json:"after"`
+}
+
+func pack(msg *message) (packed, error) {
+	data, err := cbor.Marshal(msg)
+	return packed{Packed: data}, errors.Wrap(err, "encode gossip message")
+}
+
+func unpack(p packed, from string) (*message, error) {
+	if len(p.Packed) > maxPackedBytes {
+		return nil, errors.Newf("gossip message has %d bytes, limit %d", len(p.Packed), maxPackedBytes)
+	}
+	var msg message
+	if err := cbor.Unmarshal(p.Packed, &msg); err != nil {
+		return nil, errors.Wrap(err, "decode gossip message")
+	}
+	if len(msg.Updates) == 0 || msg.Updates[0].Host != from {
+		return nil, errors.Newf("gossip message of host %s does not start with its own state", from)
+	}
+	if len(msg.Updates) > maxUpdates || len(msg.Signs) > maxSigns || len(msg.Ask) > maxAsks {
+		return nil, errors.Newf("gossip message has %d updates, %d signs and %d questions, limits %d, %d and %d",
+			len(msg.Updates), len(msg.Signs), len(msg.Ask), maxUpdates, maxSigns, maxAsks)
+	}
+	for i := range msg.Updates {
+		if n := len(msg.Updates[i].Host); n == 0 || n > maxNameBytes {
+			return nil, errors.Newf("host name in gossip message has %d bytes, allowed 1 to %d", n, maxNameBytes)
+		}
+	}
+	for _, s := range msg.Signs {
+		if len(s.Endpoint) > maxNameBytes || len(s.Reason) > maxReasonBytes {
+			return nil, errors.Newf("endpoint sign in gossip message has %d and %d bytes, limits %d and %d",
+				len(s.Endpoint), len(s.Reason), maxNameBytes, maxReasonBytes)
+		}
+	}
+	return &msg, nil
+}
+
+func milliseconds(d time.Duration) uint64 { return uint64(max(d, 0) / time.Millisecond) }
--- /dev/null
+++ b/membership/scale_test.go
@@ -0,0 +1,148 @@
+package membership
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// spreadTime is the expected time in which a change reaches n hosts: each
+// round multiplies the hosts that know it by 1 + randomPeers, and as many
+// rounds again reach the last ones.
+func spreadTime(n int) time.Duration {
+	return 2 * time.Duration(math.Ceil(math.Log(float64(n))/math.Log(1+randomPeers))) * gossipInterval
+}
+
+// TestScale measures traffic, detection time and false suspicions. It guards
+// against gossip that grows with the number of hosts and against detection
+// that does not finish at the target size.
+func TestScale(t *testing.T) {
+	for _, n := range []int{9, 100, 770} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			if testing.Short() && n > 100 {
+				t.Skip("takes tens of seconds")
+			}
+			synctest.Test(t, func(t *testing.T) { measureScale(t, n) })
+		})
+	}
+}
+
+func measureScale(t *testing.T, n int) {
+	net := newNetwork(n, 7)
+	defer net.stop()
+	begin := time.Now()
+	for _, h := range net.hosts {
+		h.start()
+	}
+	joined := waitFor(2*time.Minute, func() bool {
+		for _, h := range net.hosts {
+			if !h.allAlive(n) {
+				return false
+			}
+		}
+		return true
+	})
+	require.True(t, joined, "views are not complete after the start")
+	t.Logf("n=%d: all views complete %v after the start", n, time.Since(begin))
+	time.Sleep(30 * time.Second)
+
+	count := func() (messages, bytes, maxBytes, suspected int) {
+		for _, h := range net.hosts {
+			messages += h.messages
+			bytes += h.sentByte + h.received
+			maxBytes = max(maxBytes, h.sentByte+h.received)
+			suspected += int(h.suspected.Count())
+			h.messages, h.sentByte, h.received = 0, 0, 0
+		}
+		return messages, bytes, maxBytes, suspected
+	}
+	_, _, _, startSuspected := count()
+	const steady = 20
+	time.Sleep(steady * time.Second)
+	messages, bytes, maxBytes, suspected := count()
+	t.Logf("n=%d steady %ds: %.1f messages/s and %.0f bytes/s in and out per host (most loaded %d), false suspicions %d (start: %d)",
+		n, steady, float64(messages)/steady/float64(n), float64(bytes)/steady/float64(n), maxBytes/steady, suspected-startSuspected, startSuspected)
+	require.Equal(t, startSuspected, suspected, "suspicions without a fault")
+	require.Less(t, maxBytes/steady, 8<<10, "bytes per second of a host")
+	fresh := 0
+	for _, h := range net.hosts {
+		fresh += len(h.Addresses("domain-0", "caller"))
+	}
+	t.Logf("n=%d: %.0f addresses per answer", n, float64(fresh)/float64(n))
+	require.GreaterOrEqual(t, fresh/n, min(n, 9))
+
+	victims := net.hosts[:2]
+	var suspectAll, deadAll, handed []time.Duration
+	for _, v := range victims {
+		s, d, a := net.measureDeath(t, v)
+		suspectAll, deadAll, handed = append(suspectAll, s), append(deadAll, d), append(handed, a)
+	}
+	t.Logf("n=%d: after a kill, suspect at all hosts after %v, dead at all after %v, last address answer %v", n, suspectAll, deadAll, handed)
+	require.LessOrEqual(t, slices.Max(handed), suspectAfter+gossipInterval)
+	require.LessOrEqual(t, slices.Max(suspectAll), suspectAfter+gossipInterval+spreadTime(n))
+	require.LessOrEqual(t, slices.Max(deadAll), deadAfter+2*gossipInterval+spreadTime(n))
+	_, _, churnBytes, after := count()
+	t.Logf("n=%d: suspicions after %d kills: %d, most loaded host %d bytes/s", n, len(victims), after-suspected, churnBytes/int(2*(deadAfter+spreadTime(n))/time.Second))
+}
+
+func (h *testHost) allAlive(n int) bool {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.members) != n {
+		return false
+	}
+	for _, mb := range h.byName {
+		if mb.status(now) != tamarackknot.MemberAlive {
+			return false
+		}
+	}
+	return true
+}
+
+// measureDeath kills a host and returns when all others suspected it, held it
+// for dead and had stopped naming it to callers.
+func (net *network) measureDeath(t *testing.T, v *testHost) (suspect, dead, handed time.Duration) {
+	t.Helper()
+	v.kill()
+	at := time.Now()
+	ok := waitFor(time.Minute, func() bool {
+		allSuspect, allDead, any := true, true, false
+		for _, h := range net.hosts {
+			if !h.running {
+				continue
+			}
+			s := h.statusOf(v.host.Name)
+			allDead = allDead && s == tamarackknot.MemberDead
+			allSuspect = allSuspect && (s == tamarackknot.MemberDead || s == tamarackknot.MemberSuspect)
+			any = any || h.handsOut(v.host.Name)
+		}
+		if any {
+			handed = time.Since(at)
+		}
+		if allSuspect && suspect == 0 {
+			suspect = time.Since(at)
+		}
+		dead = time.Since(at)
+		return allDead
+	})
+	require.True(t, ok, "host %s not held for dead by all", v.host.Name)
+	return suspect, dead, handed
+}
+
+// waitFor polls a condition in steps of 100 ms of fake time.
+func waitFor(limit time.Duration, cond func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if cond() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,309 @@
+// Package peer carries messages between entry hosts: JSON-RPC 2.0 over TCP,
+// one dialled connection per peer in use.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// Defaults of Config.
+const (
+	defaultMaxMessageBytes = 4 << 20
+	defaultQueueLength     = 64
+	defaultDialTimeout     = 2 * time.Second
+	defaultWriteTimeout    = 3 * time.Second
+	// defaultIdleTimeout closes the connections that random gossip opened: at
+	// 770 hosts a connection to each would exceed the memory limit.
+	defaultIdleTimeout = 15 * time.Second
+	// maxBackoff limits how long a restarted peer goes without messages.
+	maxBackoff = 2 * time.Second
+	// maxInbound limits accepted connections; the largest cluster has 770
+	// hosts, and a restarting peer may hold two for a moment.
+	maxInbound = 2048
+	// maxConcurrentCalls limits the calls answered at once per connection.
+	maxConcurrentCalls = 64
+	defaultCallTimeout = 30 * time.Second
+)
+
+const codeWrongHost = -32010
+
+// Config configures a Mesh. Zero durations and sizes take defaults.
+type Config struct {
+	// Host and Incarnation name this process.
+	Host        string
+	Incarnation string
+	// Listen opens the listener on the peer address.
+	Listen func(ctx context.Context) (net.Listener, error)
+	// Dial connects to a peer address (IP:port).
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Resolve returns the peer address of a host name.
+	Resolve func(host string) (address string, ok bool)
+	// Opened is told the process at the other end of each new connection; it
+	// must not block. It may be nil.
+	Opened func(tamarackknot.Process)
+
+	MaxMessageBytes int
+	// QueueLength limits the messages that wait for one peer.
+	QueueLength  int
+	DialTimeout  time.Duration
+	WriteTimeout time.Duration
+	// IdleTimeout closes a connection that carried no message for that long.
+	IdleTimeout time.Duration
+
+	Metrics metrics.Registry
+	Logger  *log.Logger
+}
+
+var _ tamarackknot.Peers = (*Mesh)(nil)
+
+// Mesh implements tamarackknot.Peers. A message to a slow or hung peer waits
+// in that peer's bounded queue or fails; it never delays messages to others.
+type Mesh struct {
+	cfg      Config
+	counters *counters
+	listener net.Listener
+	ctx      context.Context // ends with Close
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	handlersMu sync.RWMutex
+	handlers   map[string]tamarackknot.PeerHandler
+
+	mu      sync.Mutex
+	links   map[string]*link
+	inbound int
+	closed  bool
+}
+
+// New returns a Mesh that sends at once and accepts connections after Start.
+func New(cfg Config) *Mesh {
+	cfg.setDefaults()
+	m := &Mesh{
+		cfg:      cfg,
+		counters: newCounters(cfg.Metrics),
+		handlers: make(map[string]tamarackknot.PeerHandler),
+		links:    make(map[string]*link),
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m
+}
+
+func (c *Config) setDefaults() {
+	if c.Dial == nil {
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	setDefault(&c.MaxMessageBytes, defaultMaxMessageBytes)
+	setDefault(&c.QueueLength, defaultQueueLength)
+	setDefault(&c.DialTimeout, defaultDialTimeout)
+	setDefault(&c.WriteTimeout, defaultWriteTimeout)
+	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Logger == nil {
+		c.Logger = log.New(io.Discard)
+	}
+}
+
+func setDefault[T int | time.Duration](v *T, def T) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// Start opens the listener and accepts connections until Close.
+func (m *Mesh) Start(ctx context.Context) error {
+	l, err := m.cfg.Listen(ctx)
+	if err != nil {
+		return errors.Wrap(err, "listen on the peer address")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		_ = l.Close()
+		return ErrClosed
+	}
+	m.listener = l
+	m.running.Add(1)
+	go m.run()
+	return nil
+}
+
+// Close closes all connections and waits until no goroutine of the mesh runs.
+func (m *Mesh) Close() error {
+	m.mu.Lock()
+	m.closed = true
+	l := m.listener
+	m.mu.Unlock()
+	m.cancel()
+	var err error
+	if l != nil {
+		err = l.Close()
+	}
+	m.running.Wait()
+	return errors.Wrap(err, "close the peer listener")
+}
+
+// Handle registers the handler of a method. Notifications from one peer are
+// handled in the order in which they were sent; calls run concurrently.
+func (m *Mesh) Handle(method string, h tamarackknot.PeerHandler) {
+	m.handlersMu.Lock()
+	defer m.handlersMu.Unlock()
+	m.handlers[method] = h
+}
+
+// Call implements tamarackknot.Peers. An error that is none of this package
+// and no context error came from the other host's handler.
+func (m *Mesh) Call(ctx context.Context, host, method string, params, result any) error {
+	it, err := m.newItem(ctx, method, params)
+	if err != nil {
+		return err
+	}
+	it.sent = make(chan sendResult, 1)
+	if err := m.enqueue(host, it); err != nil { //nolint:contextcheck // the link outlives the call
+		return err
+	}
+	var sent sendResult
+	select {
+	case sent = <-it.sent:
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "call %s of host %s", method, host)
+	}
+	if sent.err != nil {
+		return sent.err
+	}
+	err = sent.waiter.Wait(ctx, result)
+	sent.link.answered(err)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		return errors.Wrapf(ErrClosed, "call %s of host %s", method, host)
+	}
+	return errors.Wrapf(err, "call %s of host %s", method, host)
+}
+
+// Notify implements tamarackknot.Peers. It returns when the message is queued.
+func (m *Mesh) Notify(ctx context.Context, host, method string, params any) error {
+	it, err := m.newItem(ctx, method, params)
+	if err != nil {
+		return err
+	}
+	return m.enqueue(host, it) //nolint:contextcheck // the link outlives the call
+}
+
+func (m *Mesh) newItem(ctx context.Context, method string, params any) (item, error) {
+	if err := ctx.Err(); err != nil {
+		return item{}, errors.Wrapf(err, "send %s", method)
+	}
+	data, err := json.Marshal(params)
+	if err != nil {
+		return item{}, errors.Wrapf(err, "encode parameters of %s", method)
+	}
+	if len(data) > m.cfg.MaxMessageBytes {
+		return item{}, errors.Wrapf(ErrTooLarge, "parameters of %s have %d bytes, limit %d", method, len(data), m.cfg.MaxMessageBytes)
+	}
+	it := item{method: method, params: data, ctx: ctx}
+	it.deadline, _ = ctx.Deadline()
+	return it, nil
+}
+
+func (m *Mesh) enqueue(host string, it item) error {
+	if host == m.cfg.Host {
+		return errors.Wrapf(ErrWrongHost, "%s is this host", host)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return ErrClosed
+	}
+	l, ok := m.links[host]
+	if !ok {
+		l = newLink(m, host)
+		m.links[host] = l
+		m.running.Add(1)
+		go l.run()
+	}
+	select {
+	case l.queue <- it:
+		return nil
+	default:
+		return errors.Wrapf(ErrQueueFull, "host %s, %d messages", host, cap(l.queue))
+	}
+}
+
+// run accepts connections.
+func (m *Mesh) run() {
+	defer m.running.Done()
+	for {
+		c, err := m.listener.Accept()
+		if m.ctx.Err() != nil {
+			if err == nil {
+				_ = c.Close()
+			}
+			return
+		}
+		if err != nil {
+			m.cfg.Logger.Warn("accept peer connection", "err", err)
+			select {
+			case <-m.ctx.Done():
+			case <-time.After(100 * time.Millisecond):
+			}
+			continue
+		}
+		m.accept(c)
+	}
+}
+
+func (m *Mesh) accept(c net.Conn) {
+	m.mu.Lock()
+	full := m.inbound >= maxInbound
+	if !full {
+		m.inbound++
+	}
+	m.mu.Unlock()
+	if full {
+		m.cfg.Logger.Warn("too many peer connections", "limit", maxInbound)
+		_ = c.Close()
+		return
+	}
+	s := newStream(c, m.cfg, m.counters)
+	// The dialling side closes idle connections; a longer limit here removes
+	// those whose other end vanished without closing them.
+	s.readTimeout = 2 * m.cfg.IdleTimeout
+	h := &acceptor{mesh: m, calls: make(chan struct{}, maxConcurrentCalls)}
+	conn := jsonrpc2.NewConn(m.ctx, s, h, jsonrpc2.OnSend(s.onSend), jsonrpc2.OnRecv(s.onRecv), jsonrpc2.SetLogger(connLogger{m.cfg.Logger}))
+	m.running.Add(1)
+	go m.runInbound(conn)
+}
+
+func (m *Mesh) runInbound(conn *jsonrpc2.Conn) {
+	defer m.running.Done()
+	<-conn.DisconnectNotify()
+	m.mu.Lock()
+	m.inbound--
+	m.mu.Unlock()
+}
+
+func (m *Mesh) handler(method string) (tamarackknot.PeerHandler, bool) {
+	m.handlersMu.RLock()
+	defer m.handlersMu.RUnlock()
+	h, ok := m.handlers[method]
+	return h, ok
+}
+
+// connLogger passes the messages of jsonrpc2 to the structured logger.
+type connLogger struct{ logger *log.Logger }
+
+func (l connLogger) Printf(format string, v ...any) { l.logger.Debugf(format, v...) }
--- /dev/null
+++ b/peer/stream.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	methodHello   = "hello"
+	methodUnknown = "unknown"
+	// maxCountedMethods bounds the metric names that a peer can create.
+	maxCountedMethods = 64
+)
+
+var _ jsonrpc2.ObjectStream = (*stream)(nil)
+
+// stream frames JSON-RPC messages with a uvarint length, limits their size and
+// counts them. jsonrpc2 calls its send hook and WriteObject under one lock, and
+// ReadObject and its receive hook in one goroutine, so the method that a hook
+// saw belongs to the message that is written or was just read.
+type stream struct {
+	conn         net.Conn
+	r            *bufio.Reader
+	maxBytes     int
+	writeTimeout time.Duration
+	readTimeout  time.Duration // 0: reads wait without limit
+	counters     *counters
+
+	sendMethod string
+	readBytes  int
+	// answering maps the requests being answered to their methods.
+	answering sync.Map
+}
+
+func newStream(conn net.Conn, cfg Config, c *counters) *stream {
+	return &stream{
+		conn:         conn,
+		r:            bufio.NewReader(conn),
+		maxBytes:     cfg.MaxMessageBytes,
+		writeTimeout: cfg.WriteTimeout,
+		counters:     c,
+	}
+}
+
+func (s *stream) onSend(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	if req != nil {
+		s.sendMethod = req.Method
+		return
+	}
+	s.sendMethod = methodUnknown
+	if m, ok := s.answering.LoadAndDelete(resp.ID); ok {
+		s.sendMethod = m.(string)
+	}
+}
+
+func (s *stream) onRecv(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	method := methodUnknown
+	if req != nil {
+		method = req.Method
+		if resp == nil && !req.Notif {
+			s.answering.Store(req.ID, method)
+		}
+	}
+	s.counters.add("in", method, s.readBytes)
+}
+
+// WriteObject closes the connection after a failed write, because a frame may
+// have been written in part.
+func (s *stream) WriteObject(obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	if len(data) > s.maxBytes {
+		return errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", len(data), s.maxBytes)
+	}
+	frame := binary.AppendUvarint(make([]byte, 0, len(data)+binary.MaxVarintLen32), uint64(len(data)))
+	frame = append(frame, data...)
+	if err := s.conn.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err != nil {
+		return errors.Wrap(err, "set write deadline")
+	}
+	if _, err := s.conn.Write(frame); err != nil {
+		_ = s.conn.Close()
+		return errors.Wrap(err, "write message")
+	}
+	s.counters.add("out", s.sendMethod, len(frame))
+	return nil
+}
+
+// ReadObject returns an error for a frame over the size limit before reading
+// it, which makes jsonrpc2 close the connection.
+func (s *stream) ReadObject(v any) error {
+	if s.readTimeout > 0 {
+		if err := s.conn.SetReadDeadline(time.Now().Add(s.readTimeout)); err != nil {
+			return errors.Wrap(err, "set read deadline")
+		}
+	}
+	n, err := binary.ReadUvarint(s.r)
+	if err != nil {
+		return err // jsonrpc2 compares with io.EOF
+	}
+	if n > uint64(s.maxBytes) {
+		return errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", n, s.maxBytes)
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(s.r, data); err != nil {
+		return err // jsonrpc2 compares with io.ErrUnexpectedEOF
+	}
+	s.readBytes = int(n) + len(binary.AppendUvarint(nil, n))
+	return errors.Wrap(json.Unmarshal(data, v), "decode message")
+}
+
+func (s *stream) Close() error { return s.conn.Close() }
+
+// counters counts messages and bytes by direction and method.
+type counters struct {
+	registry metrics.Registry
+	mu       sync.RWMutex
+	byName   map[string][2]metrics.Counter
+}
+
+func newCounters(r metrics.Registry) *counters {
+	return &counters{registry: r, byName: make(map[string][2]metrics.Counter)}
+}
+
+func (c *counters) add(direction, method string, bytes int) {
+	key := direction + "." + method
+	c.mu.RLock()
+	pair, ok := c.byName[key]
+	c.mu.RUnlock()
+	if !ok {
+		pair = c.register(direction, method)
+	}
+	pair[0].Inc(1)
+	pair[1].Inc(int64(bytes))
+}
+
+func (c *counters) register(direction, method string) [2]metrics.Counter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.byName) >= 2*maxCountedMethods {
+		method = methodUnknown
+	}
+	key := direction + "." + method
+	if pair, ok := c.byName[key]; ok {
+		return pair
+	}
+	pair := [2]metrics.Counter{
+		metrics.GetOrRegisterCounter("peer."+direction+".messages."+method, c.registry),
+		metrics.GetOrRegisterCounter("peer."+direction+".bytes."+method, c.registry),
+	}
+	c.byName[key] = pair
+	return pair
+}
