--- /dev/null
+++ b/placement/measure_test.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func runPolicy(t *testing.T, cfg worldConfig, weight float64) *wResult {
+	t.Helper()
+	w := newWorld(cfg, nil)
+	w.placer = newPolicyPlacer(w, weight)
+	r := w.run()
+	require.Empty(t, w.problems)
+	return r
+}
+
+func runBaseline(t *testing.T, cfg worldConfig, b *baseline) *wResult {
+	t.Helper()
+	b.rng = rand.New(rand.NewPCG(cfg.seed, 2))
+	w := newWorld(cfg, b)
+	r := w.run()
+	require.Empty(t, w.problems)
+	return r
+}
+
+// TestMeasure prints the figures of the policy and the baselines on the same
+// arrivals. It takes a minute and runs only with PLACEMENT_MEASURE=1.
+func TestMeasure(t *testing.T) {
+	if os.Getenv("PLACEMENT_MEASURE") == "" {
+		t.Skip("set PLACEMENT_MEASURE=1 to measure")
+	}
+	scenarios := []struct {
+		name   string
+		change func(*worldConfig)
+	}{
+		{"full speed", func(*worldConfig) {}},
+		{"store slow", func(c *worldConfig) { c.slowFrom, c.slowTo, c.slowBy = 12, 28, 5 }},
+		{"domain lost", func(c *worldConfig) { c.lostFrom, c.lostTo = 12, 16 }},
+	}
+	for name, cfg := range map[string]worldConfig{"periyar": periyar(), "sotfelagid": sotfelagid()} {
+		for _, s := range scenarios {
+			c := cfg
+			s.change(&c)
+			t.Run(name+"/"+s.name, func(t *testing.T) {
+				t.Parallel()
+				out := fmt.Sprintf("%s, %s, seed %d\n", name, s.name, c.seed)
+				for _, weight := range []float64{0, 0.25, 0.5, 0.75, 1} {
+					out += fmt.Sprintf("policy weight %.2f       %s\n", weight, runPolicy(t, c, weight))
+				}
+				for _, keep := range []time.Duration{time.Minute, 5 * time.Minute, 15 * time.Minute, time.Hour, 4 * time.Hour, 48 * time.Hour} {
+					out += fmt.Sprintf("lru keep %-15v %s\n", keep, runBaseline(t, c, &baseline{keep: keep}))
+				}
+				for _, keep := range []time.Duration{5 * time.Minute, time.Hour, 48 * time.Hour} {
+					out += fmt.Sprintf("cached lru keep %-8v %s\n", keep, runBaseline(t, c, &baseline{keep: keep, cacheAware: true}))
+				}
+				for _, keep := range []time.Duration{5 * time.Minute, time.Hour, 48 * time.Hour} {
+					out += fmt.Sprintf("random keep %-12v %s\n", keep, runBaseline(t, c, &baseline{keep: keep, random: true}))
+				}
+				out += fmt.Sprintf("on demand                %s\n", runBaseline(t, c, &baseline{}))
+				fmt.Println(out)
+			})
+		}
+	}
+}
