Wire the entry daemon and run the whole path on stand-ins

Cause: the parts were tested apart; nothing showed that a request is served end to end. Ruled out: serving operators on the callers' port, so that the two can be separated by a firewall.

--- a/Makefile
+++ b/Makefile
@@ -2,17 +2,18 @@
 GOLANGCI_VERSION := v2.15.0
 BIN := $(CURDIR)/bin
 GOLANGCI := $(BIN)/golangci-lint
-MODULES := ./... ./entry/... ./cli/... ./standin/...
+MODULES := ./... ./entry/... ./cli/... ./standin/... ./call/...
 FUZZ_TIME ?= 120s
 
 .PHONY: all build demo test lint fmt fuzz bench generate clean
 
 all: build
 
-build: ## builds the three programs into bin/
+build: ## builds the programs into bin/
 	go build -o $(BIN)/tamarackd ./entry
 	go build -o $(BIN)/tamarackctl ./cli
 	go build -o $(BIN)/tamarackstandin ./standin
+	go build -o $(BIN)/tamarackcall ./call
 
 demo: build ## runs the system on stand-ins and makes cold and warm calls
 	bash scripts/demo.sh
--- a/cli/commands/commands.go
+++ b/cli/commands/commands.go
@@ -69,6 +69,7 @@
 		"  Exit codes: 0 done, 1 rejected, 2 usage, 3 conflict, 4 not changed (try later),\n" +
 		"  5 outcome unknown, 6 accepted but not true before the timeout, 7 not found"
 	p.DisableShowVersionWithVersion()
+	p.ShowCompletion = false
 	p.String(&a.settings.Servers, "s", "servers", "operator addresses of entry hosts, comma-separated IP:port, tried in order (TAMARACKCTL_SERVERS)")
 	p.String(&a.settings.Output, "o", "output", "table or json (TAMARACKCTL_OUTPUT)")
 	p.Int(&a.settings.TimeoutSeconds, "t", "timeout", "seconds until the command gives up, 1 to 3600 (TAMARACKCTL_TIMEOUT_SECONDS)")
--- a/cli/manifest/manifest.go
+++ b/cli/manifest/manifest.go
@@ -47,7 +47,7 @@
 	if path == "-" {
 		return Read(os.Stdin, "standard input")
 	}
-	f, err := os.Open(path)
+	f, err := os.Open(path) //nolint:gosec // the operator names the file
 	if err != nil {
 		return nil, errors.Wrap(err, "file")
 	}
--- /dev/null
+++ b/entry/commands/commands.go
@@ -0,0 +1,50 @@
+// Package commands runs the entry daemon from its command line.
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+
+	"tamarackknot.example/tamarackknot/entry/daemon"
+	"tamarackknot.example/tamarackknot/entry/settings"
+)
+
+// The exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Run serves until SIGTERM or SIGINT and returns the exit code.
+func Run(args []string, stderr io.Writer) int {
+	s, err := settings.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "tamarackd:", err)
+		return exitUsage
+	}
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "tamarackd:", err)
+		return exitUsage
+	}
+	logger := log.NewWithOptions(stderr, log.Options{
+		Level:           level,
+		Formatter:       log.LogfmtFormatter,
+		ReportTimestamp: true,
+		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
+		Fields:          []any{"host", s.Name},
+	})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := daemon.New(daemon.Config{Settings: s, Log: logger}).Serve(ctx); err != nil {
+		logger.Error("stopped", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/entry/daemon/adapters.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"github.com/google/uuid"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/caller"
+	"tamarackknot.example/tamarackknot/membership"
+)
+
+// addresses offers the members to package caller.
+type addresses struct {
+	members *membership.Membership
+}
+
+var _ caller.Addresses = addresses{}
+
+// Addresses implements caller.Addresses.
+func (a addresses) Addresses(failureDomain string) []caller.Address {
+	var out []caller.Address
+	for _, m := range a.members.Addresses(failureDomain, uuid.NewString()) {
+		out = append(out, caller.Address{Address: m.Address, FailureDomain: m.FailureDomain, KeepUntil: m.KeepUntil})
+	}
+	return out
+}
+
+// gate offers the freshness of this host to package caller.
+type gate struct {
+	members *membership.Membership
+	journal tamarackknot.Journal
+}
+
+var _ caller.Gate = gate{}
+
+// Gate implements caller.Gate.
+func (g gate) Gate() caller.GateState {
+	switch g.members.Gate() {
+	case membership.GateDraining:
+		return caller.GateDraining
+	case membership.GateReady:
+		return caller.GateReady
+	default:
+		if !g.journal.Status().Ready {
+			return caller.GateNotReady
+		}
+		return caller.GateStale
+	}
+}
--- /dev/null
+++ b/entry/daemon/daemon.go
@@ -0,0 +1,306 @@
+// Package daemon connects the parts of an entry host and runs them from start
+// to graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/caller"
+	"tamarackknot.example/tamarackknot/endpoint"
+	"tamarackknot.example/tamarackknot/engine"
+	"tamarackknot.example/tamarackknot/entry/settings"
+	"tamarackknot.example/tamarackknot/journal"
+	"tamarackknot.example/tamarackknot/membership"
+	"tamarackknot.example/tamarackknot/operator"
+	"tamarackknot.example/tamarackknot/peer"
+	"tamarackknot.example/tamarackknot/placement"
+	"tamarackknot.example/tamarackknot/platform"
+	"tamarackknot.example/tamarackknot/routing"
+)
+
+const (
+	// headerTimeout bounds how long a client may take for its request headers.
+	headerTimeout = 10 * time.Second
+	// lastGossip is how long a host that has finished stays up so that its
+	// last message, that it has no order outstanding, can spread.
+	lastGossip = 2 * time.Second
+	// orderTimeout bounds the wait for outstanding orders at shutdown.
+	orderTimeout = 60 * time.Second
+	bytesPerMB   = 1 << 20
+)
+
+// Config configures a Daemon.
+type Config struct {
+	Settings settings.Settings
+	Log      *log.Logger
+}
+
+// Daemon is one entry host.
+type Daemon struct {
+	cfg         Config
+	self        tamarackknot.Host
+	incarnation string
+	registry    metrics.Registry
+
+	hosts      *platform.HostListClient
+	mesh       *peer.Mesh
+	members    *membership.Membership
+	journal    *journal.Journal
+	table      *endpoint.Table
+	router     *routing.Router
+	placement  *placement.Controller
+	callers    *caller.Server
+	callerHTTP *http.Server
+	opHTTP     *http.Server
+
+	running sync.WaitGroup
+}
+
+// New connects the parts; nothing runs yet.
+func New(cfg Config) *Daemon {
+	s := cfg.Settings
+	return &Daemon{
+		cfg:         cfg,
+		incarnation: uuid.Must(uuid.NewV7()).String(),
+		registry:    metrics.NewRegistry(),
+		self: tamarackknot.Host{
+			Name:          s.Name,
+			Role:          tamarackknot.RoleEntry,
+			Address:       s.CallerAddress,
+			PeerAddress:   s.PeerAddress,
+			FailureDomain: s.FailureDomain,
+		},
+	}
+}
+
+// Serve runs until ctx ends and then shuts down gracefully.
+func (d *Daemon) Serve(ctx context.Context) error {
+	if err := d.connect(); err != nil {
+		return err
+	}
+	callerListener, err := listen(ctx, d.cfg.Settings.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "--callerAddress")
+	}
+	opListener, err := listen(ctx, d.cfg.Settings.OperatorAddress)
+	if err != nil {
+		return errors.Wrap(err, "--operatorAddress")
+	}
+	// The parts outlive ctx: they are needed until the last request is done.
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	if err := d.mesh.Start(partsCtx); err != nil {
+		return errors.Wrap(err, "--peerAddress")
+	}
+	d.members.Start() //nolint:contextcheck // runs until Close, beyond ctx
+	d.journal.Start()
+	d.start(partsCtx, d.table.Run, d.router.Run, d.placement.Run, d.loop)
+	failed := make(chan error, 2)
+	d.start(partsCtx,
+		func(context.Context) { failed <- d.callerHTTP.Serve(callerListener) },
+		func(context.Context) { failed <- d.opHTTP.Serve(opListener) })
+	d.cfg.Log.Info("serving", "callers", d.self.Address, "peers", d.self.PeerAddress,
+		"operators", d.cfg.Settings.OperatorAddress, "failureDomain", d.self.FailureDomain, "incarnation", d.incarnation)
+
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "listener failed")
+	case <-ctx.Done():
+	}
+	err = d.shutdown(context.WithoutCancel(ctx))
+	stopParts()
+	d.journal.Close()
+	d.members.Close()
+	err = errors.CombineErrors(err, d.mesh.Close())
+	d.running.Wait()
+	return err
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(ctx, "tcp", address)
+}
+
+// start runs functions until their context ends; Serve waits for them.
+func (d *Daemon) start(ctx context.Context, fns ...func(context.Context)) {
+	for _, fn := range fns {
+		d.running.Go(func() { fn(ctx) })
+	}
+}
+
+// connect builds the parts. Some refer to each other; closures resolve this,
+// and none is called before Serve starts the parts.
+func (d *Daemon) connect() error {
+	s, logger := d.cfg.Settings, d.cfg.Log
+	d.hosts = platform.NewHostListClient(platform.Config{Address: s.PlatformAddress})
+	d.mesh = peer.New(peer.Config{
+		Host:        s.Name,
+		Incarnation: d.incarnation,
+		Listen:      func(ctx context.Context) (net.Listener, error) { return listen(ctx, s.PeerAddress) },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			var nd net.Dialer
+			return nd.DialContext(ctx, "tcp", address)
+		},
+		Resolve: func(host string) (string, bool) { return d.members.PeerAddress(host) },
+		Metrics: d.registry,
+		Logger:  logger,
+	})
+	var err error
+	d.members, err = membership.New(membership.Config{
+		Host:        d.self,
+		Incarnation: d.incarnation,
+		Peers:       d.mesh,
+		HostList:    d.hosts,
+		Journal:     func() tamarackknot.JournalStatus { return d.journal.Status() },
+		OnSign:      func(sign tamarackknot.EndpointSign) { d.table.Sign(sign) },
+		Metrics:     d.registry,
+		Logger:      logger,
+	})
+	if err != nil {
+		return err
+	}
+	d.journal = journal.New(journal.Config{
+		Log:            platform.NewLogClient(platform.Config{Address: s.PlatformAddress}),
+		Peers:          d.mesh,
+		Host:           s.Name,
+		Incarnation:    d.incarnation,
+		Hosts:          d.entryHosts,
+		ShouldSnapshot: func() bool { return d.members.Planner("") == s.Name },
+		Retention:      time.Duration(s.LogRetentionSeconds) * time.Second,
+		Logger:         logger,
+		Metrics:        d.registry,
+	})
+	d.connectPlacement()
+	d.connectServers()
+	return nil
+}
+
+func (d *Daemon) connectPlacement() {
+	s, logger := d.cfg.Settings, d.cfg.Log
+	engines := engine.NewClient(engine.Config{})
+	d.table = endpoint.New(endpoint.Config{
+		Journal:  d.journal,
+		Engine:   engines,
+		Members:  d.members,
+		Peers:    d.mesh,
+		Spread:   d.members.Spread,
+		Interval: time.Duration(s.ReportIntervalMillis) * time.Millisecond,
+		Logger:   logger,
+	})
+	d.placement = placement.New(placement.Config{
+		Journal: d.journal,
+		Peers:   d.mesh,
+		Members: d.members,
+		Engine:  engines,
+		Reports: d.table,
+		Hosts:   d.hosts,
+		Log:     logger,
+		Metrics: d.registry,
+	})
+	d.router = routing.New(routing.Config{
+		Journal:       d.journal,
+		Table:         d.table,
+		Placement:     d.placement,
+		FailureDomain: s.FailureDomain,
+		MaxQueue:      s.MaxQueue,
+		Logger:        logger,
+	})
+}
+
+func (d *Daemon) connectServers() {
+	s, logger := d.cfg.Settings, d.cfg.Log
+	d.callers = caller.New(caller.Config{
+		Journal:   d.journal,
+		Members:   d.members,
+		Router:    d.router,
+		Table:     d.table,
+		Addresses: addresses{d.members},
+		Gate:      gate{d.members, d.journal},
+		Logger:    logger,
+		Registry:  d.registry,
+		MaxBody:   int64(s.MaxBodyMB) * bytesPerMB,
+		MaxKept:   s.ReplayMB * bytesPerMB,
+	})
+	d.callerHTTP = &http.Server{Handler: d.callers, ReadHeaderTimeout: headerTimeout}
+	operators := operator.New(operator.Config{
+		Journal: d.journal,
+		Members: d.members,
+		Reports: d.table,
+		Log:     logger,
+		Metrics: d.registry,
+	})
+	d.opHTTP = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// entryHosts names the members, for the journal's freshness check.
+func (d *Daemon) entryHosts() []string {
+	var out []string
+	for _, m := range d.members.List() {
+		out = append(out, m.Host.Name)
+	}
+	return out
+}
+
+// loop passes on what one part learns and another needs, once a second.
+func (d *Daemon) loop(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	memory := metrics.GetOrRegisterGauge("process.heapBytes", d.registry)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, m := range d.members.List() {
+			d.journal.SawApplied(m.Applied)
+		}
+		callCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Second))
+		if hosts, err := d.hosts.Hosts(callCtx); err == nil {
+			d.table.Hosts(hosts)
+		}
+		cancel()
+		var ms runtime.MemStats
+		runtime.ReadMemStats(&ms)
+		memory.Update(int64(ms.HeapAlloc))
+	}
+}
+
+// shutdown drains: no new callers, then no request in flight, then no order
+// outstanding.
+func (d *Daemon) shutdown(ctx context.Context) error {
+	s, logger := d.cfg.Settings, d.cfg.Log
+	logger.Info("draining", "step", "leave")
+	// Proposing stops at once; orders under way are waited for while the
+	// address answers that name this host expire.
+	drained := d.placement.Drain(time.Now().Add(orderTimeout))
+	err := d.members.Leave(ctx)
+
+	logger.Info("draining", "step", "requests")
+	httpCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Duration(s.DrainTimeoutSeconds)*time.Second))
+	defer cancel()
+	err = errors.CombineErrors(err, d.callerHTTP.Shutdown(httpCtx))
+	err = errors.CombineErrors(err, d.callers.Close(httpCtx))
+
+	logger.Info("draining", "step", "orders")
+	<-drained
+	if d.placement.Idle() {
+		d.members.SetIdle() //nolint:contextcheck // gossip has its own lifetime
+	}
+	// Watches never end by themselves, so operators' connections are cut.
+	err = errors.CombineErrors(err, d.opHTTP.Close())
+	time.Sleep(lastGossip)
+	logger.Info("stopped", "idle", d.placement.Idle())
+	return err
+}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"net/url"
 	"slices"
 	"strings"
 
@@ -23,7 +22,7 @@
 	CallerAddress         string `env:"CALLER_ADDRESS"`
 	PeerAddress           string `env:"PEER_ADDRESS"`
 	OperatorAddress       string `env:"OPERATOR_ADDRESS"`
-	PlatformURL           string `env:"PLATFORM_URL"`
+	PlatformAddress       string `env:"PLATFORM_ADDRESS"`
 	LogLevel              string `env:"LOG_LEVEL" envDefault:"info"`
 	LogRetentionSeconds   int    `env:"LOG_RETENTION_SECONDS" envDefault:"86400"`
 	ReportIntervalMillis  int    `env:"REPORT_INTERVAL_MILLIS" envDefault:"1000"`
@@ -49,13 +48,13 @@
 
 func (s *Settings) ints() []intOption {
 	return []intOption{
-		{&s.LogRetentionSeconds, "log-retention", 10, 30 * 86400, "seconds for which the platform's log keeps records", "LOG_RETENTION_SECONDS"},
-		{&s.ReportIntervalMillis, "report-interval", 50, 10000, "milliseconds between two reports read from an endpoint", "REPORT_INTERVAL_MILLIS"},
-		{&s.DefaultTimeoutSeconds, "default-timeout", 1, 600, "seconds until the deadline of a request that names none", "DEFAULT_TIMEOUT_SECONDS"},
-		{&s.MaxBodyMB, "max-body", 1, 1024, "largest request body in MB", "MAX_BODY_MB"},
+		{&s.LogRetentionSeconds, "logRetention", 10, 30 * 86400, "seconds for which the platform's log keeps records", "LOG_RETENTION_SECONDS"},
+		{&s.ReportIntervalMillis, "reportInterval", 50, 10000, "milliseconds between two reports read from an endpoint", "REPORT_INTERVAL_MILLIS"},
+		{&s.DefaultTimeoutSeconds, "defaultTimeout", 1, 600, "seconds until the deadline of a request that names none", "DEFAULT_TIMEOUT_SECONDS"},
+		{&s.MaxBodyMB, "maxBody", 1, 1024, "largest request body in MB", "MAX_BODY_MB"},
 		{&s.ReplayMB, "replay", 0, 1024, "memory in MB for answers that a repeated key replays", "REPLAY_MB"},
-		{&s.MaxQueue, "max-queue", 1, 100000, "requests that may wait for one target", "MAX_QUEUE"},
-		{&s.DrainTimeoutSeconds, "drain-timeout", 1, 3600, "seconds after SIGTERM at which requests still in flight are given up; the default is above the longest request deadline", "DRAIN_TIMEOUT_SECONDS"},
+		{&s.MaxQueue, "maxQueue", 1, 100000, "requests that may wait for one target", "MAX_QUEUE"},
+		{&s.DrainTimeoutSeconds, "drainTimeout", 1, 3600, "seconds after SIGTERM at which requests still in flight are given up; the default is above the longest request deadline", "DRAIN_TIMEOUT_SECONDS"},
 	}
 }
 
@@ -68,13 +67,14 @@
 	p := flaggy.NewParser("tamarackd")
 	p.Description = "serves callers and operators in front of model endpoints. Every flag can also be set in the environment"
 	p.DisableShowVersionWithVersion()
+	p.ShowCompletion = false
 	p.String(&s.Name, "n", "name", "name of this host in the platform's host list (TAMARACKD_NAME)")
-	p.String(&s.FailureDomain, "d", "failure-domain", "failure domain of this host (TAMARACKD_FAILURE_DOMAIN)")
-	p.String(&s.CallerAddress, "c", "caller-address", "IP:port for callers (TAMARACKD_CALLER_ADDRESS)")
-	p.String(&s.PeerAddress, "p", "peer-address", "IP:port for other entry hosts (TAMARACKD_PEER_ADDRESS)")
-	p.String(&s.OperatorAddress, "o", "operator-address", "IP:port for operators (TAMARACKD_OPERATOR_ADDRESS)")
-	p.String(&s.PlatformURL, "u", "platform-url", "http URL of the platform's log and host list (TAMARACKD_PLATFORM_URL)")
-	p.String(&s.LogLevel, "l", "log-level", "debug, info, warn or error (TAMARACKD_LOG_LEVEL)")
+	p.String(&s.FailureDomain, "d", "failureDomain", "failure domain of this host (TAMARACKD_FAILURE_DOMAIN)")
+	p.String(&s.CallerAddress, "c", "callerAddress", "IP:port for callers (TAMARACKD_CALLER_ADDRESS)")
+	p.String(&s.PeerAddress, "p", "peerAddress", "IP:port for other entry hosts (TAMARACKD_PEER_ADDRESS)")
+	p.String(&s.OperatorAddress, "o", "operatorAddress", "IP:port for operators (TAMARACKD_OPERATOR_ADDRESS)")
+	p.String(&s.PlatformAddress, "a", "platformAddress", "IP:port of the platform's log and host list (TAMARACKD_PLATFORM_ADDRESS)")
+	p.String(&s.LogLevel, "l", "logLevel", "debug, info, warn or error (TAMARACKD_LOG_LEVEL)")
 	for _, o := range s.ints() {
 		p.Int(o.value, "", o.flag, fmt.Sprintf("%s, %d to %d (%s%s)", o.help, o.low, o.high, envPrefix, o.variable))
 	}
@@ -87,27 +87,24 @@
 func (s *Settings) check() error {
 	for _, o := range []struct{ flag, value string }{
 		{"name", s.Name},
-		{"failure-domain", s.FailureDomain},
+		{"failureDomain", s.FailureDomain},
 	} {
 		if strings.TrimSpace(o.value) == "" {
 			return fmt.Errorf("--%s: empty, a name is required", o.flag)
 		}
 	}
 	for _, o := range []struct{ flag, value string }{
-		{"caller-address", s.CallerAddress},
-		{"peer-address", s.PeerAddress},
-		{"operator-address", s.OperatorAddress},
+		{"callerAddress", s.CallerAddress},
+		{"peerAddress", s.PeerAddress},
+		{"operatorAddress", s.OperatorAddress},
+		{"platformAddress", s.PlatformAddress},
 	} {
 		if err := checkAddress(o.value); err != nil {
 			return errors.Wrapf(err, "--%s", o.flag)
 		}
 	}
-	u, err := url.Parse(s.PlatformURL)
-	if err != nil || u.Scheme != "http" || u.Host == "" {
-		return fmt.Errorf("--platform-url: %q is not of the form http://IP:port", s.PlatformURL)
-	}
 	if !slices.Contains(levels(), s.LogLevel) {
-		return fmt.Errorf("--log-level: %q is not one of %v", s.LogLevel, levels())
+		return fmt.Errorf("--logLevel: %q is not one of %v", s.LogLevel, levels())
 	}
 	for _, o := range s.ints() {
 		if *o.value < o.low || *o.value > o.high {
@@ -125,7 +122,7 @@
 		return fmt.Errorf("%q is not of the form IP:port", s)
 	}
 	if ap.Addr().IsUnspecified() || ap.Port() == 0 {
-		return fmt.Errorf("%q must name the IP and port under which others reach this host", s)
+		return fmt.Errorf("%q must name an IP and a port that other hosts can reach", s)
 	}
 	return nil
 }
