--- a/entry/commands/commands.go
+++ b/entry/commands/commands.go
@@ -12,6 +12,7 @@
 
 	"tamarackknot.example/tamarackknot/entry/daemon"
 	"tamarackknot.example/tamarackknot/entry/settings"
+	"tamarackknot.example/tamarackknot/platform"
 )
 
 // The exit codes.
@@ -42,7 +43,13 @@
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := daemon.New(daemon.Config{Settings: s, Log: logger}).Serve(ctx); err != nil {
+	d := daemon.New(daemon.Config{
+		Settings: s,
+		Logger:   logger,
+		Log:      platform.NewLogClient(platform.Config{Address: s.PlatformAddress}),
+		Hosts:    platform.NewHostListClient(platform.Config{Address: s.PlatformAddress}),
+	})
+	if err := d.Serve(ctx); err != nil {
 		logger.Error("stopped", "error", err)
 		return exitFailed
 	}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -25,7 +25,6 @@
 	"tamarackknot.example/tamarackknot/operator"
 	"tamarackknot.example/tamarackknot/peer"
 	"tamarackknot.example/tamarackknot/placement"
-	"tamarackknot.example/tamarackknot/platform"
 	"tamarackknot.example/tamarackknot/routing"
 )
 
@@ -40,10 +39,17 @@
 	bytesPerMB   = 1 << 20
 )
 
-// Config configures a Daemon.
+// Config holds the settings of a Daemon and what it reaches the world through.
 type Config struct {
 	Settings settings.Settings
-	Log      *log.Logger
+	Logger   *log.Logger
+	// Log and Hosts are the platform's services.
+	Log   tamarackknot.Log
+	Hosts tamarackknot.HostList
+	// Listen and Dial open TCP listeners and connections; nil uses package
+	// net.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Daemon is one entry host.
@@ -53,7 +59,6 @@
 	incarnation string
 	registry    metrics.Registry
 
-	hosts      *platform.HostListClient
 	mesh       *peer.Mesh
 	members    *membership.Membership
 	journal    *journal.Journal
@@ -70,6 +75,12 @@
 // New connects the parts; nothing runs yet.
 func New(cfg Config) *Daemon {
 	s := cfg.Settings
+	if cfg.Listen == nil {
+		cfg.Listen = listenTCP
+	}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{}).DialContext
+	}
 	return &Daemon{
 		cfg:         cfg,
 		incarnation: uuid.Must(uuid.NewV7()).String(),
@@ -89,11 +100,11 @@
 	if err := d.connect(); err != nil {
 		return err
 	}
-	callerListener, err := listen(ctx, d.cfg.Settings.CallerAddress)
+	callerListener, err := d.cfg.Listen(ctx, d.cfg.Settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "--callerAddress")
 	}
-	opListener, err := listen(ctx, d.cfg.Settings.OperatorAddress)
+	opListener, err := d.cfg.Listen(ctx, d.cfg.Settings.OperatorAddress)
 	if err != nil {
 		return errors.Wrap(err, "--operatorAddress")
 	}
@@ -110,7 +121,7 @@
 	d.start(partsCtx,
 		func(context.Context) { failed <- d.callerHTTP.Serve(callerListener) },
 		func(context.Context) { failed <- d.opHTTP.Serve(opListener) })
-	d.cfg.Log.Info("serving", "callers", d.self.Address, "peers", d.self.PeerAddress,
+	d.cfg.Logger.Info("serving", "callers", d.self.Address, "peers", d.self.PeerAddress,
 		"operators", d.cfg.Settings.OperatorAddress, "failureDomain", d.self.FailureDomain, "incarnation", d.incarnation)
 
 	select {
@@ -127,7 +138,7 @@
 	return err
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
+func listenTCP(ctx context.Context, address string) (net.Listener, error) {
 	var lc net.ListenConfig
 	return lc.Listen(ctx, "tcp", address)
 }
@@ -142,15 +153,13 @@
 // connect builds the parts. Some refer to each other; closures resolve this,
 // and none is called before Serve starts the parts.
 func (d *Daemon) connect() error {
-	s, logger := d.cfg.Settings, d.cfg.Log
-	d.hosts = platform.NewHostListClient(platform.Config{Address: s.PlatformAddress})
+	s, logger := d.cfg.Settings, d.cfg.Logger
 	d.mesh = peer.New(peer.Config{
 		Host:        s.Name,
 		Incarnation: d.incarnation,
-		Listen:      func(ctx context.Context) (net.Listener, error) { return listen(ctx, s.PeerAddress) },
+		Listen:      func(ctx context.Context) (net.Listener, error) { return d.cfg.Listen(ctx, s.PeerAddress) },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			var nd net.Dialer
-			return nd.DialContext(ctx, "tcp", address)
+			return d.cfg.Dial(ctx, "tcp", address)
 		},
 		Resolve: func(host string) (string, bool) { return d.members.PeerAddress(host) },
 		Metrics: d.registry,
@@ -161,7 +170,7 @@
 		Host:        d.self,
 		Incarnation: d.incarnation,
 		Peers:       d.mesh,
-		HostList:    d.hosts,
+		HostList:    d.cfg.Hosts,
 		Journal:     func() tamarackknot.JournalStatus { return d.journal.Status() },
 		OnSign:      func(sign tamarackknot.EndpointSign) { d.table.Sign(sign) },
 		Metrics:     d.registry,
@@ -171,7 +180,7 @@
 		return err
 	}
 	d.journal = journal.New(journal.Config{
-		Log:            platform.NewLogClient(platform.Config{Address: s.PlatformAddress}),
+		Log:            d.cfg.Log,
 		Peers:          d.mesh,
 		Host:           s.Name,
 		Incarnation:    d.incarnation,
@@ -187,8 +196,8 @@
 }
 
 func (d *Daemon) connectPlacement() {
-	s, logger := d.cfg.Settings, d.cfg.Log
-	engines := engine.NewClient(engine.Config{})
+	s, logger := d.cfg.Settings, d.cfg.Logger
+	engines := engine.NewClient(engine.Config{Dial: d.cfg.Dial})
 	d.table = endpoint.New(endpoint.Config{
 		Journal:  d.journal,
 		Engine:   engines,
@@ -204,7 +213,7 @@
 		Members: d.members,
 		Engine:  engines,
 		Reports: d.table,
-		Hosts:   d.hosts,
+		Hosts:   d.cfg.Hosts,
 		Log:     logger,
 		Metrics: d.registry,
 	})
@@ -219,18 +228,19 @@
 }
 
 func (d *Daemon) connectServers() {
-	s, logger := d.cfg.Settings, d.cfg.Log
+	s, logger := d.cfg.Settings, d.cfg.Logger
 	d.callers = caller.New(caller.Config{
-		Journal:   d.journal,
-		Members:   d.members,
-		Router:    d.router,
-		Table:     d.table,
-		Addresses: addresses{d.members},
-		Gate:      gate{d.members, d.journal},
-		Logger:    logger,
-		Registry:  d.registry,
-		MaxBody:   int64(s.MaxBodyMB) * bytesPerMB,
-		MaxKept:   s.ReplayMB * bytesPerMB,
+		Journal:     d.journal,
+		Members:     d.members,
+		Router:      d.router,
+		Table:       d.table,
+		Addresses:   addresses{d.members},
+		Gate:        gate{d.members, d.journal},
+		Logger:      logger,
+		Registry:    d.registry,
+		DialContext: d.cfg.Dial,
+		MaxBody:     int64(s.MaxBodyMB) * bytesPerMB,
+		MaxKept:     s.ReplayMB * bytesPerMB,
 	})
 	d.callerHTTP = &http.Server{Handler: d.callers, ReadHeaderTimeout: headerTimeout}
 	operators := operator.New(operator.Config{
@@ -267,7 +277,7 @@
 			d.journal.SawApplied(m.Applied)
 		}
 		callCtx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Second))
-		if hosts, err := d.hosts.Hosts(callCtx); err == nil {
+		if hosts, err := d.cfg.Hosts.Hosts(callCtx); err == nil {
 			d.table.Hosts(hosts)
 		}
 		cancel()
@@ -280,7 +290,7 @@
 // shutdown drains: no new callers, then no request in flight, then no order
 // outstanding.
 func (d *Daemon) shutdown(ctx context.Context) error {
-	s, logger := d.cfg.Settings, d.cfg.Log
+	s, logger := d.cfg.Settings, d.cfg.Logger
 	logger.Info("draining", "step", "leave")
 	// Proposing stops at once; orders under way are waited for while the
 	// address answers that name this host expire.
--- /dev/null
+++ b/entry/daemon/system_test.go
@@ -0,0 +1,352 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tamarackknot.example/tamarackknot/fake"
+)
+
+// step is one action of a run. All are drawn before the run starts, since
+// rapid must not draw inside a bubble.
+type step struct {
+	Kind  string
+	Wait  time.Duration // before the step
+	A, B  int
+	On    bool
+	Calls int
+}
+
+func drawSteps(t *rapid.T) []step {
+	kinds := []string{
+		"calls", "calls", "calls", "calls", "burst", "kill", "start", "term", "logDown", "logCut", "loseAnswers",
+		"peers", "engineDie", "engineCut", "engineHang", "orderLost", "orderSlow", "apply", "storeSlow", "expire",
+	}
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
+			Wait:  time.Duration(rapid.IntRange(0, 4000).Draw(t, "wait")) * time.Millisecond,
+			A:     rapid.IntRange(0, 11).Draw(t, "a"),
+			B:     rapid.IntRange(0, 11).Draw(t, "b"),
+			On:    rapid.Bool().Draw(t, "on"),
+			Calls: rapid.IntRange(1, 4).Draw(t, "calls"),
+		}
+	}), 1, 40).Draw(t, "steps")
+}
+
+// outcome is what a run carries out of its bubble.
+type outcome struct {
+	verdicts []string
+	calls    int
+	served   int
+	recovery time.Duration
+	appends  int64
+	elapsed  time.Duration
+}
+
+// run is the state of one fuzzed run.
+type run struct {
+	*cluster
+	client  *client
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	results map[string][]result
+	keyed   map[string]bool
+	served  int
+	calls   int
+	// accepted is the newest accepted revision of each resource.
+	accepted map[string]int64
+}
+
+// settle is how long after the last fault service must be as before: a lost
+// planner is replaced after 10 s, reservations of a lost process settle 10 s
+// after the host list, which lags, has dropped it.
+const settle = 60 * time.Second
+
+func runSteps(steps []step, out io.Writer) outcome {
+	r := &run{
+		cluster: newCluster(out, time.Minute),
+		results: map[string][]result{}, keyed: map[string]bool{}, accepted: map[string]int64{},
+	}
+	r.client = newClient(r.cluster)
+	began := time.Now()
+	for i := range clusterHosts {
+		r.start(i)
+	}
+	time.Sleep(hostListLag + 3*time.Second)
+	r.configure()
+	for _, s := range steps {
+		time.Sleep(s.Wait)
+		r.do(s)
+	}
+	r.heal()
+	recovery := r.recover()
+	r.wg.Wait()
+	r.check()
+	res := outcome{
+		calls: r.calls, served: r.served, recovery: recovery,
+		appends: r.log.Appends(), elapsed: time.Since(began),
+	}
+	r.close()
+	res.verdicts = r.verdicts
+	return res
+}
+
+func (r *run) configure() {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Minute))
+	defer cancel()
+	for _, res := range resources() {
+		revision, err := r.apply(ctx, r.node(0), res)
+		if err != nil {
+			r.violate("apply %s/%s: %v", res.GetKind(), res.GetMetadata().GetName(), err)
+		}
+		r.accepted[res.GetKind()+"/"+res.GetMetadata().GetName()] = revision
+	}
+}
+
+// do carries out one step; what takes long goes on in the background.
+func (r *run) do(s step) {
+	host := s.A % clusterHosts
+	engine := r.engines[s.A%clusterEngines]
+	switch s.Kind {
+	case "calls":
+		for i := range s.Calls {
+			r.call(s.A+i, s.B, s.On)
+		}
+	case "burst":
+		for i := range 12 {
+			r.call(s.A, s.B+i, s.On)
+		}
+	case "kill":
+		r.kill(host)
+	case "start":
+		if r.node(host) == nil {
+			r.start(host)
+		}
+	case "term":
+		r.wg.Go(func() { r.term(host) })
+	case "logDown":
+		r.log.SetDown(s.On)
+	case "logCut":
+		if n := r.node(host); n != nil {
+			n.log.SetFaults(fake.LogFaults{ReadsDown: s.On, AppendsDown: s.On || s.B%2 == 0, Hang: s.B%3 == 0})
+		}
+	case "loseAnswers":
+		r.log.LoseAnswers(s.Calls)
+	case "peers":
+		r.cutPeers(host, s.B%clusterHosts, s.On)
+	case "storeSlow":
+		r.store.SetSpeed(map[bool]float64{true: 0.25, false: 1}[s.On])
+	case "expire":
+		r.log.ExpireNow(r.log.Next() - 5)
+	case "apply":
+		r.wg.Go(func() { r.change(host, s.B) })
+	default:
+		r.engineFault(engine, s)
+	}
+}
+
+func (r *run) engineFault(e *fake.Engine, s step) {
+	f := e.Faults()
+	switch s.Kind {
+	case "engineDie":
+		f.Die = s.On
+	case "engineCut":
+		f.Cut = s.On
+	case "engineHang":
+		f.Hang = s.On
+	case "orderLost":
+		f.LoseAnswer = s.On
+	case "orderSlow":
+		f.DelayOrder = map[bool]time.Duration{true: 3 * time.Second}[s.On]
+	}
+	e.SetFaults(f)
+}
+
+// call sends a request in the background.
+func (r *run) call(target, seed int, stream bool) {
+	r.mu.Lock()
+	r.calls++
+	q := request{id: fmt.Sprintf("r%d", r.calls), prompt: fmt.Sprintf("prompt %d", r.calls), stream: stream, timeout: 20 * time.Second}
+	switch t := target % (clusterModels + 3); {
+	case t < clusterModels:
+		q.target = modelName(t)
+	case t == clusterModels:
+		q.target = "a0"
+	default:
+		q.key = newKey()
+		r.keyed[q.id] = true
+	}
+	r.mu.Unlock()
+	r.wg.Go(func() { r.record(q, newClient(r.cluster).do(q, seed)) })
+}
+
+func (r *run) record(q request, res result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results[q.id] = append(r.results[q.id], res)
+	if res.whole {
+		r.served++
+	}
+}
+
+// change applies a new priority to a model; the result is known to be accepted
+// or is not counted.
+func (r *run) change(host, i int) {
+	n := r.node(host)
+	if n == nil {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(15*time.Second))
+	defer cancel()
+	m := model(i%clusterModels, int32(i%10))
+	revision, err := r.apply(ctx, n, m)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := "model/" + m.GetMetadata().GetName()
+	r.accepted[key] = max(r.accepted[key], revision)
+}
+
+// heal ends all faults and starts what is not running.
+func (r *run) heal() {
+	r.log.SetDown(false)
+	r.log.LoseAnswers(0)
+	r.store.SetSpeed(1)
+	r.healPeers()
+	for _, e := range r.engines {
+		e.SetFaults(fake.Faults{})
+	}
+	for i := range clusterHosts {
+		if n := r.node(i); n != nil {
+			n.log.SetFaults(fake.LogFaults{})
+			continue
+		}
+		r.waitEnd(i)
+		r.start(i)
+	}
+}
+
+// waitEnd waits until the address of host i is free again.
+func (r *run) waitEnd(i int) {
+	r.cluster.mu.Lock()
+	all := r.all
+	r.cluster.mu.Unlock()
+	for _, n := range all {
+		if n.index == i && n.killedAt().IsZero() {
+			err := <-n.done
+			n.done <- err
+		}
+	}
+}
+
+// recover calls every target until all are served, and returns how long that
+// took.
+func (r *run) recover() time.Duration {
+	began := time.Now()
+	for time.Since(began) < settle {
+		missing := 0
+		for i := range clusterModels + 3 {
+			before := r.servedCalls()
+			r.call(i, i, i%2 == 0)
+			r.wg.Wait()
+			if r.servedCalls() == before {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return time.Since(began)
+		}
+		time.Sleep(time.Second)
+	}
+	r.violate("service is not as before %s after the last fault", settle)
+	return settle
+}
+
+func (r *run) servedCalls() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.served
+}
+
+// check compares what happened with the promises.
+func (r *run) check() {
+	if list := r.history.Exceeded(); len(list) > 0 {
+		r.violate("accelerator memory was exceeded on %v", list)
+	}
+	for target, peak := range r.history.AllPeakReplicas() {
+		if peak > maxReplicas(target) {
+			r.violate("%d replicas of %s were loaded, allowed are %d", peak, target, maxReplicas(target))
+		}
+	}
+	for id, list := range r.results {
+		runs := len(r.history.Runs(id))
+		if r.keyed[id] && runs > 1 {
+			r.violate("request %s ran %d times", id, runs)
+		}
+		for _, res := range list {
+			if res.run == "notRun" && runs > 0 {
+				r.violate("request %s was answered notRun (%s) and ran %d times", id, res.detail, runs)
+			}
+		}
+	}
+	for i := range clusterHosts {
+		n := r.node(i)
+		if n == nil {
+			continue
+		}
+		stored := map[string]int64{}
+		for _, res := range r.list(n) {
+			stored[res.GetKind()+"/"+res.GetMetadata().GetName()] = res.GetMetadata().GetRevision()
+		}
+		for key, revision := range r.accepted {
+			if stored[key] < revision {
+				r.violate("%s has revision %d of %s, accepted was %d", n.process, stored[key], key, revision)
+			}
+		}
+	}
+}
+
+// systemSeeds bounds the runs in CI; make fuzz runs more with new seeds.
+var systemSeeds = flag.Int("system.runs", 12, "number of fuzzed runs of the whole system")
+
+// Guards against every promise of docs/GUARANTEES.md being broken by whole
+// entry daemons under random faults, singly, together and twice.
+func TestSystemUnderFaults(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.checks", fmt.Sprint(*systemSeeds)))
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" && os.Getenv("FUZZ") == "" {
+		require.NoError(t, flag.Set("rapid.seed", "20261203"))
+		defer func() { _ = flag.Set("rapid.seed", "0") }()
+	}
+	runs, calls, served := 0, 0, 0
+	var slowest time.Duration
+	var rate float64
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var res outcome
+		var logs bytes.Buffer
+		synctest.Test(t, func(*testing.T) { res = runSteps(steps, &logs) })
+		if len(res.verdicts) > 0 {
+			_ = os.WriteFile(os.TempDir()+"/system-test.log", logs.Bytes(), 0o600)
+			rt.Fatalf("steps %+v\n%s", steps, strings.Join(res.verdicts, "\n"))
+		}
+		runs, calls, served = runs+1, calls+res.calls, served+res.served
+		slowest = max(slowest, res.recovery)
+		rate = max(rate, float64(res.appends)/res.elapsed.Seconds())
+	})
+	t.Logf("runs=%d calls=%d served=%d slowestRecovery=%s highestAppendsPerSecond=%.1f", runs, calls, served, slowest, rate)
+}
--- /dev/null
+++ b/fake/network.go
@@ -0,0 +1,268 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Network connects named hosts by connections in memory, which work on the
+// clock of testing/synctest. A direction between two hosts can be cut, and a
+// host can be killed.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*networkListener
+	cuts      map[direction]bool
+	dead      map[string]bool
+	conns     map[*networkConn]struct{}
+	// changed is closed and replaced when a cut ends.
+	changed chan struct{}
+}
+
+type direction struct{ from, to string }
+
+// NewNetwork returns a network without hosts.
+func NewNetwork() *Network {
+	return &Network{
+		listeners: make(map[string]*networkListener),
+		cuts:      make(map[direction]bool),
+		dead:      make(map[string]bool),
+		conns:     make(map[*networkConn]struct{}),
+		changed:   make(chan struct{}),
+	}
+}
+
+// Host returns the network as one host sees it.
+func (n *Network) Host(name string) *NetworkHost {
+	return &NetworkHost{net: n, name: name}
+}
+
+// Cut stops or restores what one host sends to another. Like packets that are
+// lost, data waits and connections stay open.
+func (n *Network) Cut(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[direction{from, to}] = cut
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Kill breaks all connections and listeners of a host; it cannot open others.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	n.dead[name] = true
+	var conns []*networkConn
+	for c := range n.conns {
+		if c.dir.from == name || c.dir.to == name {
+			conns = append(conns, c)
+		}
+	}
+	for address, l := range n.listeners {
+		if l.host == name {
+			l.closeLocked()
+			delete(n.listeners, address)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// NetworkHost opens listeners and connections as one host.
+type NetworkHost struct {
+	net  *Network
+	name string
+}
+
+// Listen accepts connections at IP:port.
+func (h *NetworkHost) Listen(_ context.Context, address string) (net.Listener, error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if _, ok := h.net.listeners[address]; ok {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRINUSE}
+	}
+	l := &networkListener{
+		net: h.net, host: h.name, address: ap,
+		conns: make(chan net.Conn), done: make(chan struct{}),
+	}
+	h.net.listeners[address] = l
+	return l, nil
+}
+
+// Dial connects to IP:port.
+func (h *NetworkHost) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	l, err := h.reach(ctx, address)
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
+	}
+	here, there := net.Pipe()
+	mine := h.net.wrap(here, direction{h.name, l.host})
+	theirs := h.net.wrap(there, direction{l.host, h.name})
+	select {
+	case l.conns <- theirs:
+		return mine, nil
+	case <-l.done:
+		err = syscall.ECONNREFUSED
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	_, _ = mine.Close(), theirs.Close()
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
+}
+
+// reach waits until both directions to the host at an address are open, as
+// opening a connection needs both.
+func (h *NetworkHost) reach(ctx context.Context, address string) (*networkListener, error) {
+	for {
+		h.net.mu.Lock()
+		l, changed := h.net.listeners[address], h.net.changed
+		dead := h.net.dead[h.name]
+		cut := l != nil && (h.net.cuts[direction{h.name, l.host}] || h.net.cuts[direction{l.host, h.name}])
+		h.net.mu.Unlock()
+		switch {
+		case dead:
+			return nil, syscall.ENETUNREACH
+		case l == nil:
+			return nil, syscall.ECONNREFUSED
+		case !cut:
+			return l, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (n *Network) wrap(c net.Conn, d direction) *networkConn {
+	w := &networkConn{Conn: c, net: n, dir: d, done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[w] = struct{}{}
+	return w
+}
+
+type networkListener struct {
+	net     *Network
+	host    string
+	address netip.AddrPort
+	conns   chan net.Conn
+	done    chan struct{}
+	closed  bool
+}
+
+// Accept implements net.Listener.
+func (l *networkListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *networkListener) Close() error {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	l.closeLocked()
+	if l.net.listeners[l.address.String()] == l {
+		delete(l.net.listeners, l.address.String())
+	}
+	return nil
+}
+
+func (l *networkListener) closeLocked() {
+	if !l.closed {
+		l.closed = true
+		close(l.done)
+	}
+}
+
+// Addr implements net.Listener.
+func (l *networkListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
+
+type networkConn struct {
+	net.Conn
+	net  *Network
+	dir  direction
+	once sync.Once
+	done chan struct{}
+
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+// Write implements net.Conn. During a cut it waits.
+func (c *networkConn) Write(b []byte) (int, error) {
+	for {
+		c.net.mu.Lock()
+		cut, changed := c.net.cuts[c.dir], c.net.changed
+		c.net.mu.Unlock()
+		if !cut {
+			return c.Conn.Write(b)
+		}
+		if err := c.wait(changed); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (c *networkConn) wait(changed <-chan struct{}) error {
+	c.mu.Lock()
+	deadline := c.deadline
+	c.mu.Unlock()
+	var expired <-chan time.Time
+	if !deadline.IsZero() {
+		t := time.NewTimer(time.Until(deadline))
+		defer t.Stop()
+		expired = t.C
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-c.done:
+		return net.ErrClosed
+	case <-expired:
+		return os.ErrDeadlineExceeded
+	}
+}
+
+// Close implements net.Conn.
+func (c *networkConn) Close() error {
+	c.once.Do(func() {
+		close(c.done)
+		c.net.mu.Lock()
+		delete(c.net.conns, c)
+		c.net.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// SetDeadline implements net.Conn.
+func (c *networkConn) SetDeadline(t time.Time) error {
+	c.setWriteDeadline(t)
+	return c.Conn.SetDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *networkConn) SetWriteDeadline(t time.Time) error {
+	c.setWriteDeadline(t)
+	return c.Conn.SetWriteDeadline(t)
+}
+
+func (c *networkConn) setWriteDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+}
