--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,137 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+func record(tb testing.TB, id string, at time.Time, c tamarackknot.Change) []byte {
+	tb.Helper()
+	data, err := json.Marshal(tamarackknot.Record{ID: id, Host: "h", Incarnation: "1", Time: at, Change: c})
+	require.NoError(tb, err)
+	return data
+}
+
+// Guards against a late copy of a release that frees a later claim of the same
+// key by the same process, after which the key could run twice. The copy
+// arrives after its id was forgotten, also at a restored ledger.
+func TestLateFreeKeepsLaterClaim(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := New(Config{})
+	keys := func(at time.Time) *tamarackknot.KeyBatch {
+		return &tamarackknot.KeyBatch{Claims: []tamarackknot.KeyClaim{{Key: "k", Digest: "d", Created: at}}}
+	}
+	free := record(t, "free", at.Add(time.Second), tamarackknot.Change{KeysFree: keys(at)})
+	later := at.Add(20 * time.Minute)
+	for i, data := range [][]byte{
+		record(t, "first", at, tamarackknot.Change{Keys: keys(at)}), free,
+		record(t, "second", later, tamarackknot.Change{Keys: keys(later)}),
+	} {
+		_, out := l.Apply(tamarackknot.Offset(i+1), data)
+		require.True(t, out.Keys[0].Accepted)
+	}
+	chunks, err := l.Encode()
+	require.NoError(t, err)
+	l, err = Restore(Config{}, chunks)
+	require.NoError(t, err)
+	_, out := l.Apply(4, free)
+	require.Equal(t, tamarackknot.ReasonConflict, out.Keys[0].Reason)
+}
+
+// Guards against a snapshot that is damaged, incomplete or out of order and is
+// taken for a state.
+func TestRestoreRejectsDamage(t *testing.T) {
+	l := New(Config{})
+	fill(t, l, 200, 4, 0)
+	chunks, err := l.Encode()
+	require.NoError(t, err)
+	data := chunks[0]
+	for name, damaged := range map[string][]byte{
+		"empty": nil, "short": data[:4], "truncated": data[:len(data)-20], "flipped": append([]byte{data[0] ^ 1}, data[1:]...),
+	} {
+		_, err := Restore(Config{}, [][]byte{damaged})
+		require.Error(t, err, name)
+	}
+}
+
+// Guards against a record of a newer program, or garbage, that stops a host.
+func TestUnknownRecordsAreSkipped(t *testing.T) {
+	l := New(Config{})
+	for i, data := range []string{
+		``, `{`, `null`, `[]`, `{"id":"a"}`,
+		`{"id":"a","host":"h","incarnation":"1","time":"9999-01-01T00:00:00Z","keys":{}}`,
+		`{"id":"a","host":"h","incarnation":"1","time":"2026-01-01T00:00:00Z","later":{}}`,
+		`{"id":"b","host":"h","incarnation":"1","time":"2026-01-01T00:00:00Z","keys":{},"keysFree":{}}`,
+		`{"id":"c","host":"h","incarnation":"1","time":"2026-01-01T00:00:00Z","apply":{}}`,
+		`{"id":"d","host":"h","incarnation":"1","time":"2026-01-01T00:00:00Z","apply":{"resource":{"kind":"model"}}}`,
+		`{"id":"e","host":"h","incarnation":"1","time":"2026-01-01T00:00:00Z","remove":{"kind":"x"}}`,
+		`{"id":"f","host":"h","incarnation":"1","time":"2026-01-01T00:00:00Z","snapshot":{"snapshotId":"s","count":-1}}`,
+	} {
+		_, out := l.Apply(tamarackknot.Offset(i+1), []byte(data))
+		require.Equal(t, tamarackknot.ReasonInvalid, out.Reason, data)
+		require.NotEmpty(t, out.Detail)
+	}
+	require.Equal(t, tamarackknot.Offset(12), l.Applied())
+}
+
+// Guards against an error that does not tell the operator the field, the value
+// and what is allowed, and against a value that is accepted silently.
+func TestValidate(t *testing.T) {
+	tests := map[string]struct {
+		change func(*tamarackknot.Resource)
+		want   string
+	}{
+		"kind":      {func(r *tamarackknot.Resource) { r.Kind = "pod" }, `kind "pod": allowed are [deployment model adapter service endpoint]`},
+		"name":      {func(r *tamarackknot.Resource) { r.Metadata.Name = "a b" }, `metadata.name "a b": allowed are 1 to 128 letters, digits and ._- after a letter or digit`},
+		"no spec":   {func(r *tamarackknot.Resource) { r.Endpoint = nil }, `spec "(none)": allowed are the fields of kind endpoint`},
+		"two specs": {func(r *tamarackknot.Resource) { r.Model = &tamarackknot.ModelSpec{} }, `spec "model": allowed are only the fields of kind endpoint`},
+		"address":   {func(r *tamarackknot.Resource) { r.Endpoint.Address = "host:1" }, `spec.address "host:1": allowed are IP:port in canonical form, such as 10.1.2.3:8000 or [fd00::1]:8000`},
+		"mapped":    {func(r *tamarackknot.Resource) { r.Endpoint.Address = "[::ffff:10.0.0.1]:80" }, `spec.address "[::ffff:10.0.0.1]:80": allowed are IP:port in canonical form, such as 10.1.2.3:8000 or [fd00::1]:8000`},
+		"memory":    {func(r *tamarackknot.Resource) { r.Endpoint.MemoryMB = -1 }, `spec.memoryMB -1: allowed are 1 to 100000000`},
+		"slots":     {func(r *tamarackknot.Resource) { r.Endpoint.Slots = 0 }, `spec.slots 0: allowed are 1 to 100000`},
+		"two":       {func(r *tamarackknot.Resource) { r.Endpoint.Slots, r.Endpoint.Deployment = 0, "" }, "spec.deployment \"\": allowed are 1 to 128 letters, digits and ._- after a letter or digit\nspec.slots 0: allowed are 1 to 100000"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := endpoint("e", 1, 10)
+			require.NoError(t, Validate(r))
+			test.change(&r)
+			require.EqualError(t, Validate(r), test.want)
+		})
+	}
+}
+
+// fill applies models, adapters, endpoints and replicas.
+func fill(tb testing.TB, l *Ledger, adapters, endpoints, replicas int) {
+	tb.Helper()
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	apply := func(c tamarackknot.Change) {
+		next := l.Applied() + 1
+		_, out := l.Apply(next, record(tb, fmt.Sprint("id", next), at.Add(time.Duration(next)*time.Millisecond), c))
+		require.True(tb, out.Accepted, "%+v", out)
+	}
+	set := func(r tamarackknot.Resource) {
+		apply(tamarackknot.Change{Apply: &tamarackknot.Apply{Resource: r}})
+	}
+	set(resource(step{Op: "deployment"}))
+	const models = 97
+	for i := range models {
+		set(model(fmt.Sprintf("model-%02d", i), 100, 100_000))
+	}
+	for i := range adapters {
+		set(adapter(fmt.Sprintf("adapter-%05d", i), fmt.Sprintf("model-%02d", i%models), 10))
+	}
+	for i := range endpoints {
+		set(endpoint(fmt.Sprintf("endpoint-%05d", i), i, 1000))
+	}
+	for i := range replicas {
+		target := fmt.Sprintf("model-%02d", i%models)
+		apply(tamarackknot.Change{Claim: &tamarackknot.Claim{Target: target, Endpoint: fmt.Sprintf("endpoint-%05d", i), Basis: l.Basis(target)}})
+	}
+}
