--- a/fake/enginehttp.go
+++ b/fake/enginehttp.go
@@ -121,10 +121,7 @@
 	if leaving {
 		w.Header().Set(LeavingHeader, "true")
 	}
-	if err := e.sleep(ctx, 0); err != nil {
-		abort()
-	}
-	e.mux.ServeHTTP(w, r.WithContext(ctx))
+	e.mux.ServeHTTP(w, e.receive(ctx, r))
 }
 
 func (e *Engine) serveReport(w http.ResponseWriter, r *http.Request) {
@@ -137,7 +134,7 @@
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o tamarackknot.Order
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&o); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		writeJSON(w, http.StatusBadRequest, orderResponse{Outcome: tamarackknot.OrderRefused, Message: "body is not an order: " + err.Error()})
 		return
 	}
@@ -159,7 +156,7 @@
 		return
 	}
 	var req completionRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&req); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		writeNotRun(w, http.StatusBadRequest, "invalid_body", "body is not a completion request: "+err.Error())
 		return
 	}
--- a/fake/faults.go
+++ b/fake/faults.go
@@ -1,7 +1,9 @@
 package fake
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -119,6 +121,24 @@
 	}
 }
 
+// receive reads the whole body before the endpoint may hang: net/http notices
+// that a client has gone away only after that.
+func (s *faultSwitch) receive(ctx context.Context, r *http.Request) *http.Request {
+	if ctx.Err() != nil {
+		abort()
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		abort()
+	}
+	if err := s.sleep(ctx, 0); err != nil {
+		abort()
+	}
+	out := r.WithContext(ctx)
+	out.Body = io.NopCloser(bytes.NewReader(body))
+	return out
+}
+
 // abort closes the connection of the request without a response.
 func abort() {
 	panic(http.ErrAbortHandler)
--- a/fake/service.go
+++ b/fake/service.go
@@ -84,9 +84,7 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := s.bind(r.Context())
 	defer cancel()
-	if err := s.sleep(ctx, 0); err != nil {
-		abort()
-	}
+	r = s.receive(ctx, r)
 	f, _ := s.get()
 	leaving, entered := s.enter()
 	if leaving {
@@ -99,7 +97,7 @@
 		writeNotRun(w, http.StatusServiceUnavailable, "refused", "service refuses requests")
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		abort()
 	}
