--- a/fake/engine_test.go
+++ b/fake/engine_test.go
@@ -180,3 +180,28 @@
 		require.InDelta(t, 3602, time.Since(start).Seconds(), 0.001)
 	})
 }
+
+// Guards against a cut direction that lets effects through, or hides them.
+func TestEnginesPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := testEngine(nil)
+		s := NewEngines()
+		s.Put("10.0.0.1:1", e)
+		order := func(address string, o tamarackknot.Order) tamarackknot.OrderOutcome {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			return s.Order(ctx, address, o).Outcome
+		}
+		require.Equal(t, tamarackknot.OrderRefused, order("10.0.0.2:1", loadOrder("a", 1, 1)))
+		s.Partition("10.0.0.1:1", true, false)
+		require.Equal(t, tamarackknot.OrderRefused, order("10.0.0.1:1", loadOrder("a", 1, 1)))
+		_, err := s.Report(t.Context(), "10.0.0.1:1")
+		require.Error(t, err)
+		require.Empty(t, e.Loaded())
+		s.Partition("10.0.0.1:1", false, true)
+		require.Equal(t, tamarackknot.OrderUnknown, order("10.0.0.1:1", loadOrder("a", 1, 1)))
+		require.Len(t, e.Loaded(), 1)
+		s.Partition("10.0.0.1:1", false, false)
+		require.Equal(t, tamarackknot.OrderDone, order("10.0.0.1:1", unloadOrder("a", 2)))
+	})
+}
