--- a/caller/forward.go
+++ b/caller/forward.go
@@ -65,6 +65,12 @@
 	if !time.Now().Before(x.opts.deadline) {
 		return &attempt{failure: x.ended(x.ran())}
 	}
+	if !x.grant.Entry.Available(time.Now()) {
+		// A drain signal came after the replica was acquired.
+		f := unavailable("endpointLeaving", "endpoint "+x.grant.Entry.Name()+" is leaving", time.Now().Add(time.Second))
+		f.run = x.ran()
+		return &attempt{failure: f, again: true}
+	}
 	s := &sending{deadline: x.opts.deadline}
 	transport := x.s.fresh
 	if x.repeatable {
@@ -106,7 +112,7 @@
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		return nil
 	}
-	leaving := resp.Header.Get(headerLeaving) == "true"
+	leaving := resp.Header.Get(headerLeaving) == valueTrue
 	notRun := resp.Header.Get(headerRun) == string(NotRun)
 	if leaving {
 		x.s.cfg.Table.Leaving(x.grant.Entry, "response")
