--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -31,8 +31,9 @@
 	leaveFanOut = 64
 	// membersTimeout limits one page of the member table at start.
 	membersTimeout = 2 * time.Second
-	// fetchInterval doubles up to maxFetchInterval between fetches of a whole
-	// table, which has about 75 KB at 770 hosts.
+	// fetchInterval is the time between fetches of a whole table, which has
+	// about 75 KB at 770 hosts. It doubles up to maxFetchInterval when a fetch
+	// brought no missing host.
 	fetchInterval    = 5 * time.Second
 	maxFetchInterval = 2 * time.Minute
 )
@@ -457,7 +458,7 @@
 // once and the tables are incomplete.
 func (m *Membership) fetchMembers() {
 	defer m.running.Done()
-	pause := fetchInterval
+	pause, missing := fetchInterval, maxMembers
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -479,13 +480,24 @@
 		if len(up) == 1 && m.fetchFrom(up[0].host.Name) {
 			m.mu.Lock()
 			m.synced = true
-			complete := m.listRead && !slices.ContainsFunc(m.byName, func(mb *member) bool { return mb.listed && !mb.known() })
+			before := missing
+			missing = 0
+			for _, mb := range m.byName {
+				if mb.listed && !mb.known() {
+					missing++
+				}
+			}
+			listRead := m.listRead
 			m.mu.Unlock()
-			if complete {
+			switch {
+			case missing == 0 && listRead:
 				return
+			case missing < before:
+				pause = fetchInterval
+			default:
+				pause = min(2*pause, maxFetchInterval)
 			}
 			t.Reset(pause)
-			pause = min(2*pause, maxFetchInterval)
 		}
 	}
 }
--- a/peer/acceptor.go
+++ b/peer/acceptor.go
@@ -113,9 +113,8 @@
 	if err == nil {
 		err = resp.SetResult(result)
 	}
-	// The envelope of a response needs less than a kilobyte.
-	if err == nil && len(*resp.Result) > a.mesh.cfg.MaxMessageBytes-1024 {
-		err = errors.Wrapf(ErrTooLarge, "result of %s has %d bytes, limit %d", req.Method, len(*resp.Result), a.mesh.cfg.MaxMessageBytes)
+	if limit := a.mesh.cfg.MaxMessageBytes - envelopeBytes; err == nil && len(*resp.Result) > limit {
+		err = errors.Wrapf(ErrTooLarge, "result of %s has %d bytes, limit %d", req.Method, len(*resp.Result), limit)
 	}
 	if err != nil {
 		resp.Result = nil
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -17,6 +17,7 @@
 	ErrTooLarge = errors.New("message exceeds the size limit")
 	// ErrWrongHost says that the process at the address has another host name.
 	ErrWrongHost = errors.New("address belongs to another host")
-	// ErrClosed says that the mesh or the connection was closed.
+	// ErrClosed says that the mesh or the connection was closed or broke; the
+	// message may have been handled.
 	ErrClosed = errors.New("connection is closed")
 )
--- a/peer/link.go
+++ b/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -166,7 +167,7 @@
 	waiter, err := l.conn.DispatchCall(l.mesh.ctx, it.method, it.params, opts...)
 	if err != nil {
 		l.failed(err)
-		it.fail(errors.Wrapf(err, "send %s to host %s", it.method, l.host))
+		it.fail(errors.WithStack(fmt.Errorf("send %s to host %s: %w: %w", it.method, l.host, ErrClosed, err)))
 		return
 	}
 	it.sent <- sendResult{link: l, waiter: waiter}
@@ -196,7 +197,9 @@
 	}
 	err := l.open()
 	if err != nil {
-		l.lastErr = errors.Wrapf(errors.Mark(err, ErrUnreachable), "connect to host %s", l.host)
+		// Both errors must be found by the standard library's errors.Is, which
+		// does not see errors.Mark.
+		l.lastErr = errors.WithStack(fmt.Errorf("connect to host %s: %w: %w", l.host, ErrUnreachable, err))
 		l.retryAt = time.Now().Add(l.backoff.NextBackOff())
 		l.failQueued(l.lastErr)
 		return l.lastErr
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -37,6 +37,10 @@
 	defaultCallTimeout = 30 * time.Second
 )
 
+// envelopeBytes is more than what JSON-RPC adds to the parameters or the
+// result in a message.
+const envelopeBytes = 1024
+
 const codeWrongHost = -32010
 
 // Config configures a Mesh. Zero durations and sizes take defaults.
@@ -187,6 +191,11 @@
 		return sent.err
 	}
 	err = sent.waiter.Wait(ctx, result)
+	if err != nil && !it.deadline.IsZero() && !time.Now().Before(it.deadline) {
+		// The other host ends its handler at the same deadline, so its error
+		// may arrive first.
+		err = context.DeadlineExceeded
+	}
 	sent.link.answered(err)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		return errors.Wrapf(ErrClosed, "call %s of host %s", method, host)
@@ -211,8 +220,8 @@
 	if err != nil {
 		return item{}, errors.Wrapf(err, "encode parameters of %s", method)
 	}
-	if len(data) > m.cfg.MaxMessageBytes {
-		return item{}, errors.Wrapf(ErrTooLarge, "parameters of %s have %d bytes, limit %d", method, len(data), m.cfg.MaxMessageBytes)
+	if limit := m.cfg.MaxMessageBytes - envelopeBytes; len(data) > limit {
+		return item{}, errors.Wrapf(ErrTooLarge, "parameters of %s have %d bytes, limit %d", method, len(data), limit)
 	}
 	it := item{method: method, params: data, ctx: ctx}
 	it.deadline, _ = ctx.Deadline()
