Prove address answers with bounds on the age of heartbeats

The first message of a process that a paused receiver read late counted as fresh, because its age was taken as zero.

Change: a receiver keeps a lower and an upper bound of a member's start. Only the answer to a question, which echoes the asker's heartbeat, or the word of a host with such a bound raises the lower one, and only the lower one makes a member eligible for answers. Heartbeat numbers count microseconds. A list that dropped a host ends a process only if it is older than the assumed list lag.

Ruled out: the minimum delay seen so far as reference (first message late); comparing wall clocks (hosts may differ).

--- a/membership/address.go
+++ b/membership/address.go
@@ -12,13 +12,11 @@
 const (
 	// addressTTL is how long a caller may use an address answer.
 	addressTTL = 10 * time.Second
-	// transitLimit is the transit time of a message that heartbeat ages may
-	// miss: the fastest message of a member counts as taking no time.
-	transitLimit = 500 * time.Millisecond
-	// addressFresh is the age up to which a heartbeat makes a member eligible,
-	// so that no answer names a host later than suspectAfter after its last
-	// heartbeat as a serving host.
-	addressFresh = suspectAfter - transitLimit
+	// addressFresh is the age up to which a heartbeat makes a member eligible.
+	// No answer names a host later than suspectAfter after its last heartbeat
+	// as a serving host; the difference covers the rounding of heartbeat
+	// numbers and the drift of clocks.
+	addressFresh = suspectAfter - 100*time.Millisecond
 )
 
 // Address is an entry host that a caller may use.
@@ -79,7 +77,7 @@
 		return !m.leaving.Load() && m.gate.status(now) == GateReady
 	}
 	return mb.responsive() && mb.standing == standingAlive && !mb.listLeaving && mb.host.Address != "" &&
-		now.Sub(mb.heardAt()) <= addressFresh
+		now.Sub(mb.aliveAt()) <= addressFresh
 }
 
 // Leave takes this host out of address answers, tells the other hosts and
--- a/membership/ended.go
+++ b/membership/ended.go
@@ -12,13 +12,17 @@
 // unheard of before its processes count as ended.
 const unlistedEndsAfter = 60 * time.Second
 
+// listLagLimit is the lag that the host list is assumed not to exceed.
+const listLagLimit = unlistedEndsAfter
+
 // maxAsked limits the processes whose first question is remembered.
 const maxAsked = 1024
 
 // Ended reports whether a process is known to have ended, and since when: a
 // newer incarnation of its host was heard of, its host is gone from the host
 // list, it said that it is leaving without an order outstanding, or its host
-// was never listed and is unheard of for long while the list was readable.
+// has not been listed since the process was first heard of and is unheard of
+// for long while the list was readable.
 func (m *Membership) Ended(p tamarackknot.Process) (since time.Time, ended bool) {
 	id, err := uuid.Parse(p.Incarnation)
 	if err != nil {
@@ -52,15 +56,18 @@
 	if mb.standing == standingIdle {
 		return mb.idleSince, true
 	}
-	// The list may drop a host whose process still runs; while its heartbeats
-	// arrive it has not ended.
-	if !mb.responsive() && !mb.goneAt.IsZero() && (!mb.listed || id == mb.goneIncarnation) {
+	if mb.responsive() {
+		return time.Time{}, false
+	}
+	// The lagging list may still omit the host because of its previous
+	// process; it says nothing about a process that is younger than the lag.
+	if id == mb.goneIncarnation && mb.goneAt.Sub(mb.incarnationSince) >= listLagLimit {
 		if mb.faultSince.After(mb.goneAt) {
 			return mb.faultSince, true
 		}
 		return mb.goneAt, true
 	}
-	if !mb.everListed && mb.fault == faultDead {
+	if !mb.listed && mb.fault == faultDead {
 		last := mb.heardAt()
 		if mb.faultSince.After(last) {
 			last = mb.faultSince
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -22,6 +22,8 @@
 	// which it reaches 770 hosts. Without it the changes of a simultaneous
 	// start of 770 hosts were repeated for five minutes.
 	changeLife = 20 * time.Second
+	// maxMeasured limits the members asked per round for their age bounds.
+	maxMeasured = 8
 	// detailsEvery is the number of messages to random peers per one that
 	// repeats this host's addresses.
 	detailsEvery = 4
@@ -126,9 +128,21 @@
 		}
 	}
 	m.forgetGone(now)
+	m.measure(asks, now)
 	return asks
 }
 
+// measure asks members whose age bounds are missing or too wide.
+func (m *Membership) measure(asks map[string][]string, now time.Time) {
+	left := maxMeasured
+	for _, mb := range m.byName {
+		if left > 0 && mb != m.self && mb.uncertain(now) && asks[mb.host.Name] == nil {
+			asks[mb.host.Name] = []string{mb.host.Name}
+			left--
+		}
+	}
+}
+
 // ask adds the questions about a member that is missed: to the member itself
 // and to other hosts that watch it.
 func (m *Membership) ask(asks map[string][]string, missed *member) {
@@ -189,8 +203,10 @@
 	return out
 }
 
-// newMessage returns a message with this host's own state.
+// newMessage returns a message with this host's own state. The heartbeat
+// number grows with every message, so that a copy of an older state never wins.
 func (m *Membership) newMessage(now time.Time, withDetails bool) *message {
+	m.self.beat = max(m.self.beat+1, uint64(now.Sub(m.started)/time.Microsecond))
 	return &message{Head: m.gate.head, Updates: []update{m.self.update(now, withDetails)}}
 }
 
@@ -268,6 +284,7 @@
 	m.fillSigns(msg, now)
 }
 
+// send queues messages; they outlive the call that caused them.
 func (m *Membership) send(out []outgoing) {
 	ctx, cancel := context.WithTimeout(m.ctx, gossipInterval)
 	defer cancel()
@@ -293,14 +310,11 @@
 	}
 	now := time.Now()
 	m.mu.Lock()
-	for i := range msg.Updates {
-		m.merge(&msg.Updates[i], now, i == 0)
-	}
-	m.gate.head = max(m.gate.head, msg.Head)
+	m.mergeAll(msg, now, m.echoed(msg.Echo))
 	accused := slices.ContainsFunc(msg.Updates, func(u update) bool {
 		return u.Host == m.self.host.Name && u.Fault != faultNone
 	})
-	out := m.answer(from, msg.Ask, accused, now)
+	out := m.answer(msg, accused, now)
 	fresh, forward := m.takeSigns(msg.Signs, from, now)
 	out = append(out, forward...)
 	m.mu.Unlock()
@@ -315,23 +329,54 @@
 
 // answer returns the reply to a question or to a message that calls this host
 // suspect or dead.
-func (m *Membership) answer(to string, ask []string, accused bool, now time.Time) []outgoing {
-	if len(ask) == 0 && !accused {
+func (m *Membership) answer(in *message, accused bool, now time.Time) []outgoing {
+	if len(in.Ask) == 0 && !accused {
 		return nil
 	}
 	m.refreshSelf(now)
+	asker := in.Updates[0]
 	msg := m.newMessage(now, true)
-	for _, name := range ask {
+	msg.Echo = &echo{Incarnation: asker.Incarnation, Beat: asker.Beat}
+	for _, name := range in.Ask {
 		if mb := m.members[name]; mb != nil && mb != m.self && mb.known() {
 			msg.Updates = append(msg.Updates, mb.update(now, true))
 		}
 	}
-	return []outgoing{{host: to, msg: msg}}
+	return []outgoing{{host: asker.Host, msg: msg}}
+}
+
+// echoed returns when this host sent the heartbeat that a message answers;
+// zero if the message answers none of this process.
+func (m *Membership) echoed(e *echo) time.Time {
+	if e == nil || e.Incarnation != m.self.incarnation || e.Beat > m.self.beat {
+		return time.Time{}
+	}
+	return m.started.Add(time.Duration(e.Beat) * time.Microsecond)
+}
+
+// mergeAll takes in the updates of a message that was sent after the time after
+// (zero: not known).
+func (m *Membership) mergeAll(msg *message, now, after time.Time) {
+	own := &msg.Updates[0]
+	m.merge(own, now, after, true)
+	var sent time.Time // the message was not sent before
+	if mb := m.members[own.Host]; mb != nil && mb.incarnation == own.Incarnation && !mb.earliest.IsZero() {
+		sent = mb.earliest.Add(time.Duration(own.Beat) * time.Microsecond)
+	}
+	for i := 1; i < len(msg.Updates); i++ {
+		u := &msg.Updates[i]
+		var after time.Time
+		if !sent.IsZero() && u.AgeMS >= 0 {
+			after = sent.Add(-time.Duration(u.AgeMS) * time.Millisecond)
+		}
+		m.merge(u, now, after, false)
+	}
+	m.gate.head = max(m.gate.head, msg.Head)
 }
 
 // merge takes in one update. Of two states of one incarnation the one with the
 // higher heartbeat number wins; a fault overrides the state it was based on.
-func (m *Membership) merge(u *update, now time.Time, direct bool) {
+func (m *Membership) merge(u *update, now, after time.Time, direct bool) {
 	if u.Host == m.self.host.Name {
 		m.mergeSelf(u, now)
 		return
@@ -361,14 +406,15 @@
 		return
 	}
 	m.locate(mb, u.Details)
-	if u.Beat > mb.beat || mb.origin.IsZero() {
-		mb.observe(now, u.Beat, time.Duration(u.AgeMS)*time.Millisecond, direct)
-	}
+	news := u.Beat > mb.beat || mb.latest.IsZero()
 	if m.apply(mb, u, now) {
 		changed = true
 	}
+	if news {
+		mb.observe(now, after, direct)
+	}
 	if direct {
-		m.gate.heard(mb.heardAt(), u.Applied, u.Standing != standingStale)
+		m.gate.heard(mb.aliveAt(), u.Applied, u.Standing != standingStale)
 	} else {
 		m.gate.head = max(m.gate.head, u.Applied)
 	}
@@ -506,21 +552,19 @@
 	for after := ""; ; {
 		ctx, cancel := context.WithTimeout(m.ctx, membersTimeout)
 		var p packed
+		asked := time.Now()
 		err := m.cfg.Peers.Call(ctx, host, methodMembers, membersParams{After: after}, &p)
 		cancel()
 		if err != nil {
 			return false
 		}
-		msg, err := unpack(p, host)
+		msg, err := unpack(p, host) // its Echo is not set
 		if err != nil {
 			m.cfg.Logger.Warn("read member table", "host", host, "err", err)
 			return false
 		}
-		now := time.Now()
 		m.mu.Lock()
-		for i := range msg.Updates {
-			m.merge(&msg.Updates[i], now, i == 0)
-		}
+		m.mergeAll(msg, time.Now(), asked)
 		m.mu.Unlock()
 		if len(msg.Updates) == 1 {
 			return true
--- a/membership/hostlist.go
+++ b/membership/hostlist.go
@@ -88,7 +88,7 @@
 			return
 		}
 	}
-	mb.listed, mb.everListed, mb.missedPolls = true, true, 0
+	mb.listed, mb.missedPolls = true, 0
 	if mb == m.self {
 		return
 	}
--- a/membership/member.go
+++ b/membership/member.go
@@ -26,13 +26,17 @@
 	applied          tamarackknot.Offset
 	configOffset     tamarackknot.Offset
 
-	// origin estimates when the incarnation started by this host's clock, so
-	// that origin + beat is when the newest heartbeat was sent. A message that
-	// was delayed on its way therefore does not count as a new sign of life.
-	origin   time.Time
-	originAt time.Time
+	// The incarnation started between earliest and latest by this host's clock.
+	// Messages may be held up anywhere, so only an answer to a question or the
+	// word of a host with such a bound raises earliest; it is zero without
+	// one. Any message lowers latest. earliest + beat is then certainly not
+	// later than when the newest heartbeat was sent.
+	earliest, latest time.Time
+	boundsAt         time.Time
 	// lateSince is since when heartbeats came late without exception.
 	lateSince time.Time
+	// directAt is when a message of the member itself last arrived.
+	directAt time.Time
 
 	// watchedSince is when this host began to watch the member; zero if it
 	// does not.
@@ -45,7 +49,6 @@
 	changedAt time.Time
 
 	listed      bool
-	everListed  bool
 	listLeaving bool
 	missedPolls int
 	firstSeen   time.Time
@@ -56,9 +59,12 @@
 }
 
 const (
-	// originDrift lets the estimate of a member's start follow clocks that run
-	// at slightly different speeds (quartz clocks differ by less than 0.02%).
-	originDrift = 0.001
+	// clockDrift widens the bounds, because the clocks of two hosts run at
+	// slightly different speeds. Quartz clocks differ by less than 0.02%.
+	clockDrift = 0.0005
+	// maxUncertainty is the difference of the bounds from which on they are
+	// measured again.
+	maxUncertainty = 500 * time.Millisecond
 	// lateLimit and lateRebase: heartbeats that are all late by lateLimit for
 	// lateRebase are not held up; the member's clock stood still, as it does
 	// while a virtual machine is suspended.
@@ -72,37 +78,74 @@
 // responsive reports whether the member is known and no watcher misses it.
 func (m *member) responsive() bool { return m.known() && m.fault == faultNone }
 
-// heardAt is when the newest heartbeat was sent, by this host's clock.
+// heardAt is the latest time at which the newest heartbeat may have been sent.
 func (m *member) heardAt() time.Time {
 	if !m.known() {
 		return m.firstSeen
 	}
-	return m.origin.Add(time.Duration(m.beat) * time.Millisecond)
+	return m.latest.Add(m.uptime())
 }
 
-// observe refines the start estimate with a new heartbeat that was sent age
-// ago.
-func (m *member) observe(now time.Time, beat uint64, age time.Duration, direct bool) {
-	sample := now.Add(-age - time.Duration(beat)*time.Millisecond)
-	if m.origin.IsZero() {
-		m.origin, m.originAt = sample, now
-		return
+// aliveAt is a time at which the member certainly was alive; zero if there is
+// none.
+func (m *member) aliveAt() time.Time {
+	if m.earliest.IsZero() {
+		return time.Time{}
 	}
-	m.origin = m.origin.Add(time.Duration(float64(now.Sub(m.originAt)) * originDrift))
-	m.originAt = now
-	if sample.Before(m.origin) {
-		m.origin = sample
+	return m.earliest.Add(m.uptime())
+}
+
+func (m *member) uptime() time.Duration { return time.Duration(m.beat) * time.Microsecond }
+
+// uncertain reports whether the bounds of a member that this host hears
+// directly are to be measured.
+func (m *member) uncertain(now time.Time) bool {
+	return m.responsive() && now.Sub(m.directAt) < suspectAfter &&
+		(m.earliest.IsZero() || m.latest.Sub(m.earliest) > maxUncertainty)
+}
+
+// widen lets the bounds drift apart with time.
+func (m *member) widen(now time.Time) {
+	d := time.Duration(float64(now.Sub(m.boundsAt)) * clockDrift)
+	m.boundsAt = now
+	m.latest = m.latest.Add(d)
+	if !m.earliest.IsZero() {
+		m.earliest = m.earliest.Add(-d)
 	}
-	if !direct {
+}
+
+// observe refines the bounds with the newest heartbeat, which was sent after
+// the time after (zero: not known) and arrived now.
+func (m *member) observe(now, after time.Time, direct bool) {
+	sample := now.Add(-m.uptime())
+	if m.latest.IsZero() {
+		m.latest, m.boundsAt = sample, now
+	}
+	m.widen(now)
+	if sample.Before(m.latest) {
+		m.latest = sample
+	}
+	if direct {
+		m.noteDelay(now, sample)
+	}
+	if after.IsZero() {
 		return
 	}
+	if bound := after.Add(-m.uptime()); bound.After(m.earliest) {
+		m.earliest = bound
+	}
+}
+
+// noteDelay detects that the member's clock stood still.
+func (m *member) noteDelay(now, sample time.Time) {
+	m.directAt = now
 	switch {
-	case sample.Sub(m.origin) < lateLimit:
+	case sample.Sub(m.latest) < lateLimit:
 		m.lateSince = time.Time{}
 	case m.lateSince.IsZero():
 		m.lateSince = now
 	case now.Sub(m.lateSince) >= lateRebase:
-		m.origin, m.lateSince = sample, time.Time{}
+		m.earliest, m.latest, m.lateSince = time.Time{}, sample, time.Time{}
 	}
 }
 
@@ -112,7 +155,8 @@
 	m.standing, m.idleSince = standingAlive, time.Time{}
 	m.fault, m.faultSince = faultNone, time.Time{}
 	m.beat, m.applied, m.configOffset = 0, 0, 0
-	m.origin, m.originAt, m.lateSince = time.Time{}, time.Time{}, time.Time{}
+	m.earliest, m.latest, m.boundsAt, m.lateSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	m.directAt = time.Time{}
 	m.watchedSince = time.Time{}
 }
 
@@ -156,10 +200,14 @@
 		Standing:     m.standing,
 		Fault:        m.fault,
 		Beat:         m.beat,
-		AgeMS:        milliseconds(now.Sub(m.heardAt())),
+		AgeMS:        ageUnknown,
 		Applied:      m.applied,
 		ConfigOffset: m.configOffset,
 	}
+	if at := m.aliveAt(); !at.IsZero() {
+		// Rounded up, because receivers rely on it as a bound.
+		u.AgeMS = max(now.Sub(at).Milliseconds(), 0) + 1
+	}
 	if withDetails && m.host.PeerAddress != "" {
 		u.Details = detailsOf(m.host)
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -146,7 +146,7 @@
 	m.self = m.add(cfg.Host.Name, now)
 	m.self.host = cfg.Host
 	m.self.restart(id, now)
-	m.self.origin, m.self.originAt = now, now
+	m.self.earliest, m.self.latest, m.self.boundsAt = now, now, now
 	m.markChanged(m.self, now)
 	cfg.Peers.Handle(methodGossip, m.handleGossip)
 	cfg.Peers.Handle(methodMembers, m.handleMembers)
@@ -302,11 +302,8 @@
 	clear(m.planners)
 }
 
-// refreshSelf brings this host's own entry up to date. Its heartbeat number
-// grows with every call, so that a copy of an older state never wins.
+// refreshSelf brings this host's own entry up to date.
 func (m *Membership) refreshSelf(now time.Time) {
-	m.self.beat = max(m.self.beat+1, milliseconds(now.Sub(m.started)))
-	m.self.fault = faultNone
 	s := standingAlive
 	switch {
 	case m.idle:
--- a/membership/message.go
+++ b/membership/message.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
@@ -66,11 +64,12 @@
 	Incarnation uuid.UUID
 	Standing    standing
 	Fault       fault
-	// Beat is the heartbeat number: milliseconds since the member started, by
+	// Beat is the heartbeat number: microseconds since the member started, by
 	// its own clock.
 	Beat uint64
-	// AgeMS is how long ago the member sent Beat, as the sender estimates.
-	AgeMS        uint64
+	// AgeMS is the longest time that may have passed between Beat and this
+	// message; ageUnknown if the sender has no bound.
+	AgeMS        int64
 	Applied      tamarackknot.Offset
 	ConfigOffset tamarackknot.Offset
 	Details      *details
@@ -103,8 +102,20 @@
 	Signs   []sign
 	// Ask names members whose newest state the sender wants back at once.
 	Ask []string
+	// Echo is set in the answer to a question.
+	Echo *echo
 }
 
+// echo proves that a message was sent after the receiver's own heartbeat Beat.
+type echo struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation uuid.UUID
+	Beat        uint64
+}
+
+// ageUnknown is the AgeMS of a state that may be arbitrarily old.
+const ageUnknown = -1
+
 // packed carries a CBOR message in the JSON parameters of a call.
 type packed struct {
 	Packed []byte `json:"packed"`
@@ -148,5 +159,3 @@
 	}
 	return &msg, nil
 }
-
-func milliseconds(d time.Duration) uint64 { return uint64(max(d, 0) / time.Millisecond) }
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -70,6 +70,7 @@
 	handlers    map[string]tamarackknot.PeerHandler
 	left        bool // Leave has returned
 	idle        bool
+	endLeave    context.CancelFunc
 
 	journal            tamarackknot.JournalStatus
 	logDown            bool
@@ -138,6 +139,9 @@
 func (h *testHost) kill() {
 	h.net.mu.Lock()
 	h.running = false
+	if h.endLeave != nil {
+		h.endLeave()
+	}
 	if h.paused != nil {
 		close(h.paused)
 		h.paused = nil
@@ -207,6 +211,8 @@
 }
 
 func (p *testPeers) Handle(method string, handler tamarackknot.PeerHandler) {
+	p.h.net.mu.Lock()
+	defer p.h.net.mu.Unlock()
 	p.h.handlers[method] = handler
 }
 
@@ -242,7 +248,11 @@
 	for h != nil && h.running && h.paused != nil {
 		paused := h.paused
 		net.mu.Unlock()
-		<-paused
+		select {
+		case <-paused:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 		net.mu.Lock()
 	}
 	if h == nil || !h.running || net.cut[[2]string{from, to}] {
@@ -252,14 +262,18 @@
 	h.received += len(data) + envelopeBytes
 	handler := h.handlers[method]
 	net.mu.Unlock()
+	if handler == nil { // the process is just starting
+		return nil, errors.New("no handler")
+	}
 	return handler(ctx, from, data)
 }
 
-func (p *testPeers) Notify(_ context.Context, host, method string, params any) error {
+func (p *testPeers) Notify(ctx context.Context, host, method string, params any) error {
 	from := p.h.host.Name
 	data, delay, ok := p.transmit(from, host, params)
 	if ok {
-		time.AfterFunc(delay, func() { _, _ = p.h.net.deliver(context.Background(), from, host, method, data) })
+		ctx = context.WithoutCancel(ctx)
+		time.AfterFunc(delay, func() { _, _ = p.h.net.deliver(ctx, from, host, method, data) })
 	}
 	return nil
 }
--- a/membership/scale_test.go
+++ b/membership/scale_test.go
@@ -35,6 +35,7 @@
 }
 
 func measureScale(t *testing.T, n int) {
+	t.Helper()
 	net := newNetwork(n, 7)
 	defer net.stop()
 	begin := time.Now()
@@ -54,6 +55,8 @@
 	time.Sleep(30 * time.Second)
 
 	count := func() (messages, bytes, maxBytes, suspected int) {
+		net.mu.Lock()
+		defer net.mu.Unlock()
 		for _, h := range net.hosts {
 			messages += h.messages
 			bytes += h.sentByte + h.received
@@ -63,10 +66,12 @@
 		}
 		return messages, bytes, maxBytes, suspected
 	}
-	_, _, _, startSuspected := count()
+	var messages, bytes, maxBytes, suspected int
+	_, _, maxBytes, startSuspected := count()
+	t.Logf("n=%d: most loaded host sent and received %d bytes since the start", n, maxBytes)
 	const steady = 20
 	time.Sleep(steady * time.Second)
-	messages, bytes, maxBytes, suspected := count()
+	messages, bytes, maxBytes, suspected = count()
 	t.Logf("n=%d steady %ds: %.1f messages/s and %.0f bytes/s in and out per host (most loaded %d), false suspicions %d (start: %d)",
 		n, steady, float64(messages)/steady/float64(n), float64(bytes)/steady/float64(n), maxBytes/steady, suspected-startSuspected, startSuspected)
 	require.Equal(t, startSuspected, suspected, "suspicions without a fault")
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -228,6 +228,7 @@
 	return it, nil
 }
 
+// enqueue queues a message on the link to a host, which outlives the call.
 func (m *Mesh) enqueue(host string, it item) error {
 	if host == m.cfg.Host {
 		return errors.Wrapf(ErrWrongHost, "%s is this host", host)
