placement: add controller fault tests; start from an assumed gap history; timers without a meter

Cause: metrics.NewTimer starts a process-wide goroutine that never ends, which stopped time in synctest bubbles. A planner without history unloaded a model right after MinResidence.

--- a/placement/controller.go
+++ b/placement/controller.go
@@ -255,5 +255,13 @@
 }
 
 func (c *Controller) time(name string, d time.Duration) {
-	metrics.GetOrRegisterTimer("placement."+name, c.cfg.Metrics).Update(d)
+	t := c.cfg.Metrics.GetOrRegister("placement."+name, newTimer).(metrics.Timer)
+	t.Update(d)
+}
+
+// newTimer returns a timer without the meter of metrics.NewTimer, whose
+// process-wide goroutine never ends.
+func newTimer() metrics.Timer {
+	sample := metrics.NewExpDecaySample(1028, 0.015) // the library's defaults
+	return metrics.NewCustomTimer(metrics.NewHistogram(sample), metrics.NilMeter{})
 }
--- /dev/null
+++ b/placement/controller_test.go
@@ -0,0 +1,268 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/fake"
+)
+
+// fuzzStep is one drawn step; which fields count depends on kind.
+type fuzzStep struct {
+	kind     string
+	host     int
+	endpoint int
+	target   int
+	mask     int
+	n        int
+	wait     time.Duration
+}
+
+func drawSteps(rt *rapid.T) []fuzzStep {
+	kinds := []string{
+		"demand", "demand", "demand", "kill", "pause", "resume", "logCut", "logLost", "logHeal", "cut", "mute", "heal",
+		"delay", "die", "revive", "limit", "version", "drain", "planner", "storeSlow", "reclaim", "wait",
+	}
+	gen := rapid.Custom(func(t *rapid.T) fuzzStep {
+		return fuzzStep{
+			kind: rapid.SampledFrom(kinds).Draw(t, "kind"), host: rapid.IntRange(0, testHosts-1).Draw(t, "host"),
+			endpoint: rapid.IntRange(0, 3).Draw(t, "endpoint"), target: rapid.IntRange(0, 5).Draw(t, "target"),
+			mask: rapid.IntRange(1, 7).Draw(t, "mask"), n: rapid.IntRange(0, 9).Draw(t, "n"),
+			wait: time.Duration(rapid.SampledFrom([]int{50, 200, 1000, 4000, 15000}).Draw(t, "wait")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(gen, 10, 40).Draw(rt, "steps")
+}
+
+// TestControllerFaults runs several controllers through drawn faults. It guards
+// against more replicas than allowed and against overcommitted memory at the
+// engines at any instant, and against demand that is not met after the faults
+// have ended.
+func TestControllerFaults(t *testing.T) {
+	set := func(name, value string) {
+		f := flag.Lookup(name)
+		if f.Value.String() == f.DefValue {
+			require.NoError(t, flag.Set(name, value))
+		}
+	}
+	set("rapid.seed", "1")
+	set("rapid.checks", "60")
+	set("rapid.nofailfile", "true")
+	var slowest time.Duration
+	steps := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		list := drawSteps(rt)
+		steps += len(list)
+		var verdict string
+		var recovery time.Duration
+		synctest.Test(t, func(t *testing.T) {
+			verdict, recovery = runFuzz(t, list)
+		})
+		slowest = max(slowest, recovery)
+		if verdict != "" {
+			rt.Fatalf("%s", verdict)
+		}
+	})
+	t.Logf("%d steps, slowest recovery after the last fault %v", steps, slowest)
+}
+
+func runFuzz(t *testing.T, steps []fuzzStep) (string, time.Duration) {
+	t.Helper()
+	c := newCluster(t.Context(), true)
+	if os.Getenv("PLACEMENT_TRACE") != "" {
+		c.output = os.Stdout
+	}
+	defer c.close()
+	if err := c.configure(0.5); err != nil {
+		return err.Error(), 0
+	}
+	for i := range testHosts {
+		c.start(i)
+	}
+	c.sleep(2 * time.Second)
+	for i, s := range steps {
+		if os.Getenv("PLACEMENT_TRACE") != "" {
+			fmt.Printf("%s step %d %+v\n", time.Now().Format(time.RFC3339Nano), i, s)
+		}
+		c.do(s)
+		c.sleep(s.wait)
+		if v := c.check(); v != "" {
+			return fmt.Sprintf("step %d %+v: %s", i, s, v), 0
+		}
+	}
+	return c.recover()
+}
+
+func (c *cluster) do(s fuzzStep) {
+	endpoint := testEndpoints()[s.endpoint]
+	e := c.engines[endpoint.name]
+	p := c.process(s.host)
+	target := testTargets()[s.target]
+	f := e.Faults()
+	switch s.kind {
+	case "demand":
+		c.want(target.Metadata.Name, s.mask)
+	case "kill":
+		c.kill(s.host)
+		time.Sleep(time.Duration(s.n) * 300 * time.Millisecond)
+		c.start(s.host)
+	case "pause":
+		p.pause()
+	case "resume":
+		p.resume()
+	case "logCut":
+		p.client.SetFaults(fake.LogFaults{ReadsDown: s.n%2 == 0, AppendsDown: true, Hang: s.n > 6})
+	case "logLost":
+		p.client.SetFaults(fake.LogFaults{LoseAnswers: 1, Delay: time.Duration(s.n) * 100 * time.Millisecond})
+	case "logHeal":
+		p.client.SetFaults(fake.LogFaults{})
+	case "cut":
+		p.set(p.cut, endpoint.name, true)
+	case "mute":
+		p.set(p.mute, endpoint.name, true)
+	case "heal":
+		p.set(p.cut, endpoint.name, false)
+		p.set(p.mute, endpoint.name, false)
+	case "delay":
+		f.DelayOrder = time.Duration(s.n) * time.Second
+		if endpoint.fencing {
+			f.DelayOrder *= 4
+		}
+		f.LoseAnswer = s.mask%2 == 0
+		e.SetFaults(f)
+	case "die":
+		f.Die = true
+		e.SetFaults(f)
+	case "revive":
+		f.Die = false
+		e.SetFaults(f)
+	case "limit":
+		if r, ok := c.stored(target.Kind, target.Metadata.Name); ok {
+			if r.Model != nil {
+				r.Model.MaxReplicas = s.n % 4
+			} else {
+				r.Adapter.MaxReplicas = s.n % 4
+			}
+			_ = c.apply(r)
+		}
+	case "version":
+		if r, ok := c.stored(target.Kind, target.Metadata.Name); ok {
+			if r.Model != nil {
+				r.Model.Version = fmt.Sprint(s.n)
+			} else {
+				r.Adapter.Version = fmt.Sprint(s.n)
+			}
+			_ = c.apply(r)
+		}
+	case "drain":
+		if r, ok := c.stored(tamarackknot.KindEndpoint, endpoint.name); ok {
+			r.Endpoint.Draining = s.n%2 == 0
+			_ = c.apply(r)
+		}
+	case "planner":
+		c.mu.Lock()
+		c.selfView[s.host] = s.n > 2
+		c.mu.Unlock()
+	case "storeSlow":
+		c.store.SetSpeed(float64(s.n) / 10)
+	case "reclaim":
+		f.Die = true
+		e.SetFaults(f)
+		c.hosts.Remove(endpoint.name)
+	}
+}
+
+// recover ends all faults and measures how long it takes until demand for each
+// target is met.
+func (c *cluster) recover() (string, time.Duration) {
+	for i := range testHosts {
+		p := c.process(i)
+		p.resume()
+		p.client.SetFaults(fake.LogFaults{})
+		for name := range c.engines {
+			p.set(p.cut, name, false)
+			p.set(p.mute, name, false)
+		}
+		c.mu.Lock()
+		c.selfView[i] = false
+		c.mu.Unlock()
+	}
+	c.store.SetSpeed(1)
+	for _, e := range testEndpoints() {
+		c.engines[e.name].SetFaults(fake.Faults{})
+		c.hosts.Put(tamarackknot.Host{Name: e.name, Role: tamarackknot.RoleEndpoint, Address: e.name, FailureDomain: e.domain})
+		if r, ok := c.stored(tamarackknot.KindEndpoint, e.name); ok && r.Endpoint.Draining {
+			r.Endpoint.Draining = false
+			_ = c.apply(r)
+		}
+	}
+	for _, r := range testTargets() {
+		if err := c.apply(r); err != nil {
+			return err.Error(), 0
+		}
+	}
+	start := time.Now()
+	for _, r := range testTargets() {
+		c.want(r.Metadata.Name, 7)
+	}
+	for len(c.demands()) > 0 {
+		c.sleep(500 * time.Millisecond)
+		if time.Since(start) > 5*time.Minute {
+			return fmt.Sprintf("demand for %v is not met 5 min after the faults ended: %s", c.demands(), c.state()), 0
+		}
+	}
+	return c.check(), time.Since(start)
+}
+
+// state describes the replicas in the log and in the engines.
+func (c *cluster) state() string {
+	out := ""
+	c.admin.Read(func(s tamarackknot.State) {
+		for _, e := range testEndpoints() {
+			out += fmt.Sprintf("\n%s log %+v engine %+v", e.name, s.EndpointReplicas(e.name), c.engines[e.name].Loaded())
+		}
+	})
+	for i := range testHosts {
+		if p := c.process(i); p != nil {
+			for t := range c.demands() {
+				out += fmt.Sprintf("\nforecast %s %+v", t, p.ctl.Forecast(t))
+			}
+		}
+	}
+	return out
+}
+
+// TestColdBurstOneLoad guards against several loads of one cold model when
+// demand starts at all hosts at once and all of them believe to be planner.
+func TestColdBurstOneLoad(t *testing.T) {
+	for name, all := range map[string]bool{"one planner": false, "every host plans": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t.Context(), true)
+				defer c.close()
+				require.NoError(t, c.configure(0.5))
+				for i := range testHosts {
+					c.selfView[i] = all
+					c.start(i)
+				}
+				c.sleep(3 * time.Second)
+				start := time.Now()
+				c.want("m1", 7)
+				c.sleep(40 * time.Second)
+				require.Empty(t, c.demands())
+				loads := slices.DeleteFunc(c.history.Events(), func(e fake.MemoryEvent) bool { return !e.Loaded })
+				require.Len(t, loads, 1)
+				t.Logf("loaded after %v", c.served["m1"].Sub(start))
+			})
+		})
+	}
+}
--- a/placement/history.go
+++ b/placement/history.go
@@ -27,6 +27,18 @@
 	total float32
 }
 
+// assumedGaps is the history of a planner that knows none: one gap in each
+// bucket up to a day. Without it a new planner would unload what it finds
+// loaded.
+func assumedGaps() gaps {
+	g := gaps{mass: make([]float32, gapBuckets)}
+	for i := range gapBucket((24 * time.Hour).Seconds()) {
+		g.mass[i] = 1
+		g.total++
+	}
+	return g
+}
+
 func gapBucket(seconds float64) int {
 	if seconds <= gapBase {
 		return 0
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -212,6 +212,7 @@
 		active:    make(map[*target]struct{}),
 		dirty:     make(map[*target]struct{}),
 		loads:     newLoadTimes(cfg.LoadTimes),
+		prior:     assumedGaps(),
 		service:   serviceTime{value: cfg.ServiceTime.Seconds()},
 	}
 }
