placement: fix faults found by the controller fault test

One work entry has several proposals outstanding (release, then claim); the first answer cleared the busy mark and the order was sent twice. 5.

Change: a replica that was taken over is unloaded before it is released; marks of decisions expire; endpoints that refused a target are avoided for 1 s to 30 s; outstanding work is counted; absence carries the fencing number, ends with the planner role and is checked against the newest report.

Ruled out: faults of the oracle; each failure was read in the log lines of the failing run (PLACEMENT_TRACE).

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -98,6 +98,8 @@
 
 func (s *search) reason() string {
 	switch {
+	case len(s.t.avoid) > 0 && len(s.seen) == 0:
+		return "endpoints refused the load"
 	case s.t.Base != "" && len(s.seen) == 0:
 		return "base model is not loaded"
 	case len(s.seen) == 0:
@@ -110,7 +112,7 @@
 
 // weigh compares an endpoint with the best one so far.
 func (s *search) weigh(e *endpoint, base *replica) {
-	if !e.usable || !e.exists || slices.Contains(s.seen, e) {
+	if !e.usable || !e.exists || s.t.avoids(e, s.now) || slices.Contains(s.seen, e) {
 		return
 	}
 	s.seen = append(s.seen, e)
--- a/placement/cluster_test.go
+++ b/placement/cluster_test.go
@@ -484,10 +484,10 @@
 type testEngineClient struct{ p *process }
 
 func (c testEngineClient) Order(ctx context.Context, address string, o tamarackknot.Order) tamarackknot.OrderResult {
-	c.p.gate(c.p.ctx)
+	c.p.gate(ctx)
 	name := "e" + address[len(address)-1:]
 	cut, mute := c.p.faults(name)
-	if c.p.ctx.Err() != nil || cut {
+	if ctx.Err() != nil || cut {
 		return tamarackknot.OrderResult{Outcome: tamarackknot.OrderRefused, Message: "cannot be reached"}
 	}
 	if mute {
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -79,7 +79,7 @@
 	usageTo  map[string]int // failed attempts by planner
 	mirror   mirror
 	work     map[replicaKey]*work
-	absent   map[replicaKey]time.Time
+	absent   map[replicaKey]absence
 	hosts    hostView
 	plansAt  time.Time
 	reportAt time.Time
@@ -120,7 +120,7 @@
 		usageTo:   make(map[string]int),
 		mirror:    newMirror(),
 		work:      make(map[replicaKey]*work),
-		absent:    make(map[replicaKey]time.Time),
+		absent:    make(map[replicaKey]absence),
 		sending:   make(map[string]bool),
 	}
 	cfg.Peers.Handle(methodDemand, c.handleDemand)
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -1,10 +1,12 @@
 package placement
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"os"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,10 +80,43 @@
 func runFuzz(t *testing.T, steps []fuzzStep) (string, time.Duration) {
 	t.Helper()
 	c := newCluster(t.Context(), true)
+	trace := &traceBuffer{}
 	if os.Getenv("PLACEMENT_TRACE") != "" {
-		c.output = os.Stdout
+		c.output = trace
 	}
 	defer c.close()
+	verdict, recovery := c.fuzz(steps)
+	if verdict != "" {
+		trace.save(verdict)
+	}
+	return verdict, recovery
+}
+
+// traceBuffer keeps the log lines of one run.
+type traceBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *traceBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// save writes the log lines to the file that PLACEMENT_TRACE names, unless it
+// holds those of an earlier failure.
+func (b *traceBuffer) save(verdict string) {
+	name := os.Getenv("PLACEMENT_TRACE")
+	if _, err := os.Stat(name); name == "" || err == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = os.WriteFile(name, append(b.b.Bytes(), verdict...), 0o600)
+}
+
+func (c *cluster) fuzz(steps []fuzzStep) (string, time.Duration) {
 	if err := c.configure(0.5); err != nil {
 		return err.Error(), 0
 	}
@@ -90,9 +125,7 @@
 	}
 	c.sleep(2 * time.Second)
 	for i, s := range steps {
-		if os.Getenv("PLACEMENT_TRACE") != "" {
-			fmt.Printf("%s step %d %+v\n", time.Now().Format(time.RFC3339Nano), i, s)
-		}
+		_, _ = fmt.Fprintf(c.output, "%s step %d %+v\n", time.Now().Format(time.RFC3339Nano), i, s)
 		c.do(s)
 		c.sleep(s.wait)
 		if v := c.check(); v != "" {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -57,10 +57,18 @@
 	plans   int
 }
 
-// loading expires loads that were decided but not claimed, and collects the
+// loading expires decisions that were not carried out, and collects the
 // loads from the weight store under way.
 func (d *decider) loading() {
 	p := d.p
+	p.deciding = slices.DeleteFunc(p.deciding, func(r *replica) bool {
+		if r.unloadUntil.IsZero() || d.now.Before(r.unloadUntil) {
+			return r.unloadUntil.IsZero()
+		}
+		r.unloadUntil = time.Time{}
+		p.dirty[r.t] = struct{}{}
+		return true
+	})
 	running := 0.0
 	for _, r := range slices.Clone(p.loading) {
 		if r.State != tamarackknot.ReplicaClaimed {
@@ -177,6 +185,7 @@
 		}
 	}
 	r.unloadUntil = d.now.Add(d.p.cfg.DecisionTTL)
+	d.p.deciding = append(d.p.deciding, r)
 	dec := Decision{
 		Action: a, Target: r.Target, Endpoint: r.Endpoint, Reason: reason, Cost: cost, Fence: r.Fence,
 	}
--- a/placement/mirror.go
+++ b/placement/mirror.go
@@ -16,6 +16,7 @@
 	// replicas are the reservations by endpoint.
 	replicas  map[string][]tamarackknot.Replica
 	endpoints map[string]*tamarackknot.Resource
+	names     []string // of the endpoints, in order
 	// refresh lists targets whose basis must be read again.
 	refresh map[string]struct{}
 }
@@ -67,7 +68,7 @@
 			return
 		}
 		m.applied = s.Applied()
-		for name := range m.endpoints {
+		for _, name := range m.names {
 			m.compare(name, s.EndpointReplicas(name))
 		}
 		for name := range m.refresh {
@@ -90,8 +91,10 @@
 
 func (m *mirror) setEndpoints(list []*tamarackknot.Resource) {
 	clear(m.endpoints)
+	m.names = m.names[:0]
 	for _, r := range list {
 		if r.Endpoint.Service == "" {
+			m.names = append(m.names, r.Metadata.Name)
 			m.endpoints[r.Metadata.Name] = r
 		}
 	}
--- a/placement/order.go
+++ b/placement/order.go
@@ -67,7 +67,7 @@
 	if w == nil {
 		return
 	}
-	w.busy = false
+	w.busy--
 	if o.skipped {
 		c.mirror.stale = true
 		w.retryLater(now)
@@ -105,6 +105,8 @@
 				retry = now.Add(time.Second)
 			}
 			pl.policy.StoreBusy(retry)
+		case tamarackknot.OrderRefused, tamarackknot.OrderNoMemory, tamarackknot.OrderStaleFence:
+			pl.policy.Refused(o.key.target, o.key.endpoint, now)
 		default:
 		}
 	}
@@ -130,7 +132,7 @@
 
 // propose sends a proposal in its own goroutine.
 func (c *Controller) propose(ctx context.Context, key replicaKey, ch tamarackknot.Change, d *Decision) {
-	c.workOn(key).busy = true
+	c.workOn(key).busy++
 	c.running++
 	p := &proposal{c: c, key: key, change: ch, decision: d}
 	go p.run(ctx)
@@ -146,25 +148,50 @@
 func (p *proposal) apply(c *Controller, now time.Time) {
 	c.running--
 	if w := c.work[p.key]; w != nil {
-		w.busy = false
+		w.busy--
 	}
+	fields := []any{"change", changeName(p.change), "target", p.key.target, "endpoint", p.key.endpoint}
 	c.mirror.stale = true
 	c.mirror.refresh[p.key.target] = struct{}{}
 	switch {
 	case p.err != nil:
 		c.count("proposals.failed")
 		c.logFailed = now
-		c.cfg.Log.Warn("proposal failed", "target", p.key.target, "endpoint", p.key.endpoint, "err", p.err)
+		c.cfg.Log.Warn("proposal failed", append(fields, "err", p.err)...)
 		if errors.Is(p.err, tamarackknot.ErrNotAppended) {
 			c.abandon(p.decision)
 		}
 	case !p.outcome.Accepted:
 		c.count("proposals.rejected")
-		c.cfg.Log.Info("proposal rejected", "target", p.key.target, "endpoint", p.key.endpoint,
-			"reason", string(p.outcome.Reason), "detail", p.outcome.Detail)
+		c.cfg.Log.Info("proposal rejected", append(fields, "reason", string(p.outcome.Reason), "detail", p.outcome.Detail)...)
 		c.abandon(p.decision)
+		if p.change.Claim != nil && p.outcome.Reason != tamarackknot.ReasonConflict {
+			c.refused(p.key, now)
+		}
 	default:
 		c.count("proposals.accepted")
+		c.cfg.Log.Info("proposal accepted", append(fields, "offset", int64(p.outcome.Offset))...)
+	}
+}
+
+func changeName(ch tamarackknot.Change) string {
+	switch {
+	case ch.Claim != nil:
+		return "claim"
+	case ch.Loaded != nil:
+		return "loaded"
+	case ch.Unload != nil:
+		return "unload"
+	case ch.Takeover != nil:
+		return "takeover"
+	}
+	return "release"
+}
+
+// refused keeps the policy from choosing the same endpoint again at once.
+func (c *Controller) refused(key replicaKey, now time.Time) {
+	for _, pl := range c.planners {
+		pl.policy.Refused(key.target, key.endpoint, now)
 	}
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -66,6 +66,8 @@
 			c.cfg.Log.Info("planner begins", "deployment", name)
 		case !mine && have:
 			delete(c.planners, name)
+			// Reports are followed only as a planner; what they showed is void.
+			clear(c.absent)
 			c.cfg.Log.Info("planner ends", "deployment", name)
 		}
 	}
@@ -178,21 +180,31 @@
 	pl.policy.SetEndpoint(name, spec, usable, drain)
 }
 
+// absence is since when an endpoint does not report a loaded replica.
+type absence struct {
+	since time.Time
+	// fence tells the replica from a later one in the same place.
+	fence tamarackknot.Offset
+}
+
 // findAbsent notes the loaded replicas that a report does not show.
 func (c *Controller) findAbsent(endpoint string, report tamarackknot.Report, now time.Time) {
 	for _, r := range c.mirror.replicas[endpoint] {
 		key := replicaKey{r.Target, r.Endpoint}
-		shown := slices.ContainsFunc(report.Loaded, func(l tamarackknot.LoadedTarget) bool { return l.Name == r.Target })
-		if shown || r.State != tamarackknot.ReplicaLoaded || !report.Time.After(r.Since) {
+		if shows(report, r.Target) || r.State != tamarackknot.ReplicaLoaded || !report.Time.After(r.Since) {
 			delete(c.absent, key)
 			continue
 		}
-		if _, ok := c.absent[key]; !ok {
-			c.absent[key] = now
+		if a, ok := c.absent[key]; !ok || a.fence != r.Fence {
+			c.absent[key] = absence{since: now, fence: r.Fence}
 		}
 	}
 }
 
+func shows(report tamarackknot.Report, target string) bool {
+	return slices.ContainsFunc(report.Loaded, func(l tamarackknot.LoadedTarget) bool { return l.Name == target })
+}
+
 // decide runs the policies and carries out their decisions.
 func (c *Controller) decide(ctx context.Context, now time.Time) {
 	for _, pl := range c.planners {
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -19,6 +19,11 @@
 	defaultUnloadTime  = 3 * time.Second // grace before the order, and the order
 	defaultDecisionTTL = 5 * time.Second
 	defaultFadeAfter   = 30 * time.Second
+
+	// An endpoint that refuses a load is not asked again at once: without this
+	// pause a claim, a refusal and a release filled the log 50 times a second.
+	minAvoid = time.Second
+	maxAvoid = 30 * time.Second
 )
 
 // PolicyConfig holds the constants of a Policy; zero fields take defaults.
@@ -111,6 +116,8 @@
 	// dirty holds the targets whose replicas may break a rule.
 	dirty map[*target]struct{}
 	idle  replicaHeap
+	// deciding holds the replicas whose unload was decided lately.
+	deciding []*replica
 	// loading holds the replicas whose load is under way.
 	loading []*replica
 	store   store
@@ -137,6 +144,7 @@
 	// surplusSince is when more replicas than the load needs were first seen.
 	surplusSince time.Time
 	cached       []cachedCopy
+	avoid        []avoided
 	plan         *plan
 	// derived is the demand of adapters that wait for this base model.
 	derived tamarackknot.Demand
@@ -147,6 +155,13 @@
 	rejected  bool
 }
 
+// avoided is an endpoint that refused a target.
+type avoided struct {
+	e     *endpoint
+	until time.Time
+	times int
+}
+
 type cachedCopy struct {
 	e    *endpoint
 	tier tamarackknot.Tier
@@ -410,6 +425,7 @@
 		t.replicas = append(t.replicas, r)
 		if spec.State == tamarackknot.ReplicaLoaded {
 			t.served = true
+			t.avoid = slices.DeleteFunc(t.avoid, func(a avoided) bool { return a.e == e })
 			p.pushIdle(r, now)
 		} else {
 			p.idle.drop(r)
@@ -551,6 +567,32 @@
 	}
 }
 
+// Refused keeps a target off an endpoint that refused it, longer each time.
+func (p *Policy) Refused(name, endpoint string, now time.Time) {
+	t, e := p.targets[name], p.endpoints[endpoint]
+	if t == nil || e == nil {
+		return
+	}
+	i := slices.IndexFunc(t.avoid, func(a avoided) bool { return a.e == e })
+	if i < 0 {
+		i = len(t.avoid)
+		t.avoid = append(t.avoid, avoided{e: e})
+	}
+	a := &t.avoid[i]
+	a.until = now.Add(min(maxAvoid, minAvoid<<min(a.times, 10)))
+	a.times++
+}
+
+// avoids reports whether an endpoint refused the target lately.
+func (t *target) avoids(e *endpoint, now time.Time) bool {
+	for _, a := range t.avoid {
+		if a.e == e {
+			return now.Before(a.until)
+		}
+	}
+	return false
+}
+
 // Forecast is what the policy expects for a target that is not loaded.
 func (p *Policy) Forecast(name string) tamarackknot.Forecast {
 	if t := p.targets[name]; t != nil {
--- a/placement/reconcile.go
+++ b/placement/reconcile.go
@@ -27,12 +27,18 @@
 	// process or an earlier issuer.
 	sent bool
 	// giveUp is set if the load is no longer wanted and must be undone.
-	giveUp      bool
+	giveUp bool
+	// taking is set once a takeover was proposed.
+	taking bool
+	// inherited is set if an earlier issuer may have sent orders.
+	inherited   bool
 	lastUnknown time.Time
 	result      *tamarackknot.OrderResult
-	busy        bool // an order or a proposal is outstanding
-	nextTry     time.Time
-	retries     int
+	// busy counts the orders and proposals outstanding. There can be several:
+	// a claim may follow a release whose outcome the loop has not taken yet.
+	busy    int
+	nextTry time.Time
+	retries int
 }
 
 func (w *work) retryLater(now time.Time) {
@@ -48,9 +54,9 @@
 
 // reconcile takes the next step for each replica that is not settled.
 func (c *Controller) reconcile(ctx context.Context, now time.Time, draining bool) {
-	for endpoint, replicas := range c.mirror.replicas {
-		res := c.mirror.endpoints[endpoint]
-		if res == nil {
+	for _, endpoint := range c.mirror.names {
+		replicas, res := c.mirror.replicas[endpoint], c.mirror.endpoints[endpoint]
+		if len(replicas) == 0 {
 			continue
 		}
 		dropped := c.hostGone(endpoint, res.Endpoint.Address, now)
@@ -69,7 +75,7 @@
 		}
 	}
 	for key, w := range c.work {
-		if !w.busy && !c.reserved(key) {
+		if w.busy == 0 && !c.reserved(key) {
 			delete(c.work, key)
 		}
 	}
@@ -106,7 +112,7 @@
 // releaseLost frees the reservation of a replica that no longer exists.
 func (c *Controller) releaseLost(ctx context.Context, key replicaKey, r tamarackknot.Replica, reason string, now time.Time) {
 	w := c.workOn(key)
-	if w.busy && r.State == tamarackknot.ReplicaLoaded || now.Before(w.nextTry) {
+	if w.busy > 0 && r.State == tamarackknot.ReplicaLoaded || now.Before(w.nextTry) {
 		return
 	}
 	w.retryLater(now)
@@ -120,20 +126,21 @@
 
 // checkLoaded releases a loaded replica that its endpoint no longer has.
 func (c *Controller) checkLoaded(ctx context.Context, key replicaKey, r tamarackknot.Replica, res *tamarackknot.Resource, now time.Time, draining bool) {
-	if w := c.work[key]; w != nil && w.state != "" && !w.busy {
+	if w := c.work[key]; w != nil && w.state != "" && w.busy == 0 {
 		delete(c.work, key)
 	}
-	since, absent := c.absent[key]
-	if !absent || draining || now.Before(since.Add(orderSettleTime)) {
+	a, absent := c.absent[key]
+	settled := a.since.Add(orderSettleTime)
+	if !absent || a.fence != r.Fence || draining || now.Before(settled) || c.planners[res.Endpoint.Deployment] == nil {
 		return
 	}
 	report, ok := c.cfg.Reports.Report(key.endpoint)
-	if !ok || report.Time.Before(since.Add(orderSettleTime)) {
+	if !ok || report.Time.Before(settled) || shows(report, r.Target) {
 		return
 	}
 	if res.Endpoint.Fencing {
 		// The unload order makes the engine reject delayed loads.
-		if w := c.workOn(key); !w.busy && !now.Before(w.nextTry) {
+		if w := c.workOn(key); w.busy == 0 && !now.Before(w.nextTry) {
 			c.cfg.Log.Info("placement decision", "action", string(ActionUnload), "target", key.target,
 				"endpoint", key.endpoint, "reason", reasonAbsent)
 			c.proposeWork(ctx, key, w, tamarackknot.Change{Unload: change(r)}, now)
@@ -158,10 +165,11 @@
 		}
 	}
 	w := c.workOn(key)
-	if w.busy || now.Before(w.nextTry) {
+	if w.busy > 0 || now.Before(w.nextTry) {
 		return
 	}
 	w.retryLater(now)
+	w.taking = true
 	c.cfg.Log.Info("placement decision", "action", "takeover", "target", key.target, "endpoint", key.endpoint,
 		"issuer", r.Issuer, "reason", "issuer of the replica has ended")
 	c.propose(ctx, key, tamarackknot.Change{Takeover: change(r)}, nil)
@@ -189,7 +197,7 @@
 // continueWork takes the next step for a replica of this process.
 func (c *Controller) continueWork(ctx context.Context, key replicaKey, r tamarackknot.Replica, res *tamarackknot.Resource, now time.Time, draining bool) {
 	w := c.workOn(key)
-	if w.busy {
+	if w.busy > 0 {
 		return
 	}
 	if w.fence != r.Fence {
@@ -218,7 +226,7 @@
 		w.retryLater(now)
 	case outcome == tamarackknot.OrderDone:
 		c.proposeWork(ctx, key, w, tamarackknot.Change{Loaded: change(r)}, now)
-	case w.lastUnknown.IsZero():
+	case w.lastUnknown.IsZero() && !w.inherited:
 		c.proposeWork(ctx, key, w, tamarackknot.Change{Release: change(r)}, now)
 	default:
 		// An earlier attempt may have had an effect: unload before releasing.
@@ -228,12 +236,18 @@
 
 // beginWork notes that a record gave this process a new fencing number.
 func (c *Controller) beginWork(w *work, r tamarackknot.Replica, now time.Time) {
-	takenOver := w.fence == 0 && w.state == "" && w.retries > 0
-	served := r.State == tamarackknot.ReplicaUnloading && w.state != tamarackknot.ReplicaClaimed
-	*w = work{
-		fence: r.Fence, state: r.State, since: now, served: served,
-		sent: w.sent || takenOver || r.State == tamarackknot.ReplicaUnloading, lastUnknown: w.lastUnknown, giveUp: w.giveUp,
+	next := work{fence: r.Fence, state: r.State, since: now}
+	if r.State == tamarackknot.ReplicaClaimed && !w.taking {
+		// A new claim starts afresh; what was done for an earlier reservation
+		// of the same target on the same endpoint ended with its release.
+		*w = next
+		return
 	}
+	next.sent = true
+	next.served = r.State == tamarackknot.ReplicaUnloading && w.state != tamarackknot.ReplicaClaimed
+	next.inherited = w.inherited || w.taking
+	next.lastUnknown = w.lastUnknown
+	*w = next
 }
 
 // unloads reports whether the orders of this work are unloads.
@@ -278,7 +292,8 @@
 		o.base = true
 		o.timeout = c.loadTimeout(r, res)
 	}
-	w.busy, w.sent = true, true
+	w.busy++
+	w.sent = true
 	c.running++
 	go o.run(ctx)
 }
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -32,9 +32,16 @@
 	wUnload                    = 3 * time.Second
 )
 
-// trueLoad is seconds fixed and MB per second by tier.
-var trueLoad = map[tamarackknot.Tier][2]float64{
-	tamarackknot.TierMemory: {1.5, 6000}, tamarackknot.TierDisk: {2.5, 1200}, tamarackknot.TierRemote: {4, 500},
+// trueLoad returns the fixed seconds and the MB per second of loads by tier.
+func trueLoad(tier tamarackknot.Tier) (fixed, perSecond float64) {
+	switch tier {
+	case tamarackknot.TierMemory:
+		return 1.5, 6000
+	case tamarackknot.TierDisk:
+		return 2.5, 1200
+	default:
+		return 4, 500
+	}
 }
 
 func periyar() worldConfig {
@@ -70,17 +77,16 @@
 }
 
 type wReplica struct {
-	t             *wTarget
-	e             *wEndpoint
-	state         tamarackknot.ReplicaState
-	running       int
-	since         time.Time
-	idleSince     time.Time
-	fence         tamarackknot.Offset
-	gone          bool
-	tier          tamarackknot.Tier
-	remaining     float64 // store work left, seconds at full speed
-	beginTransfer time.Time
+	t         *wTarget
+	e         *wEndpoint
+	state     tamarackknot.ReplicaState
+	running   int
+	since     time.Time
+	idleSince time.Time
+	fence     tamarackknot.Offset
+	gone      bool
+	tier      tamarackknot.Tier
+	remaining float64 // store work left, seconds at full speed
 }
 
 type wRequest struct {
@@ -371,8 +377,8 @@
 			w.result.remote++
 		}
 	}
-	l := trueLoad[r.tier]
-	d := (l[0] + float64(t.MemoryMB)/l[1]) * math.Exp(0.25*w.rng.NormFloat64())
+	fixed, perSecond := trueLoad(r.tier)
+	d := (fixed + float64(t.MemoryMB)/perSecond) * math.Exp(0.25*w.rng.NormFloat64())
 	if r.tier != tamarackknot.TierRemote {
 		w.at(w.now.Add(seconds(d)), func() { w.loaded(r) })
 		return
