placement: fix sync after a pause and release of newer claims

Change: the wait after a copy is at most 500 ms. A replica on an endpoint that the host list dropped is released only if its reservation is older than orderSettleTime.

--- a/placement/controller.go
+++ b/placement/controller.go
@@ -31,6 +31,9 @@
 	// syncShare is the longest part of the time that is spent on copying the
 	// replicas from the journal.
 	syncShare = 50
+	// maxSyncPause bounds the wait after a copy that took long because the
+	// process was paused.
+	maxSyncPause = 500 * time.Millisecond
 	// logBackoff is how long nothing is proposed after an append failed.
 	logBackoff = time.Second
 	// refusalTime is how long after a failed append demand is refused.
--- a/placement/measure_test.go
+++ b/placement/measure_test.go
@@ -29,10 +29,11 @@
 }
 
 // TestMeasure prints the figures of the policy and the baselines on the same
-// arrivals. It takes a minute and runs only with PLACEMENT_MEASURE=1.
+// arrivals. It takes a minute and runs only with PLACEMENT_MEASURE=all, or without the
+// baselines with PLACEMENT_MEASURE=policy.
 func TestMeasure(t *testing.T) {
 	if os.Getenv("PLACEMENT_MEASURE") == "" {
-		t.Skip("set PLACEMENT_MEASURE=1 to measure")
+		t.Skip("set PLACEMENT_MEASURE=all or policy to measure")
 	}
 	scenarios := []struct {
 		name   string
@@ -42,6 +43,7 @@
 		{"store slow", func(c *worldConfig) { c.slowFrom, c.slowTo, c.slowBy = 12, 28, 5 }},
 		{"domain lost", func(c *worldConfig) { c.lostFrom, c.lostTo = 12, 16 }},
 	}
+	only := os.Getenv("PLACEMENT_MEASURE")
 	for name, cfg := range map[string]worldConfig{"periyar": periyar(), "sotfelagid": sotfelagid()} {
 		for _, s := range scenarios {
 			c := cfg
@@ -52,6 +54,10 @@
 				for _, weight := range []float64{0, 0.25, 0.5, 0.75, 1} {
 					out += fmt.Sprintf("policy weight %.2f       %s\n", weight, runPolicy(t, c, weight))
 				}
+				if only == "policy" {
+					fmt.Println(out)
+					return
+				}
 				for _, keep := range []time.Duration{time.Minute, 5 * time.Minute, 15 * time.Minute, time.Hour, 4 * time.Hour, 48 * time.Hour} {
 					out += fmt.Sprintf("lru keep %-15v %s\n", keep, runBaseline(t, c, &baseline{keep: keep}))
 				}
--- a/placement/mirror.go
+++ b/placement/mirror.go
@@ -86,7 +86,7 @@
 			pl.setReplicas(t, now)
 		}
 	}
-	m.nextAt = now.Add(syncShare * time.Since(begin))
+	m.nextAt = now.Add(min(maxSyncPause, syncShare*time.Since(begin)))
 }
 
 func (m *mirror) setEndpoints(list []*tamarackknot.Resource) {
--- a/placement/reconcile.go
+++ b/placement/reconcile.go
@@ -59,11 +59,12 @@
 		if len(replicas) == 0 {
 			continue
 		}
-		dropped := c.hostGone(endpoint, res.Endpoint.Address, now)
+		gone := c.hostGone(endpoint, res.Endpoint.Address, now)
 		for _, r := range replicas {
 			key := replicaKey{r.Target, r.Endpoint}
 			switch {
-			case dropped && !draining && c.planners[res.Endpoint.Deployment] != nil:
+			// A newer claim shows that another host sees the endpoint again.
+			case gone && now.After(r.Since.Add(orderSettleTime)) && !draining && c.planners[res.Endpoint.Deployment] != nil:
 				c.releaseLost(ctx, key, r, "host list dropped the endpoint", now)
 			case r.State == tamarackknot.ReplicaLoaded:
 				c.checkLoaded(ctx, key, r, res, now, draining)
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -74,6 +74,7 @@
 	loaded  []*wReplica
 	memory  []*wTarget // least recently used first
 	disk    []*wTarget
+	cached  []tamarackknot.CachedTarget // nil after a change
 }
 
 type wReplica struct {
@@ -137,23 +138,24 @@
 }
 
 type wResult struct {
-	cold               []float64
+	cold, all          []float64 // first-token times in seconds
 	requests, rejected int
-	idle, loading      float64 // endpoint hours, by memory share
+	idle               float64 // endpoint hours, by memory share
 	loads, remote      int
 }
 
-func (r *wResult) p(q float64) float64 {
-	if len(r.cold) == 0 {
+func quantile(list []float64, q float64) float64 {
+	if len(list) == 0 {
 		return 0
 	}
-	slices.Sort(r.cold)
-	return r.cold[min(len(r.cold)-1, int(q*float64(len(r.cold))))]
+	slices.Sort(list)
+	return list[min(len(list)-1, int(q*float64(len(list))))]
 }
 
 func (r *wResult) String() string {
-	return fmt.Sprintf("cold %6d p50 %6.1f p95 %6.1f p99 %6.1f s  rejected %5.2f%%  idle %6.1f h  loading %5.1f h  loads %5d remote %5d",
-		len(r.cold), r.p(.5), r.p(.95), r.p(.99), 100*float64(r.rejected)/float64(max(1, r.requests)), r.idle, r.loading, r.loads, r.remote)
+	return fmt.Sprintf("cold %6d p50 %5.1f p95 %6.1f p99 %6.1f s  all p99 %6.1f s  rejected %5.2f%%  idle %6.1f h  loads %5d remote %5d",
+		len(r.cold), quantile(r.cold, .5), quantile(r.cold, .95), quantile(r.cold, .99), quantile(r.all, .99),
+		100*float64(r.rejected)/float64(max(1, r.requests)), r.idle, r.loads, r.remote)
 }
 
 func newWorld(cfg worldConfig, p placer) *world {
@@ -294,8 +296,13 @@
 }
 
 func (w *world) served(q *wRequest) {
-	if q.cold && w.measured() {
-		w.result.cold = append(w.result.cold, (w.now.Sub(q.at) + wFirstToken).Seconds())
+	if !w.measured() {
+		return
+	}
+	d := (w.now.Sub(q.at) + wFirstToken).Seconds()
+	w.result.all = append(w.result.all, d)
+	if q.cold {
+		w.result.cold = append(w.result.cold, d)
 	}
 }
 
@@ -333,6 +340,7 @@
 
 // touch puts a checkpoint into the caches of an endpoint.
 func (w *world) touch(e *wEndpoint, t *wTarget) {
+	e.cached = nil
 	same := func(x *wTarget) bool { return x == t }
 	e.memory = append(slices.DeleteFunc(e.memory, same), t)
 	e.disk = slices.DeleteFunc(e.disk, same)
@@ -437,9 +445,6 @@
 	if r.gone {
 		return
 	}
-	if w.measured() {
-		w.result.loading += w.now.Sub(r.since).Hours() * float64(r.t.MemoryMB) / wEndpointMB
-	}
 	if p, ok := w.placer.(*policyPlacer); ok {
 		p.p.LoadEnded(r.tier, r.t.MemoryMB, w.now.Sub(r.since))
 	}
@@ -585,7 +590,7 @@
 			}
 		}
 	}
-	if w.now.Sub(pp.reports) >= time.Second {
+	if w.now.Sub(pp.reports) >= 2*time.Second {
 		pp.reports = w.now
 		running := 0
 		for _, e := range w.endpoints {
@@ -626,12 +631,15 @@
 	for _, l := range e.loaded {
 		r.Loaded = append(r.Loaded, tamarackknot.LoadedTarget{Name: l.t.Name, Running: l.running})
 	}
-	for _, t := range e.memory {
-		r.Cached = append(r.Cached, tamarackknot.CachedTarget{Name: t.Name, Version: t.Version, Tier: tamarackknot.TierMemory})
-	}
-	for _, t := range e.disk {
-		r.Cached = append(r.Cached, tamarackknot.CachedTarget{Name: t.Name, Version: t.Version, Tier: tamarackknot.TierDisk})
+	if e.cached == nil {
+		for _, t := range e.memory {
+			e.cached = append(e.cached, tamarackknot.CachedTarget{Name: t.Name, Version: t.Version, Tier: tamarackknot.TierMemory})
+		}
+		for _, t := range e.disk {
+			e.cached = append(e.cached, tamarackknot.CachedTarget{Name: t.Name, Version: t.Version, Tier: tamarackknot.TierDisk})
+		}
 	}
+	r.Cached = e.cached
 	return r
 }
 
@@ -644,6 +652,11 @@
 		t := w.targets[slices.IndexFunc(w.targets, func(t *wTarget) bool { return t.Name == d.Target })]
 		e := w.endpoints[slices.IndexFunc(w.endpoints, func(e *wEndpoint) bool { return e.name == d.Endpoint })]
 		if d.Action == ActionLoad {
+			if e.lost { // not reported yet
+				pp.p.Abandon(d)
+				pp.p.Refused(t.Name, e.name, w.now)
+				continue
+			}
 			w.load(t, e)
 			continue
 		}
@@ -709,14 +722,19 @@
 				return b.load(w, t, r.e)
 			}
 		}
-		if len(t.base.replicas) == 0 && !t.base.queued {
+		for _, r := range t.base.replicas {
+			if r.state == tamarackknot.ReplicaClaimed || b.evict(w, r.e, t) {
+				return false
+			}
+		}
+		if len(t.base.replicas) < t.base.MaxReplicas {
 			b.try(w, t.base)
-		} else if len(t.base.replicas) > 0 && t.base.replicas[0].serves() {
-			b.evict(w, t.base.replicas[0].e, t)
 		}
 		return false
 	}
-	list := slices.DeleteFunc(slices.Clone(w.endpoints), func(e *wEndpoint) bool { return e.lost })
+	list := slices.DeleteFunc(slices.Clone(w.endpoints), func(e *wEndpoint) bool {
+		return e.lost || slices.ContainsFunc(e.loaded, func(r *wReplica) bool { return r.t == t })
+	})
 	if b.random {
 		b.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	} else {
