--- a/placement/controller.go
+++ b/placement/controller.go
@@ -31,6 +31,9 @@
 	// syncShare is the longest part of the time that is spent on copying the
 	// replicas from the journal.
 	syncShare = 50
+	// maxSyncPause bounds the wait after a copy that took long because the
+	// process was paused.
+	maxSyncPause = 500 * time.Millisecond
 	// logBackoff is how long nothing is proposed after an append failed.
 	logBackoff = time.Second
 	// refusalTime is how long after a failed append demand is refused.
@@ -79,7 +82,7 @@
 	usageTo  map[string]int // failed attempts by planner
 	mirror   mirror
 	work     map[replicaKey]*work
-	absent   map[replicaKey]time.Time
+	absent   map[replicaKey]absence
 	hosts    hostView
 	plansAt  time.Time
 	reportAt time.Time
@@ -120,7 +123,7 @@
 		usageTo:   make(map[string]int),
 		mirror:    newMirror(),
 		work:      make(map[replicaKey]*work),
-		absent:    make(map[replicaKey]time.Time),
+		absent:    make(map[replicaKey]absence),
 		sending:   make(map[string]bool),
 	}
 	cfg.Peers.Handle(methodDemand, c.handleDemand)
@@ -255,5 +258,13 @@
 }
 
 func (c *Controller) time(name string, d time.Duration) {
-	metrics.GetOrRegisterTimer("placement."+name, c.cfg.Metrics).Update(d)
+	t := c.cfg.Metrics.GetOrRegister("placement."+name, newTimer).(metrics.Timer)
+	t.Update(d)
+}
+
+// newTimer returns a timer without the meter of metrics.NewTimer, whose
+// process-wide goroutine never ends.
+func newTimer() metrics.Timer {
+	sample := metrics.NewExpDecaySample(1028, 0.015) // the library's defaults
+	return metrics.NewCustomTimer(metrics.NewHistogram(sample), metrics.NilMeter{})
 }
