Pause before demand is sent again to an unreachable planner

Cause: a call to a planner in connection back-off fails at once; the controller's loop sent the demand again at once, without end, on a full core. Serve also closes its parts when a listener fails. Ruled out: a longer queue in package peer; the caller has to pace itself. Conclusion: fixed; the test stays.

--- a/call/commands/caller.go
+++ b/call/commands/caller.go
@@ -167,11 +167,11 @@
 	var e struct {
 		Error struct {
 			Message string `json:"message"`
+			Run     string `json:"run"`
 		} `json:"error"`
-		Run string `json:"run"`
 	}
 	if a.status >= http.StatusBadRequest && json.Unmarshal(data, &e) == nil {
-		a.run, a.message = e.Run, e.Error.Message
+		a.run, a.message = e.Error.Run, e.Error.Message
 		return nil
 	}
 	a.text = string(data)
--- a/entry/daemon/cluster_test.go
+++ b/entry/daemon/cluster_test.go
@@ -53,6 +53,7 @@
 	operator string
 	daemon   *Daemon
 	log      *fake.LogClient
+	started  time.Time
 	stop     context.CancelFunc
 	done     chan error
 
@@ -135,6 +136,7 @@
 		address:  fmt.Sprintf("10.0.0.%d:80", i+1),
 		operator: fmt.Sprintf("10.0.0.%d:90", i+1),
 		log:      c.log.Client(),
+		started:  time.Now(),
 		done:     make(chan error, 1),
 	}
 	domain := fmt.Sprintf("f%d", i%3+1)
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -125,12 +125,18 @@
 		"operators", d.cfg.Settings.OperatorAddress, "failureDomain", d.self.FailureDomain, "incarnation", d.incarnation)
 
 	select {
-	case err := <-failed:
-		return errors.Wrap(err, "listener failed")
+	case err = <-failed:
+		err = errors.Wrap(err, "listener failed")
 	case <-ctx.Done():
+		err = d.shutdown(context.WithoutCancel(ctx))
 	}
-	err = d.shutdown(context.WithoutCancel(ctx))
 	stopParts()
+	return errors.CombineErrors(err, d.close())
+}
+
+// close ends what shutdown has left, without waiting for requests.
+func (d *Daemon) close() error {
+	err := errors.CombineErrors(d.callerHTTP.Close(), d.opHTTP.Close())
 	d.journal.Close()
 	d.members.Close()
 	err = errors.CombineErrors(err, d.mesh.Close())
@@ -308,8 +314,6 @@
 	if d.placement.Idle() {
 		d.members.SetIdle() //nolint:contextcheck // gossip has its own lifetime
 	}
-	// Watches never end by themselves, so operators' connections are cut.
-	err = errors.CombineErrors(err, d.opHTTP.Close())
 	time.Sleep(lastGossip)
 	logger.Info("stopped", "idle", d.placement.Idle())
 	return err
--- a/entry/daemon/system_test.go
+++ b/entry/daemon/system_test.go
@@ -100,6 +100,7 @@
 		appends: r.log.Appends(), elapsed: time.Since(began),
 	}
 	r.close()
+	time.Sleep(5 * time.Minute) // idle connections time out
 	res.verdicts = r.verdicts
 	return res
 }
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -90,6 +90,8 @@
 	logFailed time.Time
 	running   int // orders and proposals outstanding
 	sending   map[string]bool
+	// resendAt is the earliest next message to a planner that was unreachable.
+	resendAt map[string]time.Time
 }
 
 // event is a result that a goroutine hands to the loop.
@@ -125,6 +127,7 @@
 		work:      make(map[replicaKey]*work),
 		absent:    make(map[replicaKey]absence),
 		sending:   make(map[string]bool),
+		resendAt:  make(map[string]time.Time),
 	}
 	cfg.Peers.Handle(methodDemand, c.handleDemand)
 	cfg.Peers.Handle(methodUsage, c.handleUsage)
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -277,7 +277,7 @@
 		return
 	}
 	host := c.cfg.Members.Planner(deployment)
-	if host == "" || host == c.self.Host || c.sending[deployment] {
+	if host == "" || host == c.self.Host || c.sending[deployment] || now.Before(c.resendAt[deployment]) {
 		return
 	}
 	c.sending[deployment] = true
@@ -348,6 +348,9 @@
 func (s *demandSend) apply(c *Controller, now time.Time) {
 	c.sending[s.message.Deployment] = false
 	if s.err != nil {
+		// A call to an unreachable planner fails at once; without a pause the
+		// loop would call it again without end.
+		c.resendAt[s.message.Deployment] = now.Add(demandInterval)
 		c.count("demand.failed")
 		return
 	}
