--- a/caller/bed_test.go
+++ b/caller/bed_test.go
@@ -242,6 +242,12 @@
 	})
 }
 
+// settle waits until the hosts have read all changes of the store.
+func (b *bed) settle() {
+	time.Sleep(50 * time.Millisecond)
+	synctest.Wait()
+}
+
 // answer is a response with its body.
 type answer struct {
 	status  int
--- /dev/null
+++ b/caller/keys_test.go
@@ -0,0 +1,165 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// booking is a service whose calls take a second and must not be repeated.
+func (b *bed) booking(runs *atomic.Int64) {
+	b.addService("book")
+	b.addEndpoint("app", "book", 10, counted(runs, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		time.Sleep(time.Second)
+		w.Header().Set("Booking", "7")
+		w.Header().Set("Trailer", "Checked")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "booked "+string(body))
+		w.Header().Set("Checked", "yes")
+	})))
+	b.settle()
+}
+
+func (b *bed) book(host int, key, body string) answer {
+	return b.do(host, http.MethodPost, "/services/book/a", body,
+		headerKey, key, headerCreated, time.Now().Format(time.RFC3339))
+}
+
+// TestKeySameHost guards against a second run of a keyed request: a repeat
+// joins the first one or gets its response again.
+func TestKeySameHost(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, b *bed) {
+		var runs atomic.Int64
+		b.booking(&runs)
+		answers := make(chan answer, 3)
+		for range 2 {
+			go func() { answers <- b.book(0, "k", "x") }()
+		}
+		time.Sleep(2 * time.Second)
+		answers <- b.book(0, "k", "x")
+		for range 3 {
+			a := <-answers
+			require.Equal(t, http.StatusCreated, a.status, a.body)
+			require.Equal(t, "booked x", a.body)
+			require.Equal(t, "7", a.header.Get("Booking"))
+			require.Equal(t, "yes", a.trailer.Get("Checked"))
+		}
+		require.EqualValues(t, 1, runs.Load())
+		other := b.book(0, "k", "y")
+		require.Equal(t, http.StatusUnprocessableEntity, other.status, other.body)
+		require.Equal(t, NotRun, other.run(t))
+	})
+}
+
+// TestKeyCallerGone guards against the loss of a confirmation when the
+// caller's connection breaks: a repeat gets it.
+func TestKeyCallerGone(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, b *bed) {
+		var runs atomic.Int64
+		b.booking(&runs)
+		id := uuid.Must(uuid.NewV7FromReader(strings.NewReader(strings.Repeat("7", 16))))
+		// uuid takes the time of the bubble's clock.
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		a := b.doContext(ctx, 0, http.MethodPost, "/services/book/a", "x", headerKey, id.String())
+		require.ErrorIs(t, a.err, context.DeadlineExceeded)
+		a = b.do(0, http.MethodPost, "/services/book/a", "x", headerKey, id.String())
+		require.Equal(t, "booked x", a.body)
+		require.EqualValues(t, 1, runs.Load())
+	})
+}
+
+// TestKeyOtherHost guards against a second run at another entry host.
+func TestKeyOtherHost(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, b *bed) {
+		var runs atomic.Int64
+		b.booking(&runs)
+		require.Equal(t, http.StatusCreated, b.book(0, "k", "x").status)
+		a := b.book(1, "k", "x")
+		require.Equal(t, http.StatusConflict, a.status, a.body)
+		var e errorBody
+		require.NoError(t, json.Unmarshal([]byte(a.body), &e))
+		require.Equal(t, RunUnknown, e.Error.Run)
+		require.Equal(t, "entry-0:80", e.Error.Address)
+		require.EqualValues(t, 1, runs.Load())
+		require.Equal(t, http.StatusUnprocessableEntity, b.book(1, "k", "y").status)
+	})
+}
+
+// TestKeyFreed guards against a key that stays taken by a request that did
+// not run.
+func TestKeyFreed(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, b *bed) {
+		b.addService("book")
+		kill := b.addEndpoint("app", "book", 1, http.HandlerFunc(echo))
+		kill()
+		b.settle()
+		a := b.do(0, http.MethodPost, "/services/book/a", "x", headerKey, "k",
+			headerCreated, time.Now().Format(time.RFC3339),
+			headerDeadline, time.Now().Add(2*time.Second).Format(time.RFC3339Nano))
+		require.Equal(t, NotRun, a.run(t), a.body)
+		b.addEndpoint("app", "book", 1, http.HandlerFunc(echo))
+		time.Sleep(10 * time.Second)
+		a = b.book(1, "k", "x")
+		require.Equal(t, http.StatusOK, a.status, a.body)
+	})
+}
+
+// TestKeyLogDown guards against a keyed request that runs without a claim,
+// and against a key that is lost with the response of the log.
+func TestKeyLogDown(t *testing.T) {
+	for name, fault := range map[string]struct {
+		err     error
+		applied bool
+	}{
+		"not appended":          {err: tamarackknot.ErrNotAppended},
+		"unknown, not appended": {err: tamarackknot.ErrOutcomeUnknown},
+		"unknown, appended":     {err: tamarackknot.ErrOutcomeUnknown, applied: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 2, func(t *testing.T, b *bed) {
+				var runs atomic.Int64
+				b.booking(&runs)
+				b.hosts[0].journal.SetFault(fault.err, fault.applied)
+				a := b.book(0, "k", "x")
+				require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+				require.Equal(t, NotRun, a.run(t))
+				require.Equal(t, "1", a.header.Get("Retry-After"))
+				require.Zero(t, runs.Load())
+				b.hosts[0].journal.SetFault(nil, false)
+				a = b.book(0, "k", "x")
+				require.Equal(t, "booked x", a.body)
+				require.Equal(t, http.StatusConflict, b.book(1, "k", "x").status)
+				require.EqualValues(t, 1, runs.Load())
+			})
+		})
+	}
+}
+
+// TestKeyStoreBounds guards against responses that are kept without bound and
+// against keys that never expire.
+func TestKeyStoreBounds(t *testing.T) {
+	now := time.Now()
+	s := newKeyStore(10_000)
+	for i := range 100 {
+		k, first := s.begin(tamarackknot.KeyClaim{Key: string(rune('a' + i)), Created: now}, now)
+		require.True(t, first)
+		s.finish(k, &recording{body: make([]byte, 1000)})
+		require.LessOrEqual(t, s.bytes, 10_000)
+	}
+	require.Len(t, s.entries, s.order.Len())
+	s.sweep(now.Add(keyMaxAge + 2*time.Minute))
+	require.Empty(t, s.entries)
+	require.Zero(t, s.bytes)
+}
--- a/internal/journaltest/journal.go
+++ b/internal/journaltest/journal.go
@@ -133,11 +133,11 @@
 type Journal struct {
 	Store   *Store
 	Process tamarackknot.Process
-	// Fault, if set, is asked before each claim of a key; the error it returns
-	// is the result, and applied says whether the claim takes effect anyway.
-	Fault func() (err error, applied bool) //nolint:revive,staticcheck // the error is the main result
-	// Delay of each claim.
-	Delay time.Duration
+
+	mu      sync.Mutex
+	delay   time.Duration
+	fault   error
+	applied bool
 }
 
 var _ tamarackknot.Journal = (*Journal)(nil)
@@ -149,20 +149,21 @@
 
 // ClaimKey implements tamarackknot.Journal; the first claim of a key wins.
 func (j *Journal) ClaimKey(ctx context.Context, c tamarackknot.KeyClaim) (tamarackknot.KeyOutcome, error) {
-	if j.Delay > 0 {
+	j.mu.Lock()
+	delay, fault, applied := j.delay, j.fault, j.applied
+	j.mu.Unlock()
+	if delay > 0 {
 		select {
-		case <-time.After(j.Delay):
+		case <-time.After(delay):
 		case <-ctx.Done():
 			return tamarackknot.KeyOutcome{}, errors.Wrap(tamarackknot.ErrNotAppended, "claim")
 		}
 	}
-	if j.Fault != nil {
-		if err, applied := j.Fault(); err != nil {
-			if applied {
-				j.claim(c)
-			}
-			return tamarackknot.KeyOutcome{}, err
-		}
+	if errors.Is(fault, tamarackknot.ErrOutcomeUnknown) && applied {
+		j.claim(c)
+	}
+	if fault != nil {
+		return tamarackknot.KeyOutcome{}, errors.Wrap(fault, "log down")
 	}
 	return j.claim(c), nil
 }
@@ -183,6 +184,21 @@
 	return out
 }
 
+// SetFault sets the error of all claims from now on and whether a claim of
+// unknown outcome takes effect.
+func (j *Journal) SetFault(err error, applied bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.fault, j.applied = err, applied
+}
+
+// SetDelay sets how long claims take.
+func (j *Journal) SetDelay(d time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.delay = d
+}
+
 // FreeKey implements tamarackknot.Journal.
 func (j *Journal) FreeKey(_ context.Context, c tamarackknot.KeyClaim) error {
 	j.Store.change(func() {
--- a/routing/index.go
+++ b/routing/index.go
@@ -30,6 +30,7 @@
 	endpoints map[string]*placed
 	pass      uint64
 	applied   tamarackknot.Offset
+	syncedAt  time.Time
 }
 
 // sync brings the index up to date with the state. It compares what is
@@ -43,6 +44,7 @@
 	}
 	r.index.applied = s.Applied()
 	r.index.pass++
+	r.index.syncedAt = time.Now()
 	touched := map[*target]bool{}
 	for _, res := range s.Resources(tamarackknot.KindEndpoint) {
 		r.syncEndpoint(s, res, touched)
--- a/routing/router.go
+++ b/routing/router.go
@@ -144,12 +144,11 @@
 	for {
 		changed := r.cfg.Journal.Changed()
 		r.cfg.Journal.Read(r.sync)
-		synced := time.Now()
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-			if !pause(ctx, time.Until(synced.Add(syncInterval))) {
+			if !pause(ctx, time.Until(r.index.syncedAt.Add(syncInterval))) {
 				return
 			}
 		case <-tick.C:
