--- a/caller/bed_test.go
+++ b/caller/bed_test.go
@@ -214,6 +214,8 @@
 	for _, stop := range b.stops {
 		stop()
 	}
+	// net/http's server lingers for half a second on a connection that it ends.
+	time.Sleep(time.Second)
 }
 
 // addEndpoint configures and starts an endpoint of a plain service, or of a
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -202,6 +202,9 @@
 func (x *exchange) responseHeader(resp *http.Response) http.Header {
 	h := x.w.Header()
 	copyEndToEnd(h, resp.Header, "Content-Length", headerRun, headerLeaving)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
 	return h
 }
 
