--- a/caller/bed_test.go
+++ b/caller/bed_test.go
@@ -179,7 +179,7 @@
 	})
 	h.server = New(Config{
 		Journal: h.journal, Members: m, Router: h.router, Table: h.table, Addresses: m, Gate: h, Logger: logger,
-		DialContext: b.net.DialContext, MaxBody: 1 << 20, MaxBuffered: 64 << 10,
+		DialContext: b.net.DialContext, MaxBody: 1 << 20, MaxBuffered: 64 << 10, MaxKept: 16 << 10,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -278,12 +278,17 @@
 	return answer{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, body: string(data), err: err}
 }
 
+// discard is not io.Discard, for which the log library does nothing.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
 // inBubble runs a test in a synctest bubble with a bed of n entry hosts.
-func inBubble(t *testing.T, n int, fn func(*testing.T, *bed)) {
+func inBubble(t *testing.T, n int, fn func(*bed)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, n, io.Discard)
+		b := newBed(t, n, discard{})
 		defer b.stop()
-		fn(t, b)
+		fn(b)
 	})
 }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -81,7 +81,7 @@
 		x.setWriteDeadline()
 		f.write(w, time.Now())
 	}
-	x.finish(f)
+	x.finish(context.WithoutCancel(r.Context()), f)
 	x.log(f)
 	if x.aborted || (f != nil && f.gone) {
 		// net/http cuts the connection without ending the response.
@@ -132,7 +132,7 @@
 }
 
 // finish settles the key of the request.
-func (x *exchange) finish(f *failure) {
+func (x *exchange) finish(ctx context.Context, f *failure) {
 	if x.key == nil {
 		return
 	}
@@ -151,12 +151,12 @@
 	}
 	// The key stays held on this host until the outcome is known, so that no
 	// request can use it while a record that frees it is on its way.
-	x.s.frees.Go(func() { x.s.free(k, x.claim) })
+	x.s.frees.Go(func() { x.s.free(ctx, k, x.claim) })
 }
 
 // free gives up the claim of a request that did not run.
-func (s *Server) free(k *keyed, c tamarackknot.KeyClaim) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+func (s *Server) free(ctx context.Context, k *keyed, c tamarackknot.KeyClaim) {
+	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
 	defer cancel()
 	if err := s.cfg.Journal.FreeKey(ctx, c); errors.Is(err, tamarackknot.ErrNotAppended) {
 		s.keys.setUnsent(k)
@@ -286,7 +286,7 @@
 	if err := json.Unmarshal(raw, &x.target.Model); err != nil || x.target.Model == "" {
 		return invalid("model", string(raw), "the name of a model or adapter as a JSON string")
 	}
-	if raw, ok = fields["stream"]; ok && !slices.Contains([]string{"true", "false", "null"}, string(raw)) {
+	if raw, ok = fields["stream"]; ok && !slices.Contains([]string{valueTrue, valueFalse, "null"}, string(raw)) {
 		return invalid("stream", string(raw), "true or false")
 	}
 	for _, name := range []string{"messages", "prompt"} {
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -112,7 +112,7 @@
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		return nil
 	}
-	leaving := resp.Header.Get(headerLeaving) == "true"
+	leaving := resp.Header.Get(headerLeaving) == valueTrue
 	notRun := resp.Header.Get(headerRun) == string(NotRun)
 	if leaving {
 		x.s.cfg.Table.Leaving(x.grant.Entry, "response")
--- a/caller/fuzz_test.go
+++ b/caller/fuzz_test.go
@@ -54,7 +54,7 @@
 			Wait:     rapid.OneOf(rapid.Just(time.Duration(0)), ms(0, 300), ms(0, 3000)).Draw(rt, "wait"),
 			Endpoint: rapid.IntRange(0, fuzzEndpoints-1).Draw(rt, "endpoint"),
 			Mode: rapid.SampledFrom([]string{
-				"ok", "ok", "slow", "hang", "cutHead", "cutMid", "decline", "leave", "refuse",
+				"ok", "ok", "slow", "hang", "cutHead", "cutMid", "endEarly", "decline", "leave", "refuse",
 			}).Draw(rt, "mode"),
 			Host:       rapid.IntRange(0, fuzzHosts-1).Draw(rt, "host"),
 			Service:    rapid.Bool().Draw(rt, "service"),
@@ -154,8 +154,11 @@
 		for _, p := range parts {
 			_, _ = io.WriteString(w, p)
 			_ = http.NewResponseController(w).Flush()
-			if mode == "cutMid" {
+			switch {
+			case mode == "cutMid":
 				panic(http.ErrAbortHandler)
+			case mode == "endEarly" && stream && i < fuzzEndpoints/2:
+				return
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -290,7 +293,7 @@
 func fuzzOnce(t *testing.T, steps []step, outcomes map[string]int) (faults []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, fuzzHosts, io.Discard)
+		b := newBed(t, fuzzHosts, discard{})
 		f := &fuzzRun{
 			b: b, outcomes: outcomes, left: map[string]time.Time{}, runs: map[string]int{}, keyRuns: map[string]int{}, produced: map[string]bool{},
 		}
--- a/caller/golden_test.go
+++ b/caller/golden_test.go
@@ -173,7 +173,8 @@
 	}
 	for name, session := range sessions {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 2, func(t *testing.T, b *bed) {
+			inBubble(t, 2, func(b *bed) {
+				t := b.t
 				w := &wire{t: t, b: b}
 				session(w)
 				goldie.New(t).Assert(t, name, w.log.Bytes())
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -25,6 +25,12 @@
 	headerCreated    = "Request-Created"
 )
 
+// Values of headers and fields that are yes or no.
+const (
+	valueTrue  = "true"
+	valueFalse = "false"
+)
+
 const (
 	defaultDeadline = 30 * time.Second
 	maxDeadline     = 10 * time.Minute
@@ -65,10 +71,10 @@
 		o.priority = n
 	}
 	if v, ok := single(h, headerRepeatable); ok {
-		if v != "true" && v != "false" {
+		if v != valueTrue && v != valueFalse {
 			return o, invalid(headerRepeatable, v, "true or false")
 		}
-		repeatable := v == "true"
+		repeatable := v == valueTrue
 		o.repeatable = &repeatable
 	}
 	return o, o.parseKey(h, now)
--- a/caller/keys_test.go
+++ b/caller/keys_test.go
@@ -39,7 +39,8 @@
 // TestKeySameHost guards against a second run of a keyed request: a repeat
 // joins the first one or gets its response again.
 func TestKeySameHost(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		var runs atomic.Int64
 		b.booking(&runs)
 		answers := make(chan answer, 3)
@@ -65,7 +66,8 @@
 // TestKeyCallerGone guards against the loss of a confirmation when the
 // caller's connection breaks: a repeat gets it.
 func TestKeyCallerGone(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		var runs atomic.Int64
 		b.booking(&runs)
 		id := uuid.Must(uuid.NewV7FromReader(strings.NewReader(strings.Repeat("7", 16))))
@@ -82,7 +84,8 @@
 
 // TestKeyOtherHost guards against a second run at another entry host.
 func TestKeyOtherHost(t *testing.T) {
-	inBubble(t, 2, func(t *testing.T, b *bed) {
+	inBubble(t, 2, func(b *bed) {
+		t := b.t
 		var runs atomic.Int64
 		b.booking(&runs)
 		require.Equal(t, http.StatusCreated, b.book(0, "k", "x").status)
@@ -100,7 +103,8 @@
 // TestKeyFreed guards against a key that stays taken by a request that did
 // not run.
 func TestKeyFreed(t *testing.T) {
-	inBubble(t, 2, func(t *testing.T, b *bed) {
+	inBubble(t, 2, func(b *bed) {
+		t := b.t
 		b.addService("book")
 		kill := b.addEndpoint("app", "book", 1, http.HandlerFunc(echo))
 		kill()
@@ -128,7 +132,8 @@
 		"unknown, appended":     {err: tamarackknot.ErrOutcomeUnknown, applied: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 2, func(t *testing.T, b *bed) {
+			inBubble(t, 2, func(b *bed) {
+				t := b.t
 				var runs atomic.Int64
 				b.booking(&runs)
 				b.hosts[0].journal.SetFault(fault.err, fault.applied)
--- a/caller/server.go
+++ b/caller/server.go
@@ -156,17 +156,17 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch path := r.URL.Path; {
-	case path == "/healthz":
+	switch r.URL.Path {
+	case "/healthz":
 		w.WriteHeader(http.StatusOK)
-	case path == "/readyz":
+	case "/readyz":
 		s.serveReady(w)
-	case path == "/metrics":
+	case "/metrics":
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		metrics.WriteOnce(s.cfg.Registry, w)
-	case path == "/v1/entryhosts":
+	case "/v1/entryhosts":
 		s.serveEntryHosts(w, r)
-	case path == "/v1/models":
+	case "/v1/models":
 		s.serveModels(w, r)
 	default:
 		s.serveForwarded(w, r)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -28,7 +28,8 @@
 // TestWarmAndCold guards against a request for a model that is not loaded
 // being lost: it waits until a replica is there.
 func TestWarmAndCold(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		b.addEndpoint("engine", "", 2, http.HandlerFunc(echo))
 		b.addModel("m")
 		b.placement.OnWant = func(d tamarackknot.Demand) {
--- a/caller/traps_test.go
+++ b/caller/traps_test.go
@@ -83,7 +83,8 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 1, func(t *testing.T, b *bed) {
+			inBubble(t, 1, func(b *bed) {
+				t := b.t
 				var runs atomic.Int64
 				var broken atomic.Bool
 				b.addService("book", http.MethodGet)
@@ -156,7 +157,8 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 1, func(t *testing.T, b *bed) {
+			inBubble(t, 1, func(b *bed) {
+				t := b.t
 				var requests atomic.Int64
 				b.addService("book")
 				if tt.endpoint == nil {
@@ -190,7 +192,8 @@
 // TestRunAfterRetry guards against an error that speaks of the last attempt
 // only: the first one may have run.
 func TestRunAfterRetry(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		kill := func() {}
 		b.addEndpoint("e1", "", 1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			go kill() // refuses the second attempt
@@ -226,7 +229,8 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 1, func(t *testing.T, b *bed) {
+			inBubble(t, 1, func(b *bed) {
+				t := b.t
 				b.addEndpoint("e1", "", 1, raw(tt.text))
 				b.warm("e1")
 				a := b.do(0, http.MethodPost, completePath, completion)
@@ -256,7 +260,8 @@
 		"did not start ": "HTTP/1.1 503 X\r\nRun: notRun\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 1, func(t *testing.T, b *bed) {
+			inBubble(t, 1, func(b *bed) {
+				t := b.t
 				var failed atomic.Int64
 				b.addEndpoint("e1", "", 1, counted(&failed, raw(text)))
 				b.addEndpoint("e2", "", 100, http.HandlerFunc(echo))
@@ -277,7 +282,8 @@
 // TestCancel guards against an endpoint working on for a caller that has gone,
 // and against a slot that is not given back.
 func TestCancel(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		canceled := make(chan time.Time, 1)
 		b.addEndpoint("e1", "", 1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -303,37 +309,83 @@
 
 // TestBody guards against bodies that are unbounded, never end, or are cut.
 func TestBody(t *testing.T) {
-	send := func(t *testing.T, b *bed, request string, wait time.Duration) answer {
+	send := func(t *testing.T, b *bed, request string) answer {
 		t.Helper()
 		c, err := b.net.DialContext(context.Background(), "tcp", b.hosts[0].address)
 		require.NoError(t, err)
 		defer func() { _ = c.Close() }()
 		go func() {
 			_, _ = io.WriteString(c, request)
-			if wait == 0 {
-				_ = c.(interface{ CloseWrite() error }).CloseWrite()
-			}
 		}()
 		return readAnswer(c)
 	}
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		const head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
 		b.warm()
 		start := time.Now()
-		a := send(t, b, head+"Content-Length: 1048577\r\n\r\n", time.Second)
+		a := send(t, b, head+"Content-Length: 1048577\r\n\r\n")
 		require.Equal(t, http.StatusRequestEntityTooLarge, a.status)
 		require.Contains(t, a.body, `body: value \"1048577 bytes\" is not allowed; allowed: at most 1048576 bytes`)
 		require.Equal(t, NotRun, a.run(t))
-		a = send(t, b, head+"Transfer-Encoding: chunked\r\n\r\n100001\r\n"+strings.Repeat("x", 1<<20+1), time.Second)
+		a = send(t, b, head+"Transfer-Encoding: chunked\r\n\r\n100001\r\n"+strings.Repeat("x", 1<<20+1))
 		require.Equal(t, http.StatusRequestEntityTooLarge, a.status)
 		require.Equal(t, start, time.Now())
-		a = send(t, b, head+"Content-Length: 10\r\n\r\nabc", time.Second)
+		a = send(t, b, head+"Content-Length: 10\r\n\r\nabc")
 		require.Equal(t, http.StatusRequestTimeout, a.status)
 		require.Equal(t, NotRun, a.run(t))
 		require.Equal(t, defaultDeadline, time.Since(start))
 	})
 }
 
+// TestSlowCaller guards against a slot that is held by a caller who does not
+// read its response.
+func TestSlowCaller(t *testing.T) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
+		b.addService("book")
+		b.addEndpoint("app", "book", 1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, 1<<20))
+		}))
+		b.settle()
+		c, err := b.net.DialContext(context.Background(), "tcp", b.hosts[0].address)
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "GET /services/book/a HTTP/1.1\r\nHost: x\r\n"+
+			headerDeadline+": "+time.Now().Add(5*time.Second).Format(time.RFC3339Nano)+"\r\n\r\n")
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		e, _ := b.hosts[0].table.Get("app")
+		own, _, _ := e.Load()
+		require.EqualValues(t, 1, own)
+		time.Sleep(4*time.Second + writeGrace)
+		synctest.Wait()
+		own, _, _ = e.Load()
+		require.Zero(t, own)
+	})
+}
+
+// TestRequestTrailers guards against the loss of what follows a body.
+func TestRequestTrailers(t *testing.T) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
+		b.addService("book")
+		b.addEndpoint("app", "book", 1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			_, _ = fmt.Fprint(w, string(body), " ", r.Trailer.Get("Checksum"))
+		}))
+		b.settle()
+		c, err := b.net.DialContext(context.Background(), "tcp", b.hosts[0].address)
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		go func() {
+			_, _ = io.WriteString(c, "POST /services/book/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"+
+				"Trailer: Checksum\r\n\r\n4\r\nbody\r\n0\r\nChecksum: 42\r\n\r\n")
+		}()
+		require.Equal(t, "body 42", readAnswer(c).body)
+	})
+}
+
 func readAnswer(c net.Conn) answer {
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
@@ -346,7 +398,8 @@
 // TestDeadlineBeforeSend guards against a request being sent after its
 // deadline, when a claim took until then.
 func TestDeadlineBeforeSend(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		var runs atomic.Int64
 		b.addService("book")
 		b.addEndpoint("app", "book", 1, counted(&runs, http.HandlerFunc(echo)))
@@ -365,7 +418,8 @@
 // TestDrain guards against new work for an endpoint that has said, in any
 // way, that it leaves.
 func TestDrain(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		var first, second atomic.Int64
 		b.addEndpoint("e1", "", 1000, counted(&first, raw("HTTP/1.1 503 X\r\nLeaving: true\r\nContent-Length: 0\r\n\r\n")))
 		b.addEndpoint("e2", "", 1, counted(&second, http.HandlerFunc(echo)))
@@ -383,7 +437,8 @@
 // TestDrainDuringClaim guards against work for an endpoint whose drain signal
 // came after the replica was acquired, while the key was being claimed.
 func TestDrainDuringClaim(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		var first, second atomic.Int64
 		b.addService("book")
 		b.addEndpoint("e1", "book", 1, counted(&first, http.HandlerFunc(echo)))
@@ -404,7 +459,8 @@
 // TestQueue guards against a queued request that gets no answer, a late one,
 // or a false one.
 func TestQueue(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		b.warm()
 		start := time.Now()
 		at := func(d time.Duration) string { return start.Add(d).Format(time.RFC3339Nano) }
@@ -444,7 +500,8 @@
 
 // TestGate guards against a host that serves under an old configuration.
 func TestGate(t *testing.T) {
-	inBubble(t, 1, func(t *testing.T, b *bed) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
 		b.addEndpoint("e1", "", 1, http.HandlerFunc(echo))
 		b.warm("e1")
 		for state, status := range map[GateState]int{
@@ -502,7 +559,8 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 1, func(t *testing.T, b *bed) {
+			inBubble(t, 1, func(b *bed) {
+				t := b.t
 				b.addModel("m")
 				if tt.path == "" {
 					tt.path = completePath
--- /dev/null
+++ b/endpoint/table_test.go
@@ -0,0 +1,263 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/journaltest"
+)
+
+// network connects the tables of several hosts and counts their polls.
+type network struct {
+	t        *testing.T
+	mu       sync.Mutex
+	handlers map[string]tamarackknot.PeerHandler
+	cut      map[string]bool // hosts that get no messages
+	polls    map[string]int  // by endpoint
+	messages int
+	report   func(address string) (tamarackknot.Report, error)
+}
+
+type host struct {
+	net   *network
+	self  int
+	hosts int
+	table *Table
+	signs []tamarackknot.EndpointSign
+}
+
+var (
+	_ tamarackknot.Peers   = (*host)(nil)
+	_ tamarackknot.Members = (*host)(nil)
+	_ tamarackknot.Engine  = (*host)(nil)
+)
+
+func hostName(i int) string { return fmt.Sprintf("entry-%02d", i) }
+
+func (h *host) Call(context.Context, string, string, any, any) error { return nil }
+
+func (h *host) Notify(ctx context.Context, to, method string, params any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	h.net.mu.Lock()
+	handler, cut := h.net.handlers[to+method], h.net.cut[to]
+	h.net.messages++
+	h.net.mu.Unlock()
+	if cut {
+		return context.DeadlineExceeded
+	}
+	_, err = handler(ctx, hostName(h.self), data)
+	return err
+}
+
+func (h *host) Handle(method string, handler tamarackknot.PeerHandler) {
+	h.net.handlers[hostName(h.self)+method] = handler
+}
+
+func (h *host) Self() tamarackknot.Member { return h.List()[h.self] }
+
+func (h *host) List() []tamarackknot.Member {
+	list := make([]tamarackknot.Member, h.hosts)
+	for i := range list {
+		list[i] = tamarackknot.Member{Host: tamarackknot.Host{Name: hostName(i)}, Status: tamarackknot.MemberAlive}
+	}
+	return list
+}
+
+func (h *host) Planner(string) string                        { return "" }
+func (h *host) Ended(tamarackknot.Process) (time.Time, bool) { return time.Time{}, false }
+func (h *host) Spread(s tamarackknot.EndpointSign)           { h.signs = append(h.signs, s) }
+
+func (h *host) Order(context.Context, string, tamarackknot.Order) tamarackknot.OrderResult {
+	return tamarackknot.OrderResult{}
+}
+
+func (h *host) Report(_ context.Context, address string) (tamarackknot.Report, error) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	h.net.polls[address]++
+	return h.net.report(address)
+}
+
+// inBubble starts the tables of n hosts for the given endpoints.
+func inBubble(t *testing.T, n, endpoints int, fn func(net *network, hosts []*host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := journaltest.NewStore()
+		for i := range endpoints {
+			name := fmt.Sprintf("e%d", i)
+			store.Apply(&tamarackknot.Resource{
+				Kind: tamarackknot.KindEndpoint, Metadata: tamarackknot.Metadata{Name: name},
+				Endpoint: &tamarackknot.EndpointSpec{Address: name, Slots: 4},
+			})
+		}
+		store.Apply(&tamarackknot.Resource{
+			Kind: tamarackknot.KindEndpoint, Metadata: tamarackknot.Metadata{Name: "app"},
+			Endpoint: &tamarackknot.EndpointSpec{Address: "app", Slots: 4, Service: "book"},
+		})
+		net := &network{
+			t:        t,
+			handlers: map[string]tamarackknot.PeerHandler{}, cut: map[string]bool{}, polls: map[string]int{},
+			report: func(string) (tamarackknot.Report, error) {
+				return tamarackknot.Report{Time: time.Now(), Running: 3}, nil
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		var hosts []*host
+		for i := range n {
+			h := &host{net: net, self: i, hosts: n}
+			h.table = New(Config{Journal: &journaltest.Journal{Store: store}, Engine: h, Members: h, Peers: h, Spread: h.Spread})
+			hosts = append(hosts, h)
+		}
+		for _, h := range hosts {
+			wg.Go(func() { h.table.Run(ctx) })
+		}
+		defer func() {
+			cancel()
+			wg.Wait()
+		}()
+		fn(net, hosts)
+	})
+}
+
+func (n *network) reset() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.polls, n.messages = map[string]int{}, 0
+}
+
+// TestPollTraffic guards against report traffic at an endpoint that grows with
+// the entry hosts, and against hosts that get no reports.
+func TestPollTraffic(t *testing.T) {
+	inBubble(t, 20, 30, func(net *network, hosts []*host) {
+		t := net.t
+		time.Sleep(5500 * time.Millisecond)
+		net.reset()
+		time.Sleep(10 * time.Second)
+		net.mu.Lock()
+		defer net.mu.Unlock()
+		require.Zero(t, net.polls["app"], "plain services have no reports")
+		for i := range 30 {
+			name := fmt.Sprintf("e%d", i)
+			require.Equal(t, 10*pollersPerEndpoint, net.polls[name], name)
+			for _, h := range hosts {
+				r, ok := h.table.Report(name)
+				require.True(t, ok)
+				require.Equal(t, 3, r.Running)
+			}
+		}
+		require.LessOrEqual(t, net.messages, 10*20*19)
+	})
+}
+
+// TestPollAlone guards against a host that its peers cannot reach and that
+// would route by old reports.
+func TestPollAlone(t *testing.T) {
+	inBubble(t, 10, 5, func(net *network, hosts []*host) {
+		t := net.t
+		time.Sleep(5500 * time.Millisecond)
+		net.mu.Lock()
+		net.cut[hostName(0)] = true
+		net.report = func(string) (tamarackknot.Report, error) {
+			return tamarackknot.Report{Time: time.Now(), Running: 1}, nil
+		}
+		net.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		for i := range 5 {
+			r, _ := hosts[0].table.Report(fmt.Sprintf("e%d", i))
+			require.Equal(t, 1, r.Running)
+		}
+	})
+}
+
+// TestSigns guards against a leaving endpoint that is still used, one that is
+// lost for good, and signs that are spread more than once or for a fault that
+// lies at this host.
+func TestSigns(t *testing.T) {
+	tests := map[string]struct {
+		report func() (tamarackknot.Report, error)
+		reason string
+		spread bool
+		// back is how long after the end of the cause the endpoint is used again.
+		back time.Duration
+	}{
+		"leaving": {
+			report: func() (tamarackknot.Report, error) {
+				return tamarackknot.Report{Time: time.Now(), Leaving: true}, nil
+			},
+			reason: "report", spread: true, back: leavingTime,
+		},
+		"refused": {
+			report: func() (tamarackknot.Report, error) { return tamarackknot.Report{}, syscall.ECONNREFUSED },
+			reason: "connectionRefused", spread: true, back: refusedTime,
+		},
+		"no report": {
+			report: func() (tamarackknot.Report, error) { return tamarackknot.Report{}, errors.New("timeout") },
+			reason: reasonNoReport, back: time.Second,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 1, 1, func(net *network, hosts []*host) {
+				t := net.t
+				h := hosts[0]
+				time.Sleep(1500 * time.Millisecond)
+				require.False(t, h.table.Unreachable("e0"))
+				good := net.report
+				net.mu.Lock()
+				net.report = func(string) (tamarackknot.Report, error) { return tt.report() }
+				net.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				require.True(t, h.table.Unreachable("e0"))
+				e, _ := h.table.Get("e0")
+				require.False(t, e.Available(time.Now()))
+				require.Equal(t, tt.reason, e.sign.Reason)
+				if tt.spread {
+					require.Len(t, h.signs, 1)
+				} else {
+					require.Empty(t, h.signs)
+				}
+				net.mu.Lock()
+				net.report = good
+				net.mu.Unlock()
+				time.Sleep(tt.back)
+				require.False(t, h.table.Unreachable("e0"))
+			})
+		})
+	}
+}
+
+// TestSlots guards against more requests at an endpoint than it has slots for,
+// and against the requests of this host being counted twice.
+func TestSlots(t *testing.T) {
+	inBubble(t, 1, 1, func(net *network, hosts []*host) {
+		t := net.t
+		time.Sleep(100 * time.Millisecond)
+		e, _ := hosts[0].table.Get("e0")
+		require.True(t, e.TryStart())
+		require.True(t, e.TryStart())
+		time.Sleep(1500 * time.Millisecond) // reports 3 running, 2 of them from here
+		own, others, _ := e.Load()
+		require.EqualValues(t, 2, own)
+		require.EqualValues(t, 1, others)
+		require.True(t, e.TryStart())
+		require.False(t, e.TryStart())
+		for range 3 {
+			e.Done()
+		}
+		require.Panics(t, e.Done)
+	})
+}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -165,26 +166,43 @@
 
 // review rejects the requests of a queue that will not be served in time.
 func (r *Router) review(t *target, now time.Time) {
-	var late []*waiter
-	var rejs []Rejection
-	for _, w := range t.queue {
-		if rej := r.hopeless(t, w, now); rej != nil {
-			late, rejs = append(late, w), append(rejs, *rej)
+	order := slices.Clone(t.queue)
+	slices.SortFunc(order, func(a, b *waiter) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	f := r.forecast(t)
+	for ahead, w := range order {
+		if rej := t.hopeless(w, ahead, f, now); rej != nil {
+			r.reject(t, w, *rej)
 		}
-	}
-	for i, w := range late {
-		r.reject(t, w, rejs[i])
 	}
 	r.tell(t)
 }
 
+func (r *Router) forecast(t *target) tamarackknot.Forecast {
+	if t.key.Service != "" {
+		return tamarackknot.Forecast{}
+	}
+	return r.cfg.Placement.Forecast(t.key.Model)
+}
+
+// ahead is the number of queued requests that come before w.
+func (t *target) ahead(w *waiter) int {
+	n := 0
+	for _, o := range t.queue {
+		if o.before(w) {
+			n++
+		}
+	}
+	return n
+}
+
 // hopeless returns a rejection if a queued request is not expected to be
 // served by its deadline.
-func (r *Router) hopeless(t *target, w *waiter, now time.Time) *Rejection {
-	var f tamarackknot.Forecast
-	if t.key.Service == "" {
-		f = r.cfg.Placement.Forecast(t.key.Model)
-	}
+func (t *target) hopeless(w *waiter, ahead int, f tamarackknot.Forecast, now time.Time) *Rejection {
 	slots := t.slots(w.req.Version, now)
 	if slots == 0 {
 		switch {
@@ -202,12 +220,6 @@
 	if held == 0 {
 		return nil
 	}
-	ahead := 0
-	for _, o := range t.queue {
-		if o.before(w) {
-			ahead++
-		}
-	}
 	ready := now.Add(time.Duration(int64(ahead+1) * held / slots))
 	if !ready.After(w.req.Deadline) || (!f.ReadyAt.IsZero() && !f.ReadyAt.After(w.req.Deadline)) {
 		return nil
--- a/routing/router.go
+++ b/routing/router.go
@@ -289,7 +289,7 @@
 	if w.pos < 0 {
 		return nil
 	}
-	if rej := r.hopeless(t, w, now); rej != nil {
+	if rej := t.hopeless(w, t.ahead(w), r.forecast(t), now); rej != nil {
 		r.reject(t, w, *rej)
 		r.tell(t)
 	}
