--- a/caller/traps_test.go
+++ b/caller/traps_test.go
@@ -86,11 +86,12 @@
 			inBubble(t, 1, func(b *bed) {
 				t := b.t
 				var runs atomic.Int64
-				var broken atomic.Bool
+				var broken, kept atomic.Bool
 				b.addService("book", http.MethodGet)
 				b.addEndpoint("app", "book", 100, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if broken.Load() {
 						runs.Add(1)
+						kept.Store(!r.Close)
 						raw("").ServeHTTP(w, r)
 						return
 					}
@@ -111,6 +112,7 @@
 				require.Equal(t, http.StatusBadGateway, a.status, a.body)
 				require.Equal(t, RunUnknown, a.run(t))
 				require.Equal(t, tt.runs, runs.Load())
+				require.Equal(t, tt.runs > 1, kept.Load(), "a request that is sent once has its own connection")
 			})
 		})
 	}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -88,12 +88,14 @@
 	t.waiting.Store(int64(len(t.queue)))
 	r.waiting[t] = true
 	r.anyWaiting.Store(true)
+	r.untold[t] = true
 }
 
 func (r *Router) remove(t *target, w *waiter) {
 	heap.Remove(&t.queue, w.pos)
 	r.queued--
 	t.waiting.Store(int64(len(t.queue)))
+	r.untold[t] = true
 	if len(t.queue) == 0 {
 		delete(r.waiting, t)
 		r.anyWaiting.Store(len(r.waiting) > 0)
@@ -111,12 +113,12 @@
 		r.remove(t, w)
 		w.answer <- answer{grant: r.grant(t, c, now), choice: c}
 	}
-	r.tell(t)
 }
 
 // dispatchFreed grants a slot freed on an endpoint to the first in order of
 // all requests that wait for a target there.
 func (r *Router) dispatchFreed(name string, now time.Time) {
+	defer r.tell()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.index.endpoints[name]
@@ -134,11 +136,32 @@
 	}
 }
 
-// tell sends the demand for a target to placement if it has changed.
-func (r *Router) tell(t *target) {
-	if t.key.Service != "" {
-		return
+// tell sends the demand that has changed to placement. It must be called
+// without Router.mu and outside Journal.Read: placement may read the journal,
+// and a read that waits behind a writer would wait for this goroutine.
+func (r *Router) tell() {
+	r.tellMu.Lock()
+	defer r.tellMu.Unlock()
+	for _, d := range r.takeUntold() {
+		r.cfg.Placement.Want(d)
 	}
+}
+
+func (r *Router) takeUntold() []tamarackknot.Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []tamarackknot.Demand
+	for t := range r.untold {
+		delete(r.untold, t)
+		if d := t.demand(); t.key.Service == "" && d != t.told {
+			t.told = d
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+func (t *target) demand() tamarackknot.Demand {
 	d := tamarackknot.Demand{Target: t.key.Model, Waiting: len(t.queue)}
 	for _, w := range t.queue {
 		if d.Earliest.IsZero() || w.req.Deadline.Before(d.Earliest) {
@@ -146,10 +169,7 @@
 		}
 		d.Priority = max(d.Priority, w.req.Priority)
 	}
-	if d != t.told {
-		t.told = d
-		r.cfg.Placement.Want(d)
-	}
+	return d
 }
 
 func (r *Router) reject(t *target, w *waiter, rej Rejection) {
@@ -161,11 +181,15 @@
 	for len(t.queue) > 0 {
 		r.reject(t, t.queue[0], rej)
 	}
-	r.tell(t)
 }
 
-// review rejects the requests of a queue that will not be served in time.
-func (r *Router) review(t *target, now time.Time) {
+// review serves a queue as far as possible and rejects the requests that will
+// not be served in time.
+func (r *Router) review(t *target, f tamarackknot.Forecast) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.dispatch(t, now)
 	order := slices.Clone(t.queue)
 	slices.SortFunc(order, func(a, b *waiter) int {
 		if a.before(b) {
@@ -173,15 +197,14 @@
 		}
 		return 1
 	})
-	f := r.forecast(t)
 	for ahead, w := range order {
 		if rej := t.hopeless(w, ahead, f, now); rej != nil {
 			r.reject(t, w, *rej)
 		}
 	}
-	r.tell(t)
 }
 
+// forecast asks placement; like tell it must be called without Router.mu.
 func (r *Router) forecast(t *target) tamarackknot.Forecast {
 	if t.key.Service != "" {
 		return tamarackknot.Forecast{}
--- a/routing/router.go
+++ b/routing/router.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +40,8 @@
 type Config struct {
 	Journal tamarackknot.Journal
 	Table   *endpoint.Table
-	// Placement is called with an internal lock held and must not call back.
+	// Placement is called from the goroutines of requests and must not call
+	// the router back.
 	Placement tamarackknot.Placement
 	// FailureDomain of this host.
 	FailureDomain string
@@ -114,9 +117,15 @@
 	targetsMu sync.RWMutex
 	targets   map[Key]*target
 
+	// tellMu keeps calls of Placement.Want in order. It is taken before mu.
+	tellMu sync.Mutex
+
+	// mu may be taken within Journal.Read, so that nothing may read the journal
+	// while it is held.
 	mu      sync.Mutex
 	index   index
 	waiting map[*target]bool
+	untold  map[*target]bool // whose demand may have changed
 	queued  int
 	seq     uint64
 	stopped bool
@@ -134,6 +143,7 @@
 		cfg:     cfg,
 		targets: map[Key]*target{},
 		waiting: map[*target]bool{},
+		untold:  map[*target]bool{},
 		index:   index{endpoints: map[string]*placed{}},
 	}
 }
@@ -147,6 +157,7 @@
 	for {
 		changed := r.cfg.Journal.Changed()
 		r.cfg.Journal.Read(r.sync)
+		r.tell()
 		select {
 		case <-ctx.Done():
 			return
@@ -176,6 +187,7 @@
 }
 
 func (r *Router) stop() {
+	defer r.tell()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stopped = true
@@ -189,12 +201,12 @@
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	for t := range r.waiting {
-		r.dispatch(t, now)
-		r.review(t, now)
+	targets := slices.Collect(maps.Keys(r.waiting))
+	r.mu.Unlock()
+	for _, t := range targets {
+		r.review(t, r.forecast(t))
 	}
+	r.tell()
 }
 
 func (r *Router) target(k Key) *target {
@@ -267,7 +279,26 @@
 	return a.grant, nil
 }
 
+// enqueue queues a request, unless a bound is reached, and rejects it if it
+// will not be served in time. Placement is told of it before it is asked.
 func (r *Router) enqueue(t *target, w *waiter, now time.Time) *Rejection {
+	if rej := r.pushBounded(t, w, now); rej != nil {
+		return rej
+	}
+	r.tell()
+	f := r.forecast(t)
+	r.mu.Lock()
+	if w.pos >= 0 {
+		if rej := t.hopeless(w, t.ahead(w), f, now); rej != nil {
+			r.reject(t, w, *rej)
+		}
+	}
+	r.mu.Unlock()
+	r.tell()
+	return nil
+}
+
+func (r *Router) pushBounded(t *target, w *waiter, now time.Time) *Rejection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -286,13 +317,6 @@
 	}
 	r.push(t, w)
 	r.dispatch(t, now)
-	if w.pos < 0 {
-		return nil
-	}
-	if rej := t.hopeless(w, t.ahead(w), r.forecast(t), now); rej != nil {
-		r.reject(t, w, *rej)
-		r.tell(t)
-	}
 	return nil
 }
 
@@ -310,9 +334,9 @@
 	r.mu.Lock()
 	if w.pos >= 0 {
 		r.remove(t, w)
-		r.tell(t)
 	}
 	r.mu.Unlock()
+	r.tell()
 	select {
 	case a := <-w.answer:
 		// Answered while giving up; the user of the grant checks the deadline.
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -284,6 +285,62 @@
 	require.Equal(t, "e2", choose(req), "sign of a peer; only a tried endpoint is left")
 }
 
+// reading is a placement that reads the journal in every call.
+type reading struct {
+	journaltest.Placement
+	journal tamarackknot.Journal
+}
+
+func (p *reading) Want(d tamarackknot.Demand) {
+	p.journal.Read(func(tamarackknot.State) {})
+	p.Placement.Want(d)
+}
+
+func (p *reading) Forecast(target string) tamarackknot.Forecast {
+	p.journal.Read(func(tamarackknot.State) {})
+	return p.Placement.Forecast(target)
+}
+
+// TestPlacementReadsJournal guards against a deadlock between the router, a
+// placement that reads the journal and a writer of the journal.
+func TestPlacementReadsJournal(t *testing.T) {
+	b := newBed(Config{})
+	b.store.Apply(model("m", "1"), place("e1", 1))
+	placement := &reading{journal: b.router.cfg.Journal}
+	b.router.cfg.Placement = placement
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { b.router.Run(ctx) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			b.store.Place("m", "e1", tamarackknot.ReplicaLoaded)
+			time.Sleep(100 * time.Microsecond)
+			b.store.Place("m", "e1", tamarackknot.ReplicaUnloading)
+		}
+	})
+	for range 8 {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				if g, rej := b.router.Acquire(ctx, request(5, 20*time.Millisecond)); rej == nil {
+					g.Release()
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "deadlock")
+	}
+	require.Zero(t, placement.Demand("m").Waiting)
+}
+
 // TestRetryBudget guards against retries that multiply the load.
 func TestRetryBudget(t *testing.T) {
 	b := newBed(Config{})
