Do not refute a suspicion with a heartbeat that is as old

Cause: TestScale/770 took 14.8 s (bound 14 s) and 13.2 s until all hosts suspected a killed member: it had answered one host after its last round, and that host refuted the watchers' suspicion with this newer, equally old heartbeat, so the watchers had to suspect the member a second time.

Change: a host accepts a suspicion based on a heartbeat up to 1.5 s older than the one it knows if that one is itself 3 s old.

Ruled out: accepting any older suspicion; copies of a refuted suspicion that still circulate would accuse a live member again and again.

TestSuspicionOfOlderHeartbeat covers the rule.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -405,10 +405,7 @@
 		changed = true
 		m.cfg.Logger.Info("member started", "host", u.Host, "incarnation", u.Incarnation)
 	case u.Beat < mb.beat:
-		// The sender missed newer heartbeats; telling others refutes it.
-		if u.Fault != faultNone && mb.fault == faultNone && mb.sends == 0 {
-			m.markChanged(mb, now)
-		}
+		m.mergeOlder(mb, u, now)
 		return
 	}
 	m.locate(mb, u.Details)
@@ -429,6 +426,24 @@
 	}
 }
 
+// mergeOlder takes in a state older than the one known. Such a suspicion is
+// refuted by telling the others the newer heartbeat, unless that one is little
+// newer and as long ago as the suspicion requires: a member that ended just
+// after it had answered one host would otherwise be suspected twice in a row.
+func (m *Membership) mergeOlder(mb *member, u *update, now time.Time) {
+	if u.Fault == faultNone || mb.fault != faultNone {
+		return
+	}
+	newerBy := time.Duration(mb.beat-u.Beat) * time.Microsecond
+	switch {
+	case newerBy < suspectAfter/2 && now.Sub(mb.heardAt()) >= suspectAfter:
+		mb.setFault(faultSuspect, now)
+		m.markChanged(mb, now)
+	case mb.sends == 0:
+		m.markChanged(mb, now)
+	}
+}
+
 // apply copies a state that is at least as new and reports whether something
 // changed that the others must hear of soon.
 func (m *Membership) apply(mb *member, u *update, now time.Time) bool {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -439,6 +439,35 @@
 	})
 }
 
+// TestSuspicionOfOlderHeartbeat guards against a dead member that is taken for
+// alive again because one host heard it last, and against an old suspicion
+// that a newer heartbeat refuted.
+func TestSuspicionOfOlderHeartbeat(t *testing.T) {
+	tests := map[string]struct {
+		wait, older time.Duration
+		want        fault
+	}{
+		"heard last":   {4 * time.Second, time.Second, faultSuspect},
+		"just heard":   {2 * time.Second, time.Second, faultNone},
+		"long refuted": {4 * time.Second, 3 * time.Second, faultNone},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, err := New(Config{Host: tamarackknot.Host{Name: "a"}, Incarnation: uuid.Must(uuid.NewV7()).String(), Peers: discard{}})
+				require.NoError(t, err)
+				u := update{Host: "b", Incarnation: uuid.Must(uuid.NewV7()), Beat: uint64(time.Minute / time.Microsecond)}
+				m.merge(&u, time.Now(), time.Time{}, true)
+				time.Sleep(test.wait)
+				u.Beat -= uint64(test.older / time.Microsecond)
+				u.Fault = faultSuspect
+				m.merge(&u, time.Now(), time.Time{}, false)
+				require.Equal(t, test.want, m.members["b"].fault)
+			})
+		})
+	}
+}
+
 // TestSuperseded guards against two processes of one host that both serve.
 func TestSuperseded(t *testing.T) {
 	withNetwork(t, 3, func(t *testing.T, net *network) {
