Buffer writes in fake.Network

Cause: a writer that waits for its peer in net.Pipe may hold a lock (jsonrpc2 does); goroutines that wait for a mutex keep the clock of synctest from advancing, so a run with a cut between hosts never ended. Change: a connection carries its writes from a buffer in its own goroutine. Ruled out: a spin as in the demand fault; the stack showed a mutex.

--- a/fake/network.go
+++ b/fake/network.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -41,8 +40,8 @@
 	return &NetworkHost{net: n, name: name}
 }
 
-// Cut stops or restores what one host sends to another. Like packets that are
-// lost, data waits and connections stay open.
+// Cut stops or restores what one host sends to another. As with lost packets,
+// data waits and connections stay open.
 func (n *Network) Cut(from, to string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -69,7 +68,7 @@
 	}
 	n.mu.Unlock()
 	for _, c := range conns {
-		_ = c.Close()
+		c.abort()
 	}
 }
 
@@ -115,7 +114,8 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
-	_, _ = mine.Close(), theirs.Close()
+	mine.abort()
+	theirs.abort()
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 }
 
@@ -145,10 +145,11 @@
 }
 
 func (n *Network) wrap(c net.Conn, d direction) *networkConn {
-	w := &networkConn{Conn: c, net: n, dir: d, done: make(chan struct{})}
+	w := &networkConn{Conn: c, net: n, dir: d, ready: make(chan struct{}, 1), broken: make(chan struct{})}
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.conns[w] = struct{}{}
+	n.mu.Unlock()
+	go w.run()
 	return w
 }
 
@@ -192,77 +193,117 @@
 // Addr implements net.Listener.
 func (l *networkListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
 
+// networkConn buffers what is written, as a kernel does: a writer that waited
+// for its peer while it holds a lock would stop the clock of synctest.
 type networkConn struct {
 	net.Conn
-	net  *Network
-	dir  direction
-	once sync.Once
-	done chan struct{}
+	net *Network
+	dir direction
+	// ready has an element if buf or closed has changed.
+	ready chan struct{}
+	// broken is closed when the connection is cut off without flushing.
+	broken    chan struct{}
+	breakOnce sync.Once
 
-	mu       sync.Mutex
-	deadline time.Time
+	mu     sync.Mutex
+	buf    []byte
+	closed bool
+	err    error // of an earlier write
 }
 
-// Write implements net.Conn. During a cut it waits.
+// Write implements net.Conn. It never waits.
 func (c *networkConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	c.buf = append(c.buf, b...)
+	c.signal()
+	return len(b), nil
+}
+
+func (c *networkConn) signal() {
+	select {
+	case c.ready <- struct{}{}:
+	default:
+	}
+}
+
+// run carries the buffer to the other side, except during a cut.
+func (c *networkConn) run() {
+	defer func() {
+		_ = c.Conn.Close()
+		c.net.mu.Lock()
+		delete(c.net.conns, c)
+		c.net.mu.Unlock()
+	}()
+	for {
+		select {
+		case <-c.ready:
+		case <-c.broken:
+			return
+		}
+		c.mu.Lock()
+		data, closed := c.buf, c.closed
+		c.buf = nil
+		c.mu.Unlock()
+		if len(data) > 0 && !c.carry(data) {
+			return
+		}
+		if closed {
+			return
+		}
+	}
+}
+
+// carry writes data once the direction is open; it returns false if the
+// connection is broken.
+func (c *networkConn) carry(data []byte) bool {
 	for {
 		c.net.mu.Lock()
 		cut, changed := c.net.cuts[c.dir], c.net.changed
 		c.net.mu.Unlock()
 		if !cut {
-			return c.Conn.Write(b)
+			break
 		}
-		if err := c.wait(changed); err != nil {
-			return 0, err
+		select {
+		case <-changed:
+		case <-c.broken:
+			return false
 		}
 	}
+	_, err := c.Conn.Write(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.err = err
+	return err == nil
 }
 
-func (c *networkConn) wait(changed <-chan struct{}) error {
+// Close implements net.Conn. What is buffered is still carried.
+func (c *networkConn) Close() error {
 	c.mu.Lock()
-	deadline := c.deadline
-	c.mu.Unlock()
-	var expired <-chan time.Time
-	if !deadline.IsZero() {
-		t := time.NewTimer(time.Until(deadline))
-		defer t.Stop()
-		expired = t.C
-	}
-	select {
-	case <-changed:
-		return nil
-	case <-c.done:
+	defer c.mu.Unlock()
+	if c.closed {
 		return net.ErrClosed
-	case <-expired:
-		return os.ErrDeadlineExceeded
 	}
+	c.closed = true
+	c.signal()
+	// Ends a pending Read of this side.
+	return c.SetReadDeadline(time.Unix(1, 0))
 }
 
-// Close implements net.Conn.
-func (c *networkConn) Close() error {
-	c.once.Do(func() {
-		close(c.done)
-		c.net.mu.Lock()
-		delete(c.net.conns, c)
-		c.net.mu.Unlock()
-	})
-	return c.Conn.Close()
+// abort breaks the connection at once, as the loss of a host does.
+func (c *networkConn) abort() {
+	c.breakOnce.Do(func() { close(c.broken) })
+	_ = c.Conn.Close()
 }
 
-// SetDeadline implements net.Conn.
-func (c *networkConn) SetDeadline(t time.Time) error {
-	c.setWriteDeadline(t)
-	return c.Conn.SetDeadline(t)
-}
+// SetDeadline implements net.Conn; writes need none.
+func (c *networkConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
 // SetWriteDeadline implements net.Conn.
-func (c *networkConn) SetWriteDeadline(t time.Time) error {
-	c.setWriteDeadline(t)
-	return c.Conn.SetWriteDeadline(t)
-}
-
-func (c *networkConn) setWriteDeadline(t time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = t
-}
+func (c *networkConn) SetWriteDeadline(time.Time) error { return nil }
