Start a daemon in the test only when its addresses are free

Cause: a replacement was started while the old process still drained on the same addresses, which no host does. Conclusion: the check is unchanged; the step is only taken where it can happen.

--- a/entry/daemon/system_test.go
+++ b/entry/daemon/system_test.go
@@ -133,7 +133,7 @@
 	case "kill":
 		r.kill(host)
 	case "start":
-		if r.node(host) == nil {
+		if r.node(host) == nil && !r.draining(host) {
 			r.start(host)
 		}
 	case "term":
@@ -237,22 +237,24 @@
 			n.log.SetFaults(fake.LogFaults{})
 			continue
 		}
-		r.waitEnd(i)
+		for r.draining(i) {
+			time.Sleep(time.Second)
+		}
 		r.start(i)
 	}
 }
 
-// waitEnd waits until the address of host i is free again.
-func (r *run) waitEnd(i int) {
+// draining reports whether a process still has the addresses of host i.
+func (r *run) draining(i int) bool {
 	r.cluster.mu.Lock()
 	all := r.all
 	r.cluster.mu.Unlock()
 	for _, n := range all {
-		if n.index == i && n.killedAt().IsZero() {
-			err := <-n.done
-			n.done <- err
+		if n.index == i && n.killedAt().IsZero() && len(n.done) == 0 {
+			return true
 		}
 	}
+	return false
 }
 
 // recover calls every target until all are served, and returns how long that
