--- a/journal/journal.go
+++ b/journal/journal.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	readLimit      = 64                     // records per page; a snapshot chunk has up to 180 KB
-	pollTime       = 4 * time.Second        // below half of staleAfter, so that an idle log counts as contact
+	readLimit = 64 // records per page; a snapshot chunk has up to 180 KB
+	// A long poll, its timeout and some calls to peers must fit into
+	// staleAfter: with a poll of 4 s hosts of a log that hung were stale for a
+	// moment and refused to write a bridge afterwards.
+	pollTime       = 3 * time.Second
 	readTimeout    = pollTime + time.Second // a log that does not answer is down
 	tickTime       = time.Second
 	staleAfter     = 10 * time.Second
@@ -91,13 +94,19 @@
 	waiting map[string]*proposal
 
 	// The fields below belong to loop.
-	complete    bool // the ledger is the state at its offset
-	readyAt     tamarackknot.Offset
-	ring        ring
-	reading     bool
-	fetching    bool
-	recovering  bool
-	failures    int // consecutive recoveries
+	complete   bool // the ledger is the state at its offset
+	readyAt    tamarackknot.Offset
+	ring       ring
+	reading    bool
+	fetching   bool
+	recovering bool
+	failures   int // consecutive recoveries
+	// contactHosts are the other hosts that were listed when the log last
+	// continued the state.
+	contactHosts []string
+	// lapsed says that this host has been stale since then.
+	lapsed      bool
+	readySince  time.Time // when the state became ready
 	encoded     stateResult
 	writing     bool // a snapshot is being written
 	snapshotDue time.Time
@@ -366,6 +375,7 @@
 		case fn := <-j.requests:
 			fn()
 		case <-ticker.C:
+			j.lapsed = j.lapsed || j.Status().Stale
 			j.fetchFromPeers()
 		}
 		j.maybeSnapshot()
@@ -417,7 +427,7 @@
 	j.mu.Lock()
 	j.status.LogContact = time.Now()
 	j.mu.Unlock()
-	j.failures = 0
+	j.contactHosts, j.lapsed, j.failures = j.others(), false, 0
 	j.applyRecords(p.page.Records)
 }
 
@@ -466,6 +476,7 @@
 	j.maxApplied = max(j.maxApplied, applied)
 	if !j.status.Ready && j.complete && applied >= j.readyAt {
 		j.status.Ready = true
+		j.readySince = time.Now()
 		changed = true
 		j.log.Info("state is ready", "applied", applied)
 	}
--- a/journal/peers.go
+++ b/journal/peers.go
@@ -44,6 +44,11 @@
 type peerHead struct {
 	Ready   bool                `json:"ready"`
 	Applied tamarackknot.Offset `json:"applied"`
+	// ReadyFor is the time since the process became ready.
+	ReadyFor time.Duration `json:"readyFor"`
+	// Lapsed says that the peer has been stale since the log last continued
+	// its state.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 type stateParams struct {
@@ -62,7 +67,11 @@
 }
 
 func (j *Journal) head() peerHead {
-	return peerHead{Ready: j.complete && j.isReady(), Applied: j.ledger.Applied()}
+	h := peerHead{Ready: j.complete && j.isReady(), Applied: j.ledger.Applied(), Lapsed: j.lapsed}
+	if h.Ready {
+		h.ReadyFor = time.Since(j.readySince)
+	}
+	return h
 }
 
 func (j *Journal) handleRecords(ctx context.Context, _ string, params json.RawMessage) (any, error) {
@@ -120,7 +129,10 @@
 }
 
 func (j *Journal) fetchFromPeers() {
-	if j.logUp() || j.recovering || j.fetching {
+	j.mu.RLock()
+	contact := time.Since(j.status.LogContact) <= readTimeout
+	j.mu.RUnlock()
+	if j.logUp() && contact || j.fetching {
 		return
 	}
 	peers := j.others()
--- a/journal/recovery.go
+++ b/journal/recovery.go
@@ -40,21 +40,33 @@
 //
 // When records expired before any host read them, nobody has a usable state.
 // Then a host writes a bridge: a snapshot of its state that claims to cover
-// the lost records. It does so only after every listed entry host has answered
-// that it has no newer state, because otherwise accepted changes could be
-// undone. All hosts go on from the first complete bridge in the log.
+// the lost records. Accepted changes would be undone if a process had read the
+// lost records, so a host writes a bridge only if
+//   - every listed entry host answers that it has no newer state, and
+//   - either this host was never stale since the log last continued its state,
+//     or all processes that were listed then still run, so that nobody can have
+//     read the lost records and ended.
+//
+// All hosts go on from the first complete bridge in the log.
 type recovery struct {
 	j     *Journal
 	has   bool                // there is an own state
 	own   tamarackknot.Offset // offset of the own state
 	first tamarackknot.Offset // of the log; 0 if it cannot be read
 	delay time.Duration
+	// contact, contactHosts and lapsed describe the last contact with the log.
+	contact      time.Time
+	contactHosts []string
+	lapsed       bool
 
-	state   *ledger.Ledger // nil if none was found
-	readyAt tamarackknot.Offset
-	source  string
-	bridge  bool
-	err     error
+	state *ledger.Ledger // nil if none was found
+	// stateLapsed says that the state is that of a lapsed peer.
+	stateLapsed bool
+	readyAt     tamarackknot.Offset
+	source      string
+	peer        bool // the state is that of a peer
+	bridge      bool
+	err         error
 }
 
 // recover begins a recovery; page is zero if the log cannot be read.
@@ -63,7 +75,10 @@
 		return
 	}
 	j.recovering = true
-	r := &recovery{j: j, has: j.complete, own: j.ledger.Applied(), first: page.First}
+	r := &recovery{
+		j: j, has: j.complete, own: j.ledger.Applied(), first: page.First,
+		contact: j.Status().LogContact, contactHosts: j.contactHosts, lapsed: j.lapsed,
+	}
 	if j.failures > 0 {
 		r.delay = min(time.Duration(j.failures)*tickTime, maxRecoveryDelay)/2 + rand.N(tickTime)
 	}
@@ -80,6 +95,14 @@
 	if r.state == nil || j.complete && r.state.Applied() <= j.ledger.Applied() {
 		return
 	}
+	j.lapsed = r.stateLapsed
+	j.mu.Lock()
+	if r.peer {
+		j.status.PeerContact = time.Now()
+	} else {
+		j.status.LogContact = time.Now()
+	}
+	j.mu.Unlock()
 	j.replace(r.state, r.readyAt, r.source)
 	if r.bridge {
 		j.snapshotFrom = max(j.snapshotFrom, r.state.Applied())
@@ -136,7 +159,7 @@
 }
 
 // fromPeers takes the newest state of the peers. Without one it reports
-// whether all listed peers say that they have no newer state.
+// whether no process can have a newer one.
 func (r *recovery) fromPeers(ctx context.Context) (newest bool, err error) {
 	peers := r.j.others()
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
@@ -146,7 +169,7 @@
 	}
 	p := &probe{j: r.j, after: r.own, heads: make(map[string]peerHead)}
 	p.run(ctx, peers)
-	newest = len(p.heads) == listed
+	newest = len(p.heads) == listed && r.nobodyEnded(p.heads)
 	peers = slices.DeleteFunc(peers, func(peer string) bool {
 		h := p.heads[peer]
 		return !h.Ready || r.has && h.Applied <= r.own
@@ -163,6 +186,23 @@
 	return newest, errNoState
 }
 
+// nobodyEnded reports whether no process can have read the lost records and
+// ended.
+func (r *recovery) nobodyEnded(heads map[string]peerHead) bool {
+	if !r.lapsed {
+		return true
+	}
+	if r.contact.IsZero() {
+		return false
+	}
+	for _, host := range r.contactHosts {
+		if h, ok := heads[host]; !ok || h.ReadyFor < time.Since(r.contact) {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *recovery) fromPeer(ctx context.Context, peer string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -181,7 +221,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "restore state of peer %q", peer)
 	}
-	r.state, r.readyAt, r.source = l, res.Applied, "peer "+peer
+	r.state, r.readyAt, r.source, r.stateLapsed = l, res.Applied, "peer "+peer, res.Lapsed
+	r.peer = true
 	return nil
 }
 
