--- a/journal/fuzz_test.go
+++ b/journal/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -159,7 +160,8 @@
 		w.faulty = true
 		time.Sleep(pause)
 	case "unread":
-		go func() { _ = w.apply(h, s.Name) }()
+		id, based := w.basis(h, s.Name)
+		go func() { _, _, _ = w.write(h, id, based) }()
 		time.Sleep(time.Duration(s.Name) * time.Millisecond)
 		w.fault(fake.LogFaults{ReadsDown: true}, pause)
 	case "wait":
@@ -229,14 +231,19 @@
 	return errors.Wrap(w.check(), "after the restart of all hosts")
 }
 
-func (w *world) apply(h *host, n int) error {
-	id := fmt.Sprint("r", n)
-	var basedOn tamarackknot.Offset
+// basis names a resource and the revision that a host shows.
+func (w *world) basis(h *host, n int) (id string, basedOn tamarackknot.Offset) {
+	id = fmt.Sprint("r", n)
 	h.Read(func(s tamarackknot.State) {
 		if r, ok := s.Resource(tamarackknot.KindDeployment, id); ok {
 			basedOn = r.Metadata.Revision
 		}
 	})
+	return id, basedOn
+}
+
+func (w *world) apply(h *host, n int) error {
+	id, basedOn := w.basis(h, n)
 	_, _, err := w.write(h, id, basedOn)
 	if err != nil || w.faulty {
 		return err
@@ -274,10 +281,22 @@
 	return out, true, nil
 }
 
+func (w *world) known() map[string]tamarackknot.Offset {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.accepted)
+}
+
+func (w *world) count(what string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counts[what]++
+}
+
 // race lets all hosts write on one revision at once.
 func (w *world) race(n int) error {
 	id := fmt.Sprint("r", n)
-	based := w.accepted[id]
+	based := w.known()[id]
 	var wg sync.WaitGroup
 	outs, errs := make([]tamarackknot.Outcome, 3), make([]error, 3)
 	for i := range 3 {
@@ -317,7 +336,7 @@
 	if err != nil || !out.Accepted {
 		return nil
 	}
-	w.counts["keys"]++
+	w.count("keys")
 	if w.keys[key]++; w.keys[key] > 1 {
 		return errors.Newf("key %s was accepted %d times", key, w.keys[key])
 	}
@@ -335,7 +354,7 @@
 		}
 	})
 	if out, err := propose(h, 3*time.Second, c); err == nil && out.Accepted {
-		w.counts["replicas"]++
+		w.count("replicas")
 	}
 }
 
@@ -343,7 +362,7 @@
 func (w *world) inForce() error {
 	time.Sleep(reachTime)
 	for n, h := range w.hosts {
-		for id, rev := range w.accepted {
+		for id, rev := range w.known() {
 			var shown tamarackknot.Offset
 			h.Read(func(s tamarackknot.State) {
 				if r, ok := s.Resource(tamarackknot.KindDeployment, id); ok {
@@ -390,7 +409,7 @@
 	if err := w.cluster.check(); err != nil {
 		return err
 	}
-	for id, rev := range w.accepted {
+	for id, rev := range w.known() {
 		for n, h := range w.hosts {
 			var shown tamarackknot.Offset
 			h.Read(func(s tamarackknot.State) {
