placement: add directed fault tests, unload and shutdown tests

Cause: variants of the controller without one of its rules passed the drawn faults: without orderSettleTime, and with the unload of a given-up load under the number of the load.

Change: directed sequences for these, a test that an unload does not cut off a running request, and one for the shutdown. A draining mark in the configuration counts at once instead of at the next look at the reports.

--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -86,7 +89,7 @@
 	}
 	defer c.close()
 	verdict, recovery := c.fuzz(steps)
-	if verdict != "" {
+	if verdict != "" || os.Getenv("PLACEMENT_TRACE_PASS") != "" {
 		trace.save(verdict)
 	}
 	return verdict, recovery
@@ -299,3 +302,150 @@
 		})
 	}
 }
+
+// TestDirectedFaults replays fault sequences that the drawn ones reach rarely.
+func TestDirectedFaults(t *testing.T) {
+	only := func(endpoint int) []fuzzStep { // drains all endpoints but one
+		var out []fuzzStep
+		for i := range testEndpoints() {
+			out = append(out, fuzzStep{kind: "drain", endpoint: i, n: min(1, max(0, 1-(i-endpoint)*(i-endpoint)))})
+		}
+		out[len(out)-1].wait = time.Second
+		return out
+	}
+	mute := func(endpoint int, kind string) []fuzzStep {
+		var out []fuzzStep
+		for h := range testHosts {
+			out = append(out, fuzzStep{kind: kind, host: h, endpoint: endpoint})
+		}
+		return out
+	}
+	tests := map[string][][]fuzzStep{
+		// A load that is on its way when its replica is given up must be
+		// rejected by the engine: the unload needs a new fencing number.
+		"delayed load after the reservation was given up": {
+			only(0),
+			{{kind: "delay", endpoint: 0, n: 9, mask: 1}},
+			mute(0, "mute"),
+			{{kind: "demand", target: 0, mask: 1, wait: 3 * time.Second}},
+			{{kind: "delay", endpoint: 0, mask: 1}, {kind: "limit", target: 0}},
+			mute(0, "heal"),
+			{{kind: "wait", wait: 6 * time.Second}},
+			only(1),
+			{{kind: "limit", target: 0, n: 1, wait: 45 * time.Second}},
+		},
+		// An endpoint without fencing carries out a delayed load of a process
+		// that has ended; the reservation must outlast it.
+		"delayed load of a killed issuer": {
+			only(1),
+			{{kind: "delay", endpoint: 1, n: 9, mask: 1}},
+			{{kind: "demand", target: 0, mask: 2, wait: 200 * time.Millisecond}, {kind: "kill", host: 0}},
+			{{kind: "delay", endpoint: 1, mask: 1}, {kind: "limit", target: 0, wait: 6 * time.Second}},
+			only(3),
+			{{kind: "limit", target: 0, n: 1, wait: 40 * time.Second}},
+		},
+		// A paused issuer sends its order after its replica was taken over.
+		"order of a paused issuer after the takeover": {
+			only(2),
+			{{kind: "demand", target: 2, mask: 2, wait: 100 * time.Millisecond}, {kind: "pause", wait: 15 * time.Second}},
+			{{kind: "limit", target: 2, wait: 15 * time.Second}},
+			only(0),
+			{{kind: "limit", target: 2, n: 1, wait: 15 * time.Second}},
+			{{kind: "resume", wait: 20 * time.Second}},
+		},
+		// The answers of all orders are lost for a while.
+		"lost answers": {
+			only(3),
+			{{kind: "delay", endpoint: 3, n: 3, mask: 2}},
+			{{kind: "demand", target: 0, mask: 7, wait: 25 * time.Second}},
+			{{kind: "version", target: 0, n: 5, wait: 15 * time.Second}},
+		},
+	}
+	for name, groups := range tests {
+		t.Run(name, func(t *testing.T) {
+			var verdict string
+			var recovery time.Duration
+			synctest.Test(t, func(t *testing.T) { verdict, recovery = runFuzz(t, slices.Concat(groups...)) })
+			require.Empty(t, verdict)
+			t.Logf("recovery %v", recovery)
+		})
+	}
+}
+
+// TestUnloadWaitsForRequests guards against an unload that cuts off a request
+// that was routed before the unload record arrived, and against routing to a
+// replica whose unload was ordered.
+func TestUnloadWaitsForRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context(), true)
+		defer c.close()
+		require.NoError(t, c.configure(0.5))
+		c.start(0)
+		c.sleep(time.Second)
+		c.want("m2", 1)
+		c.sleep(20 * time.Second)
+		endpoint := c.holder("m2")
+		var body string
+		c.wg.Go(func() {
+			r := httptest.NewRequestWithContext(c.ctx, http.MethodPost, "/v1/completions",
+				strings.NewReader(`{"model":"m2","prompt":"x","max_tokens":200,"stream":true}`)) // 10 s
+			w := httptest.NewRecorder()
+			c.engines[endpoint].ServeHTTP(w, r)
+			body = w.Body.String()
+		})
+		time.Sleep(time.Second)
+		c.do(fuzzStep{kind: "limit", target: 2, n: 0})
+		unloadAt := time.Now()
+		c.sleep(30 * time.Second)
+		require.True(t, strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]"), body)
+		events := c.history.Events()
+		last := events[len(events)-1]
+		require.False(t, last.Loaded)
+		require.Greater(t, last.Time.Sub(unloadAt), unloadGrace)
+	})
+}
+
+// holder is the endpoint that has a target loaded.
+func (c *cluster) holder(target string) string {
+	for name, e := range c.engines {
+		for _, l := range e.Loaded() {
+			if l.Name == target {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// TestDrain guards against a shutdown that reports to be idle while an order is
+// outstanding, or that proposes afterwards.
+func TestDrain(t *testing.T) {
+	for name, test := range map[string]struct {
+		deadline time.Duration
+		idle     bool
+	}{"order ends in time": {time.Minute, true}, "deadline first": {3 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t.Context(), true)
+				defer c.close()
+				require.NoError(t, c.configure(0.5))
+				c.start(0)
+				c.sleep(time.Second)
+				c.want("m0", 1)
+				c.sleep(time.Second)
+				ctl := c.process(0).ctl
+				begin := time.Now()
+				<-ctl.Drain(begin.Add(test.deadline))
+				require.Equal(t, test.idle, ctl.Idle())
+				require.LessOrEqual(t, time.Since(begin), test.deadline+idleInterval)
+				appends := c.log.Appends()
+				c.want("m1", 1)
+				c.sleep(20 * time.Second)
+				if test.idle {
+					require.Equal(t, appends, c.log.Appends())
+				}
+				require.Empty(t, c.holder("m1"))
+			})
+		})
+	}
+}
--- a/placement/mirror.go
+++ b/placement/mirror.go
@@ -77,6 +77,7 @@
 		clear(m.refresh)
 	})
 	if resources != nil {
+		c.reportAt = time.Time{} // a draining mark counts at once
 		for _, pl := range c.planners {
 			pl.configure(resources, now)
 		}
