placement: keep promised loads, protect long reloads from eviction, forecast overdue loads

Large models made up the tail of cold starts. The forecast of an overdue load was "now", because the expectation followed the load itself (TestPolicySlowStore).

Change: a target with rejected demand may evict until the promised time, after all targets with waiting requests. Eviction cost of loads above 10 s grows with their square. Overdue loads are expected to take half as long again.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,7 @@
 	spreadPenalty = 5.0 // seconds
 	// evictHorizon is how far ahead a call counts against an eviction.
 	evictHorizon = 300.0 // seconds
+	longReload   = 10.0  // seconds
 	// otherReplicaShare is the part of a cold start's cost that remains when
 	// another replica of the target serves.
 	otherReplicaShare = 0.2
@@ -276,7 +277,11 @@
 		return 0
 	}
 	age := now.Sub(lastActive(r)).Seconds()
-	cost := t.hist.within(&p.prior, age, evictHorizon) * p.reload(r)
+	reload := p.reload(r)
+	// Loads longer than longReload count more than in proportion, because they
+	// make up the tail of cold starts.
+	reload *= math.Max(1, reload/longReload)
+	cost := t.hist.within(&p.prior, age, evictHorizon) * reload
 	if t.loaded() > 1 {
 		cost *= otherReplicaShare
 	}
@@ -297,15 +302,12 @@
 
 // remaining is the expected time until a load under way ends, in seconds.
 func (p *Policy) remaining(r *replica, now time.Time) float64 {
-	expect := p.loads.expect(r.tier, r.MemoryMB)
+	usual := p.loads.usual(r.tier, r.MemoryMB)
 	elapsed := now.Sub(r.started).Seconds()
-	// An overdue load is expected to take half as long again as it already has.
-	return math.Max(expect-elapsed, elapsed/2*boolTo(elapsed > expect))
-}
-
-func boolTo(b bool) float64 {
-	if b {
-		return 1
+	if elapsed > usual {
+		// An overdue load is expected to take half as long again as it already
+		// has. expect cannot tell, because it follows the overdue loads.
+		return elapsed / 2
 	}
-	return 0
+	return math.Max(usual, p.loads.expect(r.tier, r.MemoryMB)) - elapsed
 }
--- a/placement/cluster_test.go
+++ b/placement/cluster_test.go
@@ -46,7 +46,6 @@
 	limits    []limitChange
 	demand    map[string]int // hosts with demand, as a bit mask, by target
 	served    map[string]time.Time
-	unserved  map[string]bool // demand is never withdrawn
 }
 
 type limitChange struct {
@@ -112,7 +111,7 @@
 		engines: make(map[string]*fake.Engine), history: fake.NewHistory(), output: io.Discard,
 		store: fake.NewStore(fake.StoreConfig{LoadsPerSecond: 4, LoadsAtOnce: 2}),
 		ended: make(map[tamarackknot.Process]time.Time), demand: make(map[string]int),
-		served: make(map[string]time.Time), unserved: make(map[string]bool),
+		served: make(map[string]time.Time),
 	}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.admin = journal.New(journal.Config{Log: c.log, Host: "admin", Incarnation: "admin"})
@@ -306,8 +305,7 @@
 			}
 		})
 		c.mu.Lock()
-		keep := c.unserved[target]
-		if loaded && !keep {
+		if loaded {
 			c.served[target] = time.Now()
 			delete(c.demand, target)
 		}
@@ -317,7 +315,7 @@
 			if p == nil || mask&(1<<i) == 0 {
 				continue
 			}
-			if !loaded || keep {
+			if !loaded {
 				p.ctl.Want(wanted(target))
 				continue
 			}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -298,7 +298,7 @@
 		}
 		return
 	}
-	urgent := t.demand.Waiting > 0 || t.derived.Waiting > 0
+	urgent := t.demand.Waiting > 0 || t.derived.Waiting > 0 || t.promised
 	if !d.ensurePlan(t, urgent) {
 		return
 	}
--- a/placement/loadtime.go
+++ b/placement/loadtime.go
@@ -79,7 +79,16 @@
 	if t == nil {
 		return l.base(tamarackknot.TierRemote, mb)
 	}
-	return l.base(tier, mb) * math.Max(t.factor+t.deviation, t.running)
+	return math.Max(l.usual(tier, mb), l.base(tier, mb)*t.running)
+}
+
+// usual is expect without what loads under way prove.
+func (l *loadTimes) usual(tier tamarackknot.Tier, mb int64) float64 {
+	t := l.tiers[tier]
+	if t == nil {
+		return l.base(tamarackknot.TierRemote, mb)
+	}
+	return l.base(tier, mb) * (t.factor + t.deviation)
 }
 
 // slow reports whether the weight store is slower than usual.
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -24,6 +24,8 @@
 	// pause a claim, a refusal and a release filled the log 50 times a second.
 	minAvoid = time.Second
 	maxAvoid = 30 * time.Second
+
+	maxFade = 5 * time.Minute
 )
 
 // PolicyConfig holds the constants of a Policy; zero fields take defaults.
@@ -138,9 +140,11 @@
 	// fadeUntil is set when the last waiting request went away unserved.
 	fadeUntil time.Time
 	served    bool // a replica was loaded while the demand lasted
-	hist      gaps
-	lastUsed  time.Time
-	rate      decayingRate
+	// promised is set if the demand was rejected with a time to retry.
+	promised bool
+	hist     gaps
+	lastUsed time.Time
+	rate     decayingRate
 	// surplusSince is when more replicas than the load needs were first seen.
 	surplusSince time.Time
 	cached       []cachedCopy
@@ -522,12 +526,17 @@
 		if !had {
 			t.served = t.loaded() > 0
 		}
-		t.fadeUntil = time.Time{}
+		t.fadeUntil, t.promised = time.Time{}, false
 		p.active[t] = struct{}{}
 		return
 	}
 	if had && !t.served {
 		t.fadeUntil = now.Add(p.cfg.FadeAfter)
+		// Callers were told when to come back; the load must be there then.
+		t.promised = t.rejected
+		if t.promised && t.forecast.ReadyAt.After(t.fadeUntil) {
+			t.fadeUntil = earlier(t.forecast.ReadyAt, now.Add(maxFade))
+		}
 	}
 }
 
