--- a/entry/daemon/cluster_test.go
+++ b/entry/daemon/cluster_test.go
@@ -60,6 +60,9 @@
 	mu     sync.Mutex
 	killed time.Time
 	term   time.Time
+	paused bool
+	// resumed is when the last pause ended.
+	resumed time.Time
 }
 
 func (n *node) killedAt() time.Time {
@@ -204,6 +207,19 @@
 	}
 }
 
+// pause stops a process as its host's scheduler may: nothing goes in or out,
+// and what it was about to send is sent when it resumes.
+func (c *cluster) pause(n *node, paused bool) {
+	n.mu.Lock()
+	if n.paused && !paused {
+		n.resumed = time.Now()
+	}
+	n.paused = paused
+	n.mu.Unlock()
+	n.log.SetFaults(fake.LogFaults{ReadsDown: paused, AppendsDown: paused, Hang: paused})
+	c.net.Freeze(n.process, paused)
+}
+
 // close ends everything, so that no goroutine is left in the bubble.
 func (c *cluster) close() {
 	for i := range c.nodes {
