placement: fix data race in TestUnloadWaitsForRequests

go test -race reported the response body shared between the request and the test without synchronisation; it is handed over by a channel now.

--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -385,19 +385,19 @@
 		c.want("m2", 1)
 		c.sleep(20 * time.Second)
 		endpoint := c.holder("m2")
-		var body string
+		done := make(chan string, 1)
 		c.wg.Go(func() {
 			r := httptest.NewRequestWithContext(c.ctx, http.MethodPost, "/v1/completions",
 				strings.NewReader(`{"model":"m2","prompt":"x","max_tokens":200,"stream":true}`)) // 10 s
 			w := httptest.NewRecorder()
 			c.engines[endpoint].ServeHTTP(w, r)
-			body = w.Body.String()
+			done <- w.Body.String()
 		})
 		time.Sleep(time.Second)
 		c.do(fuzzStep{kind: "limit", target: 2, n: 0})
 		unloadAt := time.Now()
 		c.sleep(30 * time.Second)
-		require.True(t, strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]"), body)
+		require.True(t, strings.HasSuffix(strings.TrimSpace(<-done), "data: [DONE]"))
 		events := c.history.Events()
 		last := events[len(events)-1]
 		require.False(t, last.Loaded)
