Reject requests only on measured load times and known endpoints

Cause: a model of 40 GB was rejected with a forecast of 44 s, which was only assumed; its load took 8 s. A burst directly after an apply was rejected because no endpoint had reported yet (24 of 24). Change: without a measurement of a tier the forecast is unknown and requests wait; the first measurement replaces the assumption; for 3 s after a new endpoint is seen, the lack of a usable endpoint is no ground to reject. Ruled out: better assumed speeds, which are wrong on some hardware. TestPolicyStoreOrder now states a measured load time, because it checks an order of forecasts, which exist only with one; its checks are unchanged.

--- a/placement/controller.go
+++ b/placement/controller.go
@@ -25,6 +25,9 @@
 	idleInterval    = time.Second
 	reportInterval  = 500 * time.Millisecond
 	plannerInterval = 200 * time.Millisecond
+	// firstReportTime is how long a new endpoint may take until its first
+	// report: a poll interval of 1 s, and as long again for one that is lost.
+	firstReportTime = 3 * time.Second
 	// reportMaxAge is the age above which a report no longer shows that its
 	// endpoint works.
 	reportMaxAge = 15 * time.Second
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -408,6 +408,10 @@
 			d.promise(t, later(t.base.forecast.ReadyAt, d.now.Add(load)))
 			return false
 		}
+		if urgent && d.now.Before(p.expectUntil) {
+			t.forecast = tamarackknot.Forecast{}
+			return false
+		}
 		if urgent {
 			d.refuse(t, reason, d.now.Add(d.protectedFor()))
 		}
@@ -545,6 +549,11 @@
 // promise sets the forecast of a target; a rejection is decided once when its
 // earliest deadline cannot be met.
 func (d *decider) promise(t *target, ready time.Time) {
+	if !d.p.loads.measured(d.tierOf(t)) {
+		// An assumed load time is no ground to reject a request.
+		t.forecast, t.rejected = tamarackknot.Forecast{}, false
+		return
+	}
 	t.forecast = tamarackknot.Forecast{ReadyAt: ready}
 	late := t.demand.Waiting > 0 && !t.demand.Earliest.IsZero() && ready.After(t.demand.Earliest)
 	if late && !t.rejected {
@@ -556,6 +565,19 @@
 	t.rejected = late
 }
 
+// tierOf is the tier that the next load of a target reads.
+func (d *decider) tierOf(t *target) tamarackknot.Tier {
+	if t.plan != nil {
+		return t.plan.tier
+	}
+	for _, r := range t.replicas {
+		if r.State == tamarackknot.ReplicaClaimed && r.tier != "" {
+			return r.tier
+		}
+	}
+	return tamarackknot.TierRemote
+}
+
 func (d *decider) refuse(t *target, reason string, retry time.Time) {
 	if t.forecast.Refused && t.forecast.Reason == reason && d.now.Before(t.forecast.RetryAt) {
 		return
--- a/placement/loadtime.go
+++ b/placement/loadtime.go
@@ -40,6 +40,7 @@
 }
 
 type tierTime struct {
+	samples   int
 	factor    float64
 	deviation float64
 	usual     float64 // factor over many loads
@@ -67,11 +68,25 @@
 		return
 	}
 	f := math.Min(maxFactor, math.Max(minFactor, d.Seconds()/l.base(tier, mb)))
+	t.samples++
+	if t.samples == 1 {
+		// The assumption may be wrong by any factor; a mean with it would take
+		// ten loads to forget it.
+		t.factor, t.usual = f, f
+		return
+	}
 	t.deviation += learnWeight * (math.Abs(f-t.factor) - t.deviation)
 	t.factor += learnWeight * (f - t.factor)
 	t.usual += learnWeight / 10 * (f - t.usual)
 }
 
+// measured reports whether the load time of a tier rests on a measurement, be
+// it of a load under way that has taken longer than assumed.
+func (l *loadTimes) measured(tier tamarackknot.Tier) bool {
+	t := l.tiers[tier]
+	return t != nil && (t.samples > 0 || t.running > t.factor)
+}
+
 // expect is the expected load time in seconds. It includes the mean deviation,
 // so that most forecasts are kept.
 func (l *loadTimes) expect(tier tamarackknot.Tier, mb int64) float64 {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -176,6 +176,9 @@
 	if e.known && e.usable == usable && e.drain == drain {
 		return
 	}
+	if !e.known && !usable && !drain {
+		pl.policy.ExpectEndpoints(now.Add(firstReportTime))
+	}
 	e.usable, e.drain, e.known = usable, drain, true
 	pl.policy.SetEndpoint(name, spec, usable, drain)
 }
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -128,6 +128,8 @@
 	// of a target with few calls.
 	prior   gaps
 	service serviceTime
+	// expectUntil is the deadline of ExpectEndpoints.
+	expectUntil time.Time
 }
 
 type target struct {
@@ -236,6 +238,12 @@
 	}
 }
 
+// ExpectEndpoints says that endpoints may become usable until a deadline, so
+// that a request for which there is no place now is not rejected before.
+func (p *Policy) ExpectEndpoints(until time.Time) {
+	p.expectUntil = later(p.expectUntil, until)
+}
+
 // SetDeployment sets the weight and the store limits.
 func (p *Policy) SetDeployment(d tamarackknot.DeploymentSpec, now time.Time) {
 	p.deployment = d
--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -60,6 +60,7 @@
 // or in another order than priority, then deadline.
 func TestPolicyStoreOrder(t *testing.T) {
 	p := newPolicyTest(4, 80_000, testModel("a", 10_000), testModel("b", 10_000), testModel("c", 10_000), testModel("d", 10_000))
+	p.LoadEnded(tamarackknot.TierRemote, 10_000, 13*time.Second) // as assumed
 	p.want("a", 5, time.Hour)
 	p.want("b", 5, time.Minute)
 	p.want("c", 8, time.Hour)
@@ -117,6 +118,21 @@
 	require.Contains(t, p.step(time.Second), "unload a "+e)
 }
 
+// TestPolicyUnmeasured guards against rejecting requests on the ground of a
+// load time that was only assumed, or before a new endpoint can have reported.
+func TestPolicyUnmeasured(t *testing.T) {
+	p := newPolicyTest(0, 80_000, testModel("a", 40_000))
+	p.ExpectEndpoints(p.now.Add(3 * time.Second))
+	p.want("a", 5, 10*time.Second)
+	require.Empty(t, p.step(time.Second))
+	p.SetEndpoint("e0", tamarackknot.EndpointSpec{MemoryMB: 80_000, Slots: 4}, true, false)
+	require.Equal(t, []string{"load a e0"}, p.step(time.Second))
+	require.Zero(t, p.Forecast("a"), "43 s are assumed, which is later than the deadline")
+	p.LoadEnded(tamarackknot.TierRemote, 40_000, 86*time.Second)
+	require.Equal(t, []string{"reject a "}, p.step(0))
+	require.InDelta(t, 86, p.ExpectLoad("a", "e0").Seconds(), 1, "the first measurement replaces the assumption")
+}
+
 // TestPolicySlowStore guards against forecasts that ignore a store that became
 // slow while loads are under way.
 func TestPolicySlowStore(t *testing.T) {
