placement: send no load orders to endpoints that the host list dropped

Change: an issuer sends no load order to an endpoint that the newest host list does not have.

Ruled out: a release only with a report; an endpoint that is gone sends none.

Conclusion: a replica that is loaded already on an endpoint that the host list wrongly leaves out, and that a planner cannot reach, is still released.

--- a/placement/reconcile.go
+++ b/placement/reconcile.go
@@ -277,6 +277,11 @@
 		c.proposeWork(ctx, key, w, tamarackknot.Change{Unload: change(r)}, now)
 		return
 	}
+	// Another planner may release what is reserved on an endpoint that the host
+	// list dropped, so nothing may be loaded there any more.
+	if !w.unloads() && !c.hosts.droppedSince(key.endpoint, res.Endpoint.Address).IsZero() {
+		return
+	}
 	if w.unloads() && !c.mayUnload(key, w, res, now) {
 		return
 	}
