Run the system tests with five daemons and a planner that is replaced

Cause: scripts/measure.sh showed that a model is rejected with 'no endpoint is usable' after 15 s of idling: an unchanged report that another host polled does not renew its time, so a planner that does not poll the endpoint takes it for lost. Three daemons hide it, because each endpoint has three pollers. Change: five daemons; a scenario replaces the planner before each cold call. Ruled out: the host list; it named the endpoint. Conclusion: fault shown, fix under way.

--- a/entry/daemon/cluster_test.go
+++ b/entry/daemon/cluster_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	clusterHosts    = 3
+	clusterHosts    = 5
 	clusterEngines  = 4
 	clusterServices = 2
 	clusterModels   = 6
--- a/entry/daemon/scenario_test.go
+++ b/entry/daemon/scenario_test.go
@@ -32,6 +32,7 @@
 		"configuration is lost in a log outage beyond the retention":   longLogOutage,
 		"two operators both win":                                       operatorRace,
 		"a lowered limit is not carried out":                           loweredLimit,
+		"idle engines count as unusable":                               coldAfterIdle,
 		"a burst for a cold model costs several loads":                 burst,
 		"a repeated key runs twice after the death of its host":        keyAfterDeath,
 		"a change takes longer than 11 s with a host cut from the log": cutFromLog,
@@ -233,6 +234,40 @@
 	}
 }
 
+// coldAfterIdle calls each model once, a minute after the planner was replaced.
+// The new planner, which need not poll the engines itself, must know them all.
+func coldAfterIdle(r *run) {
+	for i := range clusterModels {
+		planner := r.planner()
+		r.kill(planner.index)
+		time.Sleep(15 * time.Second)
+		r.start(planner.index)
+		time.Sleep(45 * time.Second)
+		planner = r.planner()
+		for _, e := range r.engines {
+			if report, ok := planner.daemon.table.Report(e.Name()); !ok || time.Since(report.Time) > 10*time.Second {
+				r.violate("planner %s has a report of %s that is %s old", planner.process, e.Name(), time.Since(report.Time))
+			}
+		}
+		r.call(i, i, true)
+		r.wg.Wait()
+		if got := r.servedCalls(); got != i+1 {
+			r.violate("%d of %d cold calls a minute apart were served", got, i+1)
+		}
+	}
+}
+
+// planner is the node that plans, by its own view.
+func (r *run) planner() *node {
+	for i := range clusterHosts {
+		if n := r.node(i); n != nil && n.daemon.members.Planner("d") == n.name {
+			return n
+		}
+	}
+	r.violate("no entry host plans")
+	return r.node(0)
+}
+
 func keyAfterDeath(r *run) {
 	for i := range 30 {
 		host := i % clusterHosts
