Check the planner's reports while its predecessor is away

Cause: the scenario restarted the old planner before its check and so always asked the same host. Conclusion: the scenario is kept as a guard.

--- a/entry/daemon/scenario_test.go
+++ b/entry/daemon/scenario_test.go
@@ -239,10 +239,9 @@
 func coldAfterIdle(r *run) {
 	for i := range clusterModels {
 		planner := r.planner()
-		r.kill(planner.index)
-		time.Sleep(15 * time.Second)
-		r.start(planner.index)
-		time.Sleep(45 * time.Second)
+		killed := planner.index
+		r.kill(killed)
+		time.Sleep(time.Minute)
 		planner = r.planner()
 		for _, e := range r.engines {
 			if report, ok := planner.daemon.table.Report(e.Name()); !ok || time.Since(report.Time) > 10*time.Second {
@@ -254,6 +253,8 @@
 		if got := r.servedCalls(); got != i+1 {
 			r.violate("%d of %d cold calls a minute apart were served", got, i+1)
 		}
+		r.start(killed)
+		time.Sleep(15 * time.Second)
 	}
 }
 
