Queue a request again when an endpoint has no slot for it

Cause: entry hosts do not see each other's requests until the next report, so a burst at several hosts overfills an endpoint. A decline for lack of a slot (503 with Run: notRun, without Leaving) counted as a failed attempt and was repeated at once, three times in 10 ms; the request was then rejected. A request that may run only once was rejected after its first decline.

On this host the endpoint then takes no more requests than it held at the decline. A freed slot of this host is used at once, a report with free slots raises the limit, and otherwise one probe is sent after 10 ms doubling to 400 ms, with jitter. The expected wait counts this host's share of the slots. A request that may run only once waits too and keeps its key claimed.

Ruled out: the expected wait over all slots of the endpoint.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -53,7 +53,8 @@
 
 	grant    routing.Grant
 	granted  bool
-	attempts int
+	attempts int // without those that were declined for lack of a slot
+	declines int
 	tried    [2]*endpoint.Entry
 	// sent says that bytes of the request were written to an endpoint that did
 	// not confirm that it had not started it.
@@ -374,6 +375,7 @@
 	g, rej := x.s.cfg.Router.Acquire(x.r.Context(), routing.Request{
 		ID: x.id, Key: x.target, Version: x.version, Prefix: x.prefix,
 		Priority: x.opts.priority, Deadline: x.opts.deadline, Attempt: x.attempts, Tried: x.tried,
+		Arrived: x.start, Declined: x.declines,
 	})
 	if rej != nil {
 		return x.rejected(rej)
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -24,6 +24,8 @@
 	failure *failure
 	// again says that another replica may be tried.
 	again bool
+	// full says that the endpoint had no slot and did not start the request.
+	full bool
 	// sent says that the attempt counts toward the retry budget.
 	sent bool
 }
@@ -41,6 +43,12 @@
 	x.s.cfg.Router.Sent(x.target)
 	for {
 		a := x.send(ctx)
+		if a != nil && a.full {
+			if f := x.requeue(); f != nil {
+				return f
+			}
+			continue
+		}
 		x.tried[(x.attempts-1)%len(x.tried)] = x.grant.Entry
 		x.release()
 		if a == nil {
@@ -57,6 +65,16 @@
 	}
 }
 
+// requeue waits for a replica again after an endpoint had no slot. The request
+// has not failed: the deadline bounds how often this happens.
+func (x *exchange) requeue() *failure {
+	x.granted = false
+	x.grant.Declined()
+	x.attempts--
+	x.declines++
+	return x.acquire()
+}
+
 // send sends the request once and relays the response. It returns nil if the
 // response was relayed completely.
 func (x *exchange) send(ctx context.Context) *attempt {
@@ -120,6 +138,9 @@
 	if !notRun && (!leaving || !x.repeatable) {
 		return nil
 	}
+	if notRun && !leaving {
+		return &attempt{full: true}
+	}
 	if !notRun {
 		x.sent = true
 	}
--- a/endpoint/entry.go
+++ b/endpoint/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,16 @@
 // in it; in routing's TestPolicies that is worse than choosing at random.
 const smoothTime = 10 * time.Second
 
+const (
+	// minFullTime is how long an endpoint counts as full after a first decline.
+	// It doubles with each further one up to maxFullTime, so that a host sends
+	// at most 5 requests a second to an endpoint that stays full.
+	minFullTime = 10 * time.Millisecond
+	maxFullTime = 400 * time.Millisecond
+	// noLimit is the limit of an endpoint that has declined nothing.
+	noLimit = math.MaxInt64
+)
+
 // Entry is what this host knows of one endpoint. Its methods may be called
 // from any goroutine; those used by routing take no lock.
 type Entry struct {
@@ -24,6 +35,11 @@
 	smoothed  atomic.Uint64 // average of others, as float64
 	signUntil atomic.Int64  // Unix time in ns
 	polling   atomic.Bool
+	// limit is the number of this host's requests that the endpoint held when
+	// it last declined one. One request beyond it is sent as a probe when
+	// fullUntil has passed.
+	limit     atomic.Int64
+	fullUntil atomic.Int64 // Unix time in ns
 
 	mu         sync.Mutex
 	reported   bool
@@ -32,6 +48,8 @@
 	changed    bool // since the last push to peers
 	polledAt   time.Time
 	failures   int // failed polls in a row
+	fullTime   time.Duration
+	probing    bool // since fullUntil was last set
 	sign       tamarackknot.EndpointSign
 	// sharedUntil is the deadline of the last sign told to the other hosts.
 	sharedUntil time.Time
@@ -40,6 +58,7 @@
 func newEntry(res *tamarackknot.Resource) *Entry {
 	e := &Entry{name: res.Metadata.Name, receivedAt: time.Now()}
 	e.spec.Store(res.Endpoint)
+	e.limit.Store(noLimit)
 	return e
 }
 
@@ -60,12 +79,19 @@
 	return !e.spec.Load().Draining && e.signUntil.Load() <= now.UnixNano()
 }
 
-// TryStart counts a request in flight unless all slots are taken.
-func (e *Entry) TryStart() bool {
-	slots := int64(e.spec.Load().Slots)
+// Free reports whether TryStart would succeed.
+func (e *Entry) Free(now time.Time) bool {
+	own := e.inFlight.Load()
+	return own+e.others.Load() < int64(e.spec.Load().Slots) &&
+		(own < e.limit.Load() || e.fullUntil.Load() <= now.UnixNano())
+}
+
+// TryStart counts a request in flight unless all slots are taken or the
+// endpoint counts as full.
+func (e *Entry) TryStart(now time.Time) bool {
 	for {
 		own := e.inFlight.Load()
-		if own+e.others.Load() >= slots {
+		if !e.Free(now) || (own >= e.limit.Load() && !e.probe(own, now)) {
 			return false
 		}
 		if e.inFlight.CompareAndSwap(own, own+1) {
@@ -74,11 +100,63 @@
 	}
 }
 
+// probe raises the limit by one request and ends the chance of others to do so
+// for a while.
+func (e *Entry) probe(own int64, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fullUntil.Load() > now.UnixNano() {
+		return false
+	}
+	e.limit.Store(own + 1)
+	e.probing = true
+	e.setFull(now)
+	return true
+}
+
+// setFull begins a period in which the endpoint counts as full. The jitter
+// keeps hosts from returning together.
+func (e *Entry) setFull(now time.Time) {
+	until := now.Add(e.fullTime/2 + rand.N(e.fullTime/2+1))
+	e.fullUntil.Store(until.UnixNano())
+}
+
+// Share is the number of slots that this host may expect to get.
+func (e *Entry) Share() int64 {
+	return min(int64(e.spec.Load().Slots), max(1, e.limit.Load()))
+}
+
+// Declined ends a request that TryStart counted and that the endpoint had no
+// slot for. It returns when the next probe may be sent.
+func (e *Entry) Declined(now time.Time) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	own := e.inFlight.Add(-1)
+	if own < 0 {
+		panic("endpoint: more requests ended than started on " + e.name)
+	}
+	e.limit.Store(min(e.limit.Load(), own))
+	// Requests that were sent before the first decline are declined with it.
+	if e.probing || e.fullUntil.Load() <= now.UnixNano() {
+		e.probing = false
+		e.fullTime = min(max(2*e.fullTime, minFullTime), maxFullTime)
+		e.setFull(now)
+	}
+	return time.Unix(0, e.fullUntil.Load())
+}
+
 // Done ends a request that TryStart counted.
 func (e *Entry) Done() {
 	if e.inFlight.Add(-1) < 0 {
 		panic("endpoint: more requests ended than started on " + e.name)
 	}
+	if e.limit.Load() == noLimit {
+		return
+	}
+	// The freed slot is below the limit and may be taken at once.
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fullTime /= 2
 }
 
 // observe stores a report made at the endpoint. The share of other hosts is
@@ -94,7 +172,11 @@
 	if !e.reported || !sameReport(e.report, r) {
 		e.changed = true
 	}
-	others := max(0, int64(r.Running+r.Waiting)-e.inFlight.Load())
+	own := e.inFlight.Load()
+	others := max(0, int64(r.Running+r.Waiting)-own)
+	if free := int64(e.spec.Load().Slots) - int64(r.Running+r.Waiting); free > 0 && e.limit.Load() != noLimit {
+		e.limit.Store(max(e.limit.Load(), own+free))
+	}
 	e.smooth(float64(others))
 	e.others.Store(others)
 	e.report, e.reported, e.receivedAt = r, true, time.Now()
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -77,6 +77,9 @@
 	if !w.req.Deadline.Equal(o.req.Deadline) {
 		return w.req.Deadline.Before(o.req.Deadline)
 	}
+	if !w.req.Arrived.Equal(o.req.Arrived) {
+		return w.req.Arrived.Before(o.req.Arrived)
+	}
 	return w.seq < o.seq
 }
 
@@ -254,8 +257,8 @@
 	}
 }
 
-// slots is the number of slots of the replicas that are available, full ones
-// included.
+// slots is the number of slots that this host may expect on the available
+// replicas, full ones included.
 func (t *target) slots(version string, now time.Time) int64 {
 	var n int64
 	list := t.candidates.Load()
@@ -264,7 +267,7 @@
 	}
 	for i := range *list {
 		if c := &(*list)[i]; c.version == version && c.entry.Available(now) {
-			n += int64(c.entry.Spec().Slots)
+			n += c.entry.Share()
 		}
 	}
 	return n
--- a/routing/router.go
+++ b/routing/router.go
@@ -67,6 +67,11 @@
 	Prefix   uint64 // hash of the start of the prompt, 0 if none
 	Priority int
 	Deadline time.Time
+	// Arrived is when the request arrived; a request that comes back keeps its
+	// place in the queue.
+	Arrived time.Time
+	// Declined counts the times that an endpoint had no slot for the request.
+	Declined int
 	// Attempt counts from 1. Of a later attempt Tried names the endpoints that
 	// failed before; they are used if there are no others.
 	Attempt int
@@ -237,7 +242,7 @@
 		if c.entry == nil {
 			return c, false
 		}
-		if c.entry.TryStart() {
+		if c.entry.TryStart(now) {
 			if req.Prefix != 0 {
 				r.prefixes.put(t.hash^req.Prefix, c.entry)
 			}
@@ -251,7 +256,7 @@
 func (r *Router) Acquire(ctx context.Context, req Request) (Grant, *Rejection) {
 	now := time.Now()
 	t := r.target(req.Key)
-	if req.Key.Service == "" && req.Attempt <= 1 {
+	if req.Key.Service == "" && req.Attempt <= 1 && req.Declined == 0 {
 		r.cfg.Placement.Used(req.Key.Model, now)
 	}
 	if t.waiting.Load() == 0 {
@@ -385,6 +390,20 @@
 	}
 }
 
+// Declined gives the slot back after the endpoint had none for the request,
+// which did not run. Like Release it may be called once.
+func (g *Grant) Declined() {
+	r := g.router
+	if r == nil {
+		panic("routing: grant released twice")
+	}
+	g.router = nil
+	now := time.Now()
+	name := g.Entry.Name()
+	until := g.Entry.Declined(now)
+	time.AfterFunc(until.Sub(now), func() { r.dispatchFreed(name, time.Now()) })
+}
+
 // Sent counts a request toward the retry budget of its target.
 func (r *Router) Sent(k Key) {
 	t := r.target(k)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -121,6 +121,54 @@
 	})
 }
 
+// TestDeclined guards against a request that loses its place in the queue, or
+// is sent again at once, when an endpoint has no slot for it, and against a
+// slot that is not used when one of this host's requests has freed it.
+func TestDeclined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(Config{})
+		b.store.Apply(model("m", "1"), place("e1", 3))
+		b.store.Place("m", "e1", tamarackknot.ReplicaLoaded)
+		defer b.run()()
+		req := request(5, time.Minute)
+		req.Arrived = time.Now()
+		acquire := func(req Request) Grant {
+			g, rej := b.router.Acquire(context.Background(), req)
+			require.Nil(t, rej)
+			return g
+		}
+		held, declined := acquire(req), acquire(req)
+		time.Sleep(time.Millisecond)
+		declined.Declined()
+		start := time.Now()
+		var order []string
+		for _, name := range []string{"later", "declined"} {
+			again := req
+			if name == "later" {
+				again.Arrived = start
+			} else {
+				again.Declined = 1
+			}
+			go func() {
+				g := acquire(again)
+				order = append(order, name)
+				time.Sleep(time.Hour)
+				g.Release()
+			}()
+			synctest.Wait()
+		}
+		require.Empty(t, order)
+		held.Release()
+		synctest.Wait()
+		require.Equal(t, []string{"declined"}, order)
+		require.Equal(t, start, time.Now())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Equal(t, []string{"declined", "later"}, order)
+		time.Sleep(2 * time.Hour)
+	})
+}
+
 // TestQueueBounds guards against a queue that grows without bound, and against
 // requests that wait for a turn which will come too late.
 func TestQueueBounds(t *testing.T) {
--- a/routing/score.go
+++ b/routing/score.go
@@ -52,8 +52,8 @@
 			continue
 		}
 		spec := c.entry.Spec()
-		own, others, smoothed := c.entry.Load()
-		if own+others >= int64(spec.Slots) {
+		own, _, smoothed := c.entry.Load()
+		if !c.entry.Free(now) {
 			continue
 		}
 		best.eligible++
