--- a/routing/score.go
+++ b/routing/score.go
@@ -79,8 +79,8 @@
 			continue
 		}
 		spec := c.entry.Spec()
-		own, others, smoothed := c.entry.Load()
-		if own+others >= int64(spec.Slots) {
+		own, _, smoothed := c.entry.Load()
+		if !c.entry.Free(now) {
 			continue
 		}
 		best.eligible++
