Do not relay an endpoint's notRun after an earlier attempt ran

Cause: a request was sent to an engine, which ran it and died; the second attempt got 404 with Run: notRun, because the restarted engine had nothing loaded, and this answer was relayed as it was. Change: an answer marked notRun becomes a failed attempt whose final answer takes all attempts into account; a lost replica is tried elsewhere. Ruled out: rewriting the field in the endpoint's body, which need not be JSON.

--- a/caller/forward.go
+++ b/caller/forward.go
@@ -127,22 +127,23 @@
 // declined handles a response in which the endpoint says that it is leaving or
 // has not started the request.
 func (x *exchange) declined(resp *http.Response) *attempt {
-	if resp.StatusCode != http.StatusServiceUnavailable {
-		return nil
-	}
 	leaving := resp.Header.Get(headerLeaving) == valueTrue
-	notRun := resp.Header.Get(headerRun) == string(NotRun)
 	if leaving {
 		x.s.cfg.Table.Leaving(x.grant.Entry, "response")
 	}
-	if !notRun && (!leaving || !x.repeatable) {
-		return nil
-	}
-	if notRun && !leaving {
+	notRun := resp.Header.Get(headerRun) == string(NotRun)
+	busy := resp.StatusCode == http.StatusServiceUnavailable
+	// The endpoint has lost a replica that the log still shows.
+	lost := resp.StatusCode == http.StatusNotFound && x.target.Model != ""
+	switch {
+	case notRun && busy && !leaving:
 		return &attempt{full: true}
-	}
-	if !notRun {
+	case notRun && (busy || lost || x.sent):
+		// The endpoint's own body speaks of this attempt only.
+	case busy && leaving && x.repeatable:
 		x.sent = true
+	default:
+		return nil
 	}
 	f := unavailable("endpointDeclined", "endpoint "+x.grant.Entry.Name()+" declined the request",
 		time.Now().Add(time.Second))
--- a/caller/traps_test.go
+++ b/caller/traps_test.go
@@ -214,6 +214,28 @@
 	})
 }
 
+// TestRunAfterLostReplica guards against relaying an endpoint's notRun, which
+// speaks of one attempt, although an earlier attempt ran: the engine dies while
+// it answers, and after its restart the model is not loaded any more.
+func TestRunAfterLostReplica(t *testing.T) {
+	inBubble(t, 1, func(b *bed) {
+		t := b.t
+		n := 0
+		b.addEndpoint("e1", "", 1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if n++; n == 1 {
+				raw("").ServeHTTP(w, r)
+				return
+			}
+			w.Header().Set(headerRun, string(NotRun))
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = io.WriteString(w, `{"error":{"message":"model is not loaded","run":"notRun"}}`)
+		}))
+		b.warm("e1")
+		a := b.do(0, http.MethodPost, completePath, completion)
+		require.Equal(t, RunUnknown, a.run(t), a.body)
+	})
+}
+
 // TestStreams guards against an incomplete stream that looks complete.
 func TestStreams(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
