Spread callers over the entry hosts by their address

Change: package caller passes the caller's address on to membership, which orders by it. Ruled out: a new random order for each answer; a caller that asks again would change hosts and lose its connections.

--- a/caller/bed_test.go
+++ b/caller/bed_test.go
@@ -116,7 +116,7 @@
 }
 func (m *members) Spread(tamarackknot.EndpointSign) {}
 
-func (m *members) Addresses(string) []Address {
+func (m *members) Addresses(string, string) []Address {
 	var list []Address
 	for _, e := range m.list {
 		list = append(list, Address{
--- a/caller/server.go
+++ b/caller/server.go
@@ -32,8 +32,9 @@
 // Addresses selects the entry hosts that callers are told of.
 type Addresses interface {
 	// Addresses returns entry hosts in order of preference for a caller in a
-	// failure domain; an empty domain means that the caller gave none.
-	Addresses(failureDomain string) []Address
+	// failure domain; an empty domain means that the caller gave none. The
+	// order differs between callers, so that their load spreads.
+	Addresses(failureDomain, caller string) []Address
 }
 
 // GateState is whether this host may serve requests.
@@ -204,7 +205,7 @@
 		return
 	}
 	now := time.Now()
-	hosts := s.cfg.Addresses.Addresses(r.URL.Query().Get("failureDomain"))
+	hosts := s.cfg.Addresses.Addresses(r.URL.Query().Get("failureDomain"), r.RemoteAddr)
 	if len(hosts) == 0 {
 		unavailable("noEntryHosts", "no entry host is known to be ready", now.Add(time.Second)).write(w, now)
 		return
--- a/entry/daemon/adapters.go
+++ b/entry/daemon/adapters.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"github.com/google/uuid"
-
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/caller"
 	"tamarackknot.example/tamarackknot/membership"
@@ -16,9 +14,9 @@
 var _ caller.Addresses = addresses{}
 
 // Addresses implements caller.Addresses.
-func (a addresses) Addresses(failureDomain string) []caller.Address {
+func (a addresses) Addresses(failureDomain, client string) []caller.Address {
 	var out []caller.Address
-	for _, m := range a.members.Addresses(failureDomain, uuid.NewString()) {
+	for _, m := range a.members.Addresses(failureDomain, client) {
 		out = append(out, caller.Address{Address: m.Address, FailureDomain: m.FailureDomain, KeepUntil: m.KeepUntil})
 	}
 	return out
