Say notRun of a key only when its claim proves it

Cause: a rejection spoke of its own attempt. With host A holding the key and the request run there, host B answered notRun when the log was down, and the caller sent the request again under a new key. Second, a freed key was forgotten: an attempt that had arrived before, queued on another host or joined on the same one, claimed it and ran after the caller had been told notRun.

Change: a rejection of a keyed request that may run only once says notRun if this host's claim was accepted and nothing was sent, if the key is malformed, or if the key is held by a request with another digest; otherwise unknown, with Retry-After where the same key may be used again. KeyClaim.Seen is the offset applied when the request arrived; a claim on a freed key needs Seen >= that offset and is otherwise a conflict without an owner. Attempts that wait on the same host for the freed one are answered unknown, and a key that could not be freed is used only by requests that arrive later.

Ruled out: answering notRun to the attempts that wait for a freed one. A further attempt may arrive between the free record and that answer and run.

An attempt that is delayed in the network until its host has applied the free record counts as a new one (design.md, section 6.4).

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -36,6 +36,9 @@
 	retryAt time.Time // zero: retrying does not help or is not safe
 	address string    // of the entry host that may have the response
 	allow   string
+	// settled says that notRun holds for every attempt with the same key and
+	// body, also for those that other hosts had.
+	settled bool
 	// gone says that the caller has gone away; the failure is only logged.
 	gone bool
 }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -60,6 +60,7 @@
 	// not confirm that it had not started it.
 	sent bool
 
+	seen    tamarackknot.Offset // applied when a keyed request arrived
 	claim   tamarackknot.KeyClaim
 	key     *keyed
 	claimed bool
@@ -77,6 +78,11 @@
 	s.metrics.inFlight.Inc(1)
 	defer s.metrics.inFlight.Dec(1)
 	f := x.run()
+	if f != nil && f.run == NotRun && !f.settled && x.unproven() {
+		g := *f
+		g.run = RunUnknown
+		f = &g
+	}
 	if f != nil && !x.answered && !f.gone {
 		x.status = f.status
 		x.setWriteDeadline()
@@ -125,6 +131,17 @@
 	return NotRun
 }
 
+// unproven reports whether another attempt with the key of the request may have
+// run on another host: only an accepted claim proves that none has and none
+// will.
+func (x *exchange) unproven() bool {
+	repeatable := x.repeatable || !x.route.plain
+	if v, ok := single(x.r.Header, headerRepeatable); ok {
+		repeatable = v == valueTrue
+	}
+	return x.r.Header.Get(headerKey) != "" && !repeatable && !x.claimed
+}
+
 func (x *exchange) release() {
 	if x.granted {
 		x.granted = false
@@ -160,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
 	defer cancel()
 	if err := s.cfg.Journal.FreeKey(ctx, c); errors.Is(err, tamarackknot.ErrNotAppended) {
-		s.keys.setUnsent(k)
+		s.keys.setUnsent(k, time.Now())
 	}
 	s.keys.abandon(k)
 }
@@ -204,6 +221,9 @@
 
 func (x *exchange) headers() *failure {
 	var f *failure
+	if x.r.Header.Get(headerKey) != "" {
+		x.s.cfg.Journal.Read(func(st tamarackknot.State) { x.seen = st.Applied() })
+	}
 	x.opts, f = parseOptions(x.r.Header, x.start)
 	return f
 }
@@ -327,6 +347,7 @@
 		return nil
 	}
 	x.claim = keyClaim(x.r, &x.opts, x.body)
+	x.claim.Seen = x.seen
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.opts.deadline)
 	defer cancel()
 	for {
@@ -336,7 +357,7 @@
 			return nil
 		}
 		if k.digest != x.claim.Digest {
-			return x.otherDigest()
+			return x.otherDigest(x.s.keys.isClaimed(k))
 		}
 		select {
 		case <-k.done:
@@ -346,12 +367,19 @@
 		if k.result != nil {
 			return x.relayRecording(k.result)
 		}
+		if x.s.keys.isClaimed(k) {
+			return unavailable("keyFreed", "an earlier attempt with this key was not run and ended after this one had arrived",
+				time.Now().Add(time.Second))
+		}
 	}
 }
 
-func (x *exchange) otherDigest() *failure {
+// otherDigest is the failure of a request whose key names another one. It is
+// settled if the other one's claim was accepted.
+func (x *exchange) otherDigest(settled bool) *failure {
 	f := invalid(headerKey, x.opts.key, "a key that was not used with another method, path or body")
 	f.status, f.code = http.StatusUnprocessableEntity, "keyReused"
+	f.settled = settled
 	return f
 }
 
@@ -411,26 +439,27 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.opts.deadline)
 	defer cancel()
-	unsent := x.s.keys.takeUnsent(x.claim.Key)
+	since, unsent := x.s.keys.takeUnsent(x.claim.Key, x.start)
 	out, err := x.s.cfg.Journal.ClaimKey(ctx, x.claim)
 	switch {
 	case err != nil:
 		if unsent || !errors.Is(err, tamarackknot.ErrNotAppended) {
-			x.s.keys.setUnsent(x.key)
+			x.s.keys.setUnsent(x.key, since)
 		}
 		if ctx.Err() != nil {
 			return x.ended(NotRun)
 		}
 		return unavailable("keyNotClaimed", "the idempotency key could not be claimed: "+err.Error(),
 			time.Now().Add(time.Second))
-	case out.Accepted:
-		x.claimed = true
-		return nil
-	case out.Reason == tamarackknot.ReasonConflict && unsent && out.Owner == x.s.process():
+	case out.Accepted, out.Reason == tamarackknot.ReasonConflict && unsent && out.Owner == x.s.process():
 		x.claimed = true
+		x.s.keys.setClaimed(x.key)
 		return nil
 	case out.Reason == tamarackknot.ReasonInvalid:
-		return x.otherDigest()
+		return x.otherDigest(out.Owner.Host != "")
+	case out.Reason == tamarackknot.ReasonConflict && out.Owner.Host == "":
+		return unavailable("keyFreed", "an earlier attempt with this key was not run and ended after this one had arrived",
+			time.Now().Add(time.Second))
 	case out.Reason == tamarackknot.ReasonExpired:
 		f := invalid(headerKey, x.opts.key, "a key made at most 10 minutes ago")
 		f.code = "keyExpired"
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -128,7 +128,9 @@
 		return nil
 	}
 	if !validKey(key) {
-		return invalid(headerKey, key, "1 to 255 visible ASCII characters")
+		f := invalid(headerKey, key, "1 to 255 visible ASCII characters")
+		f.settled = true // no entry host accepts the key
+		return f
 	}
 	o.key = key
 	name := headerCreated
--- a/caller/keys.go
+++ b/caller/keys.go
@@ -32,10 +32,14 @@
 	expires time.Time
 	done    chan struct{}
 	// result is set before done is closed. It stays nil if the request did not
-	// run; one of those who wait takes its place.
+	// run.
 	result *recording
-	size   int
-	place  *list.Element
+	// claimed says that this host's claim of the key was accepted; guarded by
+	// keyStore.mu. If the request then did not run, its caller was told so and
+	// none of those who wait may run; otherwise one of them takes its place.
+	claimed bool
+	size    int
+	place   *list.Element
 }
 
 // keyStore holds the keyed requests of this host and their answers until the
@@ -50,12 +54,19 @@
 	swept   time.Time
 	// unsent has the keys that may be claimed for this process although it has
 	// sent no request under them and has no order outstanding to free them.
-	unsent map[string]time.Time
+	unsent map[string]unsentKey
+}
+
+// unsentKey may be used by requests that arrived after since; callers of
+// earlier ones may have been told that the request did not run.
+type unsentKey struct {
+	since   time.Time
+	expires time.Time
 }
 
 func newKeyStore(maxBytes int) *keyStore {
 	return &keyStore{
-		maxBytes: maxBytes, entries: map[string]*keyed{}, order: list.New(), unsent: map[string]time.Time{},
+		maxBytes: maxBytes, entries: map[string]*keyed{}, order: list.New(), unsent: map[string]unsentKey{},
 	}
 }
 
@@ -86,8 +97,8 @@
 			s.drop(k)
 		}
 	}
-	for key, expires := range s.unsent {
-		if now.After(expires) {
+	for key, u := range s.unsent {
+		if now.After(u.expires) {
 			delete(s.unsent, key)
 		}
 	}
@@ -130,18 +141,36 @@
 	close(k.done)
 }
 
-// setUnsent records that this process may own a key and has sent nothing.
-func (s *keyStore) setUnsent(k *keyed) {
+// setClaimed records that this host's claim of a key was accepted.
+func (s *keyStore) setClaimed(k *keyed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k.claimed = true
+}
+
+func (s *keyStore) isClaimed(k *keyed) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return k.claimed
+}
+
+// setUnsent records that this process may own a key and has sent nothing. Only
+// requests that arrived after since may use it.
+func (s *keyStore) setUnsent(k *keyed, since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unsent[k.key] = k.expires
+	s.unsent[k.key] = unsentKey{since: since, expires: k.expires}
 }
 
-// takeUnsent reports whether setUnsent was called for a key, and forgets it.
-func (s *keyStore) takeUnsent(key string) bool {
+// takeUnsent reports whether a request that arrived at a time may use a key
+// that setUnsent was called for, and forgets the key if so.
+func (s *keyStore) takeUnsent(key string, arrived time.Time) (since time.Time, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.unsent[key]
+	u, ok := s.unsent[key]
+	if !ok || !arrived.After(u.since) {
+		return time.Time{}, false
+	}
 	delete(s.unsent, key)
-	return ok
+	return u.since, true
 }
--- a/internal/journaltest/journal.go
+++ b/internal/journaltest/journal.go
@@ -30,6 +30,7 @@
 type claimed struct {
 	claim tamarackknot.KeyClaim
 	owner tamarackknot.Process
+	freed tamarackknot.Offset // 0 while the key is held
 }
 
 // NewStore returns an empty store.
@@ -180,6 +181,10 @@
 			j.Store.keys[c.Key] = claimed{claim: c, owner: j.Process}
 		case held.claim.Digest != c.Digest:
 			out = tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonInvalid, Owner: held.owner}
+		case held.freed > 0 && c.Seen >= held.freed:
+			j.Store.keys[c.Key] = claimed{claim: c, owner: j.Process}
+		case held.freed > 0:
+			out = tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict}
 		default:
 			out = tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict, Owner: held.owner}
 		}
@@ -205,8 +210,9 @@
 // FreeKey implements tamarackknot.Journal.
 func (j *Journal) FreeKey(_ context.Context, c tamarackknot.KeyClaim) error {
 	j.Store.change(func() {
-		if j.Store.keys[c.Key].owner == j.Process {
-			delete(j.Store.keys, c.Key)
+		if held, ok := j.Store.keys[c.Key]; ok && held.owner == j.Process && held.freed == 0 {
+			held.freed = j.Store.applied + 1
+			j.Store.keys[c.Key] = held
 		}
 	})
 	return nil
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -98,3 +98,28 @@
 		require.LessOrEqual(t, c.log.Appends()-before, int64(22))
 	})
 }
+
+// Guards against an attempt that claims a key which another host freed after
+// the attempt had arrived, and against a freed key that no later one can claim.
+func TestClaimFreedKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour, 2000)
+		defer c.close()
+		a, b := c.start("a"), c.start("b")
+		time.Sleep(time.Second)
+		ctx := context.Background()
+		key := tamarackknot.KeyClaim{Key: "k", Digest: "d", Created: time.Now(), Seen: b.Status().Applied}
+		out, err := a.ClaimKey(ctx, key)
+		require.NoError(t, err)
+		require.True(t, out.Accepted)
+		require.NoError(t, a.FreeKey(ctx, key))
+		time.Sleep(time.Second)
+		out, err = b.ClaimKey(ctx, key)
+		require.NoError(t, err)
+		require.Equal(t, tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict}, out)
+		key.Seen = b.Status().Applied
+		out, err = b.ClaimKey(ctx, key)
+		require.NoError(t, err)
+		require.True(t, out.Accepted)
+	})
+}
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -25,10 +25,12 @@
 	created int64 // nanoseconds since 1970
 	// claimed is the record time of the claim, in nanoseconds since 1970.
 	claimed int64
+	// freed is the offset of the record that freed the key, 0 while it is held.
+	freed   tamarackknot.Offset
 	expires int64 // seconds since 1970, rounded up
 }
 
-// keySet holds the claimed keys, with buckets by the second in which they
+// keySet holds the claimed and the freed keys, with buckets by the second in which they
 // expire.
 type keySet struct {
 	entries map[keyID]keyEntry
@@ -41,7 +43,11 @@
 }
 
 func (s *keySet) add(id keyID, e keyEntry) {
+	old, known := s.entries[id]
 	s.entries[id] = e
+	if known && old.expires == e.expires {
+		return
+	}
 	if _, ok := s.buckets[e.expires]; !ok {
 		heap.Push(&s.order, e.expires)
 	}
@@ -53,7 +59,7 @@
 	for len(s.order) > 0 && s.order[0] < now.Unix() {
 		sec := heap.Pop(&s.order).(int64)
 		for _, id := range s.buckets[sec] {
-			// A key that was freed and claimed again may be in another bucket.
+			// A key that was freed and claimed again may be in a later bucket.
 			if e, ok := s.entries[id]; ok && e.expires == sec {
 				delete(s.entries, id)
 			}
@@ -103,12 +109,15 @@
 		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonInvalid}
 	}
 	id, digest := newKeyID(c.Key), xxhash.Sum64String(c.Digest)
-	if e, ok := l.keys.entries[id]; ok {
-		out := tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict, Owner: e.owner.Value()}
-		if e.digest != digest {
-			out.Reason = tamarackknot.ReasonInvalid
-		}
-		return out
+	e, known := l.keys.entries[id]
+	switch {
+	case !known:
+	case e.digest != digest:
+		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonInvalid, Owner: e.owner.Value()}
+	case e.freed == 0:
+		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict, Owner: e.owner.Value()}
+	case c.Seen < e.freed:
+		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict}
 	}
 	if l.time.After(c.Created.Add(l.cfg.KeyMaxAge)) {
 		return tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonExpired}
@@ -119,8 +128,10 @@
 	owner := tamarackknot.Process{Host: rec.Host, Incarnation: rec.Incarnation}
 	l.keys.add(id, keyEntry{
 		digest: digest, owner: unique.Make(owner),
-		created: c.Created.UnixNano(), claimed: rec.Time.UnixNano(),
-		expires: l.keyExpiry(c.Created),
+		// A later time of creation was accepted before, so that the key must be
+		// known until it expires.
+		created: max(c.Created.UnixNano(), e.created), claimed: rec.Time.UnixNano(),
+		expires: max(l.keyExpiry(c.Created), e.expires),
 	})
 	return tamarackknot.KeyOutcome{Accepted: true, Owner: owner}
 }
@@ -132,14 +143,15 @@
 		id := newKeyID(c.Key)
 		e, ok := l.keys.entries[id]
 		switch {
-		case !ok:
+		case !ok || e.freed > 0:
 			out.Keys[i].Reason = tamarackknot.ReasonNotFound
 		// A late copy of an earlier record must not free a later claim of the
 		// same process.
 		case e.owner != owner || rec.Time.UnixNano() < e.claimed:
 			out.Keys[i].Reason, out.Keys[i].Owner = tamarackknot.ReasonConflict, e.owner.Value()
 		default:
-			delete(l.keys.entries, id)
+			e.freed = out.Offset
+			l.keys.entries[id] = e
 			out.Keys[i].Accepted, out.Keys[i].Owner = true, e.owner.Value()
 		}
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -44,6 +44,42 @@
 	require.Equal(t, tamarackknot.ReasonConflict, out.Keys[0].Reason)
 }
 
+// Guards against a second run of a request whose caller was told that it did
+// not run: an attempt that arrived before its key was freed must not claim it
+// afterwards, also at a restored ledger and with another time of creation.
+func TestFreedKey(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := New(Config{})
+	apply := func(c tamarackknot.Change) tamarackknot.KeyOutcome {
+		offset := l.Applied() + 1
+		_, out := l.Apply(offset, record(t, fmt.Sprint(offset), at, c))
+		require.Len(t, out.Keys, 1)
+		return out.Keys[0]
+	}
+	batch := func(seen tamarackknot.Offset, created time.Time, digest string) *tamarackknot.KeyBatch {
+		return &tamarackknot.KeyBatch{Claims: []tamarackknot.KeyClaim{{Key: "k", Digest: digest, Created: created, Seen: seen}}}
+	}
+	claim := func(seen tamarackknot.Offset, created time.Time, digest string) tamarackknot.KeyOutcome {
+		return apply(tamarackknot.Change{Keys: batch(seen, created, digest)})
+	}
+	free := tamarackknot.Change{KeysFree: batch(0, at, "d")}
+	require.True(t, claim(0, at, "d").Accepted)
+	require.True(t, apply(free).Accepted) // offset 2
+	require.Equal(t, tamarackknot.ReasonNotFound, apply(free).Reason)
+	chunks, err := l.Encode()
+	require.NoError(t, err)
+	l, err = Restore(Config{}, chunks)
+	require.NoError(t, err)
+	conflict := tamarackknot.KeyOutcome{Reason: tamarackknot.ReasonConflict}
+	require.Equal(t, conflict, claim(0, at, "d"))
+	require.Equal(t, conflict, claim(1, at.Add(time.Minute), "d"))
+	require.Equal(t, tamarackknot.ReasonInvalid, claim(2, at, "other").Reason)
+	require.True(t, claim(2, at.Add(-time.Minute), "d").Accepted)
+	require.Equal(t, "h", claim(9, at, "d").Owner.Host)
+	at = at.Add(10*time.Minute + 30*time.Second)
+	require.Equal(t, tamarackknot.ReasonConflict, claim(9, at, "d").Reason, "the key expires with the later time of creation")
+}
+
 // Guards against a snapshot that is damaged, incomplete or out of order and is
 // taken for a state.
 func TestRestoreRejectsDamage(t *testing.T) {
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -18,7 +18,7 @@
 
 // snapshotFormat is raised when a snapshot can no longer be read by older
 // programs.
-const snapshotFormat = 1
+const snapshotFormat = 2
 
 // ChunkSize bounds the data of one chunk, in bytes. JSON encodes it in base64,
 // so that a record stays below 180 KB.
@@ -128,6 +128,7 @@
 	Owner   wireProcess
 	Created int64
 	Claimed int64
+	Freed   tamarackknot.Offset
 }
 
 type wireProcess struct {
@@ -196,7 +197,7 @@
 	for _, id := range keys {
 		e := l.keys.entries[id]
 		p := e.owner.Value()
-		if err := enc.Encode(wireKey{ID: id, Digest: e.digest, Owner: wireProcess{Host: p.Host, Incarnation: p.Incarnation}, Created: e.created, Claimed: e.claimed}); err != nil {
+		if err := enc.Encode(wireKey{ID: id, Digest: e.digest, Owner: wireProcess{Host: p.Host, Incarnation: p.Incarnation}, Created: e.created, Claimed: e.claimed, Freed: e.freed}); err != nil {
 			return err
 		}
 	}
@@ -255,7 +256,7 @@
 		}
 		l.keys.add(k.ID, keyEntry{
 			digest: k.Digest, owner: unique.Make(tamarackknot.Process{Host: k.Owner.Host, Incarnation: k.Owner.Incarnation}),
-			created: k.Created, claimed: k.Claimed,
+			created: k.Created, claimed: k.Claimed, freed: k.Freed,
 			expires: l.keyExpiry(time.Unix(0, k.Created)),
 		})
 	}
--- a/record.go
+++ b/record.go
@@ -78,6 +78,10 @@
 	Digest string `json:"digest"`
 	// Created is the time at which the caller made the key.
 	Created time.Time `json:"created"`
+	// Seen is the offset that the claiming process had applied when the
+	// request arrived. A key that was freed later is not claimed for it: the
+	// caller may have been told that the request did not run.
+	Seen Offset `json:"seen,omitempty"`
 }
 
 // SnapshotChunk is one part of a snapshot of the state up to Covers.
@@ -123,7 +127,8 @@
 type KeyOutcome struct {
 	Accepted bool   `json:"accepted"`
 	Reason   Reason `json:"reason,omitempty"` // conflict, expired or invalid (other digest)
-	// Owner is the process that holds the key.
+	// Owner is the process that holds the key. After a conflict it is empty if
+	// the key was freed after the request had arrived.
 	Owner Process `json:"owner"`
 }
 
@@ -209,7 +214,8 @@
 	// ClaimKey is Propose for one request key; concurrent claims share a
 	// record.
 	ClaimKey(ctx context.Context, c KeyClaim) (KeyOutcome, error)
-	// FreeKey gives up a key whose request provably did not run.
+	// FreeKey gives up a key whose request provably did not run. Only requests
+	// that arrive after the process has applied the record can claim it again.
 	FreeKey(ctx context.Context, c KeyClaim) error
 	// Read calls fn with the folded state under a read lock.
 	Read(fn func(State))
