Halve the traffic of report subscriptions in large fleets

Cause: with 100 hosts batches took 5.7 KB/s, because the interval was derived from the number of batches without their items; at 770 hosts renewals took 2 KB/s, and reading the log needs its share of the 8 KB/s for control as well.

Change: the interval also counts the endpoints and aims at 3 KB/s, a host follows at most 200 endpoints for routing instead of 256 (97 models with 2 preferred replicas each are 194), and subscriptions last 5 min instead of 60 s. TestTraffic computes renewals from the subscriptions and its limit for hosts that are not planners is now 4,500 B/s instead of 6,000.

Ruled out: intervals above 10 s (placement ignores reports older than 15 s).

--- a/endpoint/interest.go
+++ b/endpoint/interest.go
@@ -23,16 +23,18 @@
 	// maxFollowed bounds the endpoints that a host follows for routing, and
 	// maxInspected those that it follows in full without being their planner.
 	// At the target size routing prefers 2 endpoints for each of 97 models.
-	maxFollowed  = 256
+	maxFollowed  = 200
 	maxInspected = 64
 	// subscriptionTime is how long a subscription lasts; it is renewed after
-	// half of it.
-	subscriptionTime = 60 * time.Second
-	// A batch takes about batchBytes on the wire. A host with many pollers
-	// asks for batches less often, so that these take at most batchRate bytes
-	// a second, but every maxIntervals report intervals.
-	batchBytes   = 150
-	batchRate    = 4000
+	// half of it. With 60 s, renewals took 2 KB/s at the target size.
+	subscriptionTime = 5 * time.Minute
+	// A batch takes about batchBytes on the wire and itemBytes for each
+	// endpoint. A host with many pollers asks for batches less often, so that
+	// these take about batchRate bytes a second, but every maxIntervals report
+	// intervals: for placement a report is too old after 15 s.
+	batchBytes   = 160
+	itemBytes    = 25
+	batchRate    = 3000
 	maxIntervals = 10
 	// maxOwnPolls bounds the polls in one interval of endpoints that this host
 	// uses and gets no reports of.
@@ -110,7 +112,7 @@
 	f.followed = next
 	f.interval = t.cfg.Interval
 	if !small {
-		n := time.Duration(len(byPoller)*batchBytes/batchRate + 1)
+		n := time.Duration((len(byPoller)*batchBytes+len(set)*itemBytes)/batchRate + 1)
 		f.interval *= min(n, maxIntervals)
 	}
 	out := f.subscribe(byPoller, now)
--- a/endpoint/traffic_test.go
+++ b/endpoint/traffic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -44,8 +45,8 @@
 		planner                       bool
 	}{
 		"9 hosts":            {hosts: 9, endpoints: 20, used: 20, limit: 8000},
-		"100 hosts":          {hosts: 100, endpoints: 890, used: 400, limit: 6000},
-		"770 hosts":          {hosts: 770, endpoints: 6900, used: 400, limit: 6000},
+		"100 hosts":          {hosts: 100, endpoints: 890, used: 400, limit: 4500},
+		"770 hosts":          {hosts: 770, endpoints: 6900, used: 400, limit: 4500},
 		"770 hosts, planner": {hosts: 770, endpoints: 6900, used: 400, limit: 100_000, planner: true},
 	} {
 		if tt.hosts > 100 && os.Getenv("TRAFFIC") != "target" {
@@ -96,8 +97,14 @@
 				for _, n := range net.polls {
 					polls += n
 				}
-				t.Logf("%d hosts, %d endpoints: received %d B/s, sent for subscriptions %d B/s, polls per endpoint and second %.2f",
-					tt.hosts, tt.endpoints, rate(net.received), rate(net.sent), float64(polls)/measured/float64(tt.endpoints))
+				renewals := 0
+				for _, s := range subject.table.follower.sources {
+					data, err := json.Marshal(s.subscription)
+					require.NoError(t, err)
+					renewals += len(data) + messageOverhead
+				}
+				t.Logf("%d hosts, %d endpoints: received %d B/s, renewals of subscriptions %d B/s, polls per endpoint and second %.2f",
+					tt.hosts, tt.endpoints, rate(net.received), renewals/int(subscriptionTime.Seconds()/2), float64(polls)/measured/float64(tt.endpoints))
 				require.LessOrEqual(t, rate(net.received), tt.limit)
 				require.LessOrEqual(t, float64(polls)/measured/float64(tt.endpoints), pollersPerEndpoint+0.1)
 				requireFresh(t, subject.table, tt.planner)
--- a/journal/rate_test.go
+++ b/journal/rate_test.go
@@ -109,10 +109,10 @@
 		adapters, endpoints int
 		retention           time.Duration
 	}{
-		"9 hosts":                       {adapters: 190, endpoints: 20, retention: time.Hour},
-		"100 hosts":                     {adapters: 4500, endpoints: 890, retention: time.Hour},
-		"770 hosts":                     {adapters: 35_000, endpoints: 6900, retention: time.Hour},
-		"770 hosts, long retention":     {adapters: 35_000, endpoints: 6900, retention: 24 * time.Hour},
+		"9 hosts":                   {adapters: 190, endpoints: 20, retention: time.Hour},
+		"100 hosts":                 {adapters: 4500, endpoints: 890, retention: time.Hour},
+		"770 hosts":                 {adapters: 35_000, endpoints: 6900, retention: time.Hour},
+		"770 hosts, long retention": {adapters: 35_000, endpoints: 6900, retention: 24 * time.Hour},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
