Tell what became of a write by its error, not by its code alone

Cause: a connection that broke in the middle of a write has the code unavailable, so tamarackctl exited with 4, "nothing was changed", for a change that may have taken effect. A read that timed out exited with 5, although it changes nothing, and did not go on to the next entry host. A flag that needs a number did not name itself.

Change: reads and writes are tried by different rules and mark their errors as not changed or unknown. apply lets writes in flight end, starts no further one, and prints what was accepted. Only the condition Ready is skipped while draining. watch counts failures since the last event. Numbers are parsed from strings, so that the message has the flag.

Ruled out: going on to the next entry host after a broken connection with a write; the change could be appended twice in different orders. Wrong flags and missing arguments already exit with 2 and name the cause; flaggy does that itself.

Conclusion: exit code 4 now means that this write was not made.

--- a/cli/commands/apply.go
+++ b/cli/commands/apply.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -38,7 +40,11 @@
 		}
 		applied, err := a.applyAll(ctx, items)
 		if err != nil {
-			return err
+			if len(applied) == 0 {
+				return err
+			}
+			// What was accepted before the failure stays in force.
+			return errors.CombineErrors(err, a.printApplied(applied))
 		}
 		if wait {
 			if err := a.waitTrue(ctx, applied); err != nil {
@@ -56,26 +62,38 @@
 }
 
 // applyAll writes the items kind by kind, since a resource must exist before
-// others refer to it.
+// others refer to it. After a failure it starts no further write, but lets
+// those in flight end, so that their outcome is known; it returns what was
+// accepted.
 func (a *app) applyAll(ctx context.Context, items []manifest.Item) ([]applied, error) {
 	out := make([]applied, len(items))
+	var failed atomic.Bool
 	for start := 0; start < len(items); {
 		end := start
 		kind := items[start].Resource.GetKind()
 		for end < len(items) && items[end].Resource.GetKind() == kind {
 			end++
 		}
-		g, ctx := errgroup.WithContext(ctx)
+		var g errgroup.Group
+		errs := make([]error, len(items))
 		g.SetLimit(applyConcurrency)
 		for i := start; i < end; i++ {
 			g.Go(func() error {
+				if failed.Load() {
+					return nil
+				}
 				var err error
-				out[i], err = a.applyItem(ctx, items[i])
-				return errors.Wrap(err, items[i].Source)
+				if out[i], err = a.applyItem(ctx, items[i]); err != nil {
+					failed.Store(true)
+					errs[i] = errors.Wrap(err, items[i].Source)
+				}
+				return nil
 			})
 		}
-		if err := g.Wait(); err != nil {
-			return nil, err
+		_ = g.Wait()
+		if failed.Load() {
+			out = slices.DeleteFunc(out, func(r applied) bool { return r.Resource == nil })
+			return out, errors.Wrapf(errors.Join(errs...), "%d of %d resources were applied", len(out), len(items))
 		}
 		start = end
 	}
@@ -90,7 +108,7 @@
 		}
 		item.Resource.Metadata.Revision = stored.GetMetadata().GetRevision()
 	}
-	resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.ApplyResponse], error) {
+	resp, err := write(ctx, a, func(c client) (*connect.Response[operatorv1.ApplyResponse], error) {
 		return c.Apply(ctx, connect.NewRequest(&operatorv1.ApplyRequest{Resource: item.Resource}))
 	})
 	if err != nil {
@@ -100,7 +118,7 @@
 }
 
 func (a *app) fetch(ctx context.Context, kind, name string) (*operatorv1.Resource, error) {
-	resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.GetResponse], error) {
+	resp, err := read(ctx, a, func(c client) (*connect.Response[operatorv1.GetResponse], error) {
 		return c.Get(ctx, connect.NewRequest(&operatorv1.GetRequest{Kind: kind, Name: name}))
 	})
 	return resp.GetResource(), err
@@ -127,7 +145,7 @@
 
 // missing describes the first condition that does not hold yet.
 func (a *app) missing(ctx context.Context, want []applied) (string, error) {
-	resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.ListResponse], error) {
+	resp, err := read(ctx, a, func(c client) (*connect.Response[operatorv1.ListResponse], error) {
 		return c.List(ctx, connect.NewRequest(&operatorv1.ListRequest{}))
 	})
 	if ctx.Err() != nil {
@@ -147,7 +165,10 @@
 			return key + " is not in force on the answering entry host", nil
 		}
 		for _, c := range r.GetStatus().GetConditions() {
-			if c.GetStatus() != "True" && !r.GetEndpoint().GetDraining() {
+			if c.GetType() == "Ready" && r.GetEndpoint().GetDraining() {
+				continue
+			}
+			if c.GetStatus() != "True" {
 				return fmt.Sprintf("%s: %s is %s (%s) %s", key, c.GetType(), c.GetStatus(), c.GetReason(), c.GetMessage()), nil
 			}
 		}
--- a/cli/commands/client.go
+++ b/cli/commands/client.go
@@ -39,25 +39,59 @@
 	return out
 }
 
-// call tries the entry hosts in order. It goes on to the next one only after
+// read tries the entry hosts in order. A read changes nothing, so it goes on to
+// the next one after every error but an answer about the request itself.
+func read[T any](ctx context.Context, a *app, fn func(client) (*connect.Response[T], error)) (*T, error) {
+	resp, err := try(ctx, a, fn, func(err error) bool { return !answersRequest(err) })
+	if err != nil && !answersRequest(err) {
+		err = errors.Mark(err, errNotChanged)
+	}
+	return resp, err
+}
+
+// write tries the entry hosts in order. It goes on to the next one only after
 // an error that says that nothing was changed.
-func call[T any](ctx context.Context, a *app, fn func(client) (*connect.Response[T], error)) (*T, error) {
-	err := errors.Mark(errors.New("--servers: no address given"), errUsage)
+func write[T any](ctx context.Context, a *app, fn func(client) (*connect.Response[T], error)) (*T, error) {
+	resp, err := try(ctx, a, fn, notChanged)
+	switch {
+	case err == nil || answersRequest(err):
+	case notChanged(err):
+		err = errors.Mark(err, errNotChanged)
+	default:
+		err = errors.Mark(errors.Wrap(err, "the outcome is unknown"), errUnknown)
+	}
+	return resp, err
+}
+
+func try[T any](ctx context.Context, a *app, fn func(client) (*connect.Response[T], error), goOn func(error) bool) (*T, error) {
+	var err error
 	for _, c := range a.clients {
 		var resp *connect.Response[T]
 		resp, err = fn(c)
 		if err == nil {
 			return resp.Msg, nil
 		}
-		if !triesNext(err) || ctx.Err() != nil {
-			return nil, errors.Wrap(err, c.address)
-		}
 		err = errors.Wrap(err, c.address)
+		if !goOn(err) || ctx.Err() != nil {
+			break
+		}
 	}
 	return nil, err
 }
 
-func triesNext(err error) bool {
+// answersRequest reports whether an entry host refused the request for a
+// reason that every other one would also give.
+func answersRequest(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeAborted,
+		connect.CodeNotFound, connect.CodeUnimplemented:
+		return true
+	default:
+		return false
+	}
+}
+
+func notChanged(err error) bool {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return true
--- a/cli/commands/commands.go
+++ b/cli/commands/commands.go
@@ -7,6 +7,7 @@
 	"io"
 	"os/signal"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -72,7 +73,9 @@
 	p.ShowCompletion = false
 	p.String(&a.settings.Servers, "s", "servers", "operator addresses of entry hosts, comma-separated IP:port, tried in order (TAMARACKCTL_SERVERS)")
 	p.String(&a.settings.Output, "o", "output", "table or json (TAMARACKCTL_OUTPUT)")
-	p.Int(&a.settings.TimeoutSeconds, "t", "timeout", "seconds until the command gives up, 1 to 3600 (TAMARACKCTL_TIMEOUT_SECONDS)")
+	// flaggy's message for a value that is no number does not name the flag.
+	timeout := strconv.Itoa(a.settings.TimeoutSeconds)
+	p.String(&timeout, "t", "timeout", "seconds until the command gives up, 1 to 3600 (TAMARACKCTL_TIMEOUT_SECONDS)")
 	commands := a.commands()
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
@@ -81,7 +84,12 @@
 		_, _ = fmt.Fprintln(stderr, "tamarackctl:", err)
 		return ExitUsage
 	}
-	err := a.dispatch(commands)
+	var err error
+	if a.settings.TimeoutSeconds, err = strconv.Atoi(timeout); err != nil {
+		_, _ = fmt.Fprintf(stderr, "tamarackctl: --timeout: %q is not a whole number\n", timeout)
+		return ExitUsage
+	}
+	err = a.dispatch(commands)
 	if errors.Is(err, errNoCommand) {
 		p.ShowHelp()
 		return ExitUsage
@@ -104,7 +112,9 @@
 	if err := a.settings.check(); err != nil {
 		return err
 	}
-	a.clients = newClients(a.settings.Servers)
+	if a.clients = newClients(a.settings.Servers); len(a.clients) == 0 {
+		return errors.Mark(fmt.Errorf("--servers: %q names no address", a.settings.Servers), errUsage)
+	}
 	a.deadline = time.Now().Add(time.Duration(a.settings.TimeoutSeconds) * time.Second)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/cli/commands/exit.go
+++ b/cli/commands/exit.go
@@ -23,6 +23,11 @@
 var (
 	errUsage   = errors.New("usage")
 	errTimeout = errors.New("timeout")
+	// errNotChanged and errUnknown mark errors by what became of the change;
+	// the code of the error alone does not tell, since a broken connection and
+	// a log that is down are both unavailable.
+	errNotChanged = errors.New("not changed")
+	errUnknown    = errors.New("outcome unknown")
 )
 
 func exitCode(err error) ExitCode {
@@ -33,14 +38,16 @@
 		return ExitUsage
 	case errors.Is(err, errTimeout):
 		return ExitTimeout
+	case errors.Is(err, errUnknown):
+		return ExitUnknown
+	case errors.Is(err, errNotChanged):
+		return ExitUnavailable
 	}
 	switch connect.CodeOf(err) {
-	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition:
+	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeUnimplemented:
 		return ExitFailed
 	case connect.CodeAborted:
 		return ExitConflict
-	case connect.CodeUnavailable:
-		return ExitUnavailable
 	case connect.CodeNotFound:
 		return ExitNotFound
 	default:
--- a/cli/commands/read.go
+++ b/cli/commands/read.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
 	operatorv1 "tamarackknot.example/tamarackknot/gen/operator/v1"
@@ -31,7 +32,7 @@
 	sub.AddPositionalValue(&kind, "kind", 1, false, "deployment, model, adapter, service or endpoint")
 	sub.String(&deployment, "d", "deployment", "only resources of this deployment")
 	return &command{sub: sub, run: func(ctx context.Context) error {
-		resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.ListResponse], error) {
+		resp, err := read(ctx, a, func(c client) (*connect.Response[operatorv1.ListResponse], error) {
 			return c.List(ctx, connect.NewRequest(&operatorv1.ListRequest{Kind: kind, Deployment: deployment}))
 		})
 		if err != nil {
@@ -45,7 +46,7 @@
 	sub := flaggy.NewSubcommand("status")
 	sub.Description = "prints the entry hosts and the configuration that each has in force"
 	return &command{sub: sub, run: func(ctx context.Context) error {
-		resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.StatusResponse], error) {
+		resp, err := read(ctx, a, func(c client) (*connect.Response[operatorv1.StatusResponse], error) {
 			return c.Status(ctx, connect.NewRequest(&operatorv1.StatusRequest{}))
 		})
 		if err != nil {
@@ -70,6 +71,7 @@
 // ends; every start sends the present state again, so no change is missed.
 func (a *app) watchFrom(ctx context.Context, kind, name string) error {
 	var err error
+	failures := 0 // since the last event
 	for i := 0; ctx.Err() == nil; i++ {
 		c := a.clients[i%len(a.clients)]
 		var stream *connect.ServerStreamForClient[operatorv1.WatchResponse]
@@ -77,6 +79,7 @@
 		received := false
 		for err == nil && stream.Receive() {
 			received = true
+			failures = 0
 			if err := a.printEvent(stream.Msg()); err != nil {
 				return err
 			}
@@ -88,9 +91,15 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if connect.CodeOf(err) == connect.CodeInvalidArgument || (!received && i >= len(a.clients)) {
+		if !received {
+			failures++
+		}
+		if connect.CodeOf(err) == connect.CodeInvalidArgument {
 			return err
 		}
+		if failures > len(a.clients) {
+			return errors.Mark(err, errNotChanged)
+		}
 	}
 	return nil
 }
--- a/cli/commands/write.go
+++ b/cli/commands/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -12,27 +13,35 @@
 )
 
 func (a *app) delete() *command {
-	var kind, name string
-	var revision int64
+	var kind, name, pinned string
 	sub := flaggy.NewSubcommand("delete")
 	sub.Description = "removes a resource"
 	sub.AddPositionalValue(&kind, "kind", 1, true, "deployment, model, adapter, service or endpoint")
 	sub.AddPositionalValue(&name, "name", 2, true, "name of the resource")
-	sub.Int64(&revision, "r", "revision", "remove only this revision; without it, the stored one")
+	sub.String(&pinned, "r", "revision", "remove only this revision; without it, the stored one")
 	return &command{sub: sub, run: func(ctx context.Context) error {
-		if revision == 0 {
+		var revision int64
+		if pinned != "" {
+			var err error
+			if revision, err = strconv.ParseInt(pinned, 10, 64); err != nil || revision < 1 {
+				return errors.Mark(fmt.Errorf("--revision: %q is not a whole number above 0", pinned), errUsage)
+			}
+		} else {
 			r, err := a.fetch(ctx, kind, name)
 			if err != nil {
 				return err
 			}
 			revision = r.GetMetadata().GetRevision()
 		}
-		resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.DeleteResponse], error) {
+		resp, err := write(ctx, a, func(c client) (*connect.Response[operatorv1.DeleteResponse], error) {
 			return c.Delete(ctx, connect.NewRequest(&operatorv1.DeleteRequest{Kind: kind, Name: name, Revision: revision}))
 		})
 		if err != nil {
 			return err
 		}
+		if a.json() {
+			return a.printJSON(resp)
+		}
 		_, err = fmt.Fprintf(a.out, "%s/%s deleted at revision %d\n", kind, name, resp.GetRevision())
 		return err
 	}}
@@ -63,7 +72,7 @@
 			return fmt.Errorf("endpoint %q: answer has no spec", name)
 		}
 		spec.Draining = draining
-		resp, err := call(ctx, a, func(c client) (*connect.Response[operatorv1.ApplyResponse], error) {
+		resp, err := write(ctx, a, func(c client) (*connect.Response[operatorv1.ApplyResponse], error) {
 			return c.Apply(ctx, connect.NewRequest(&operatorv1.ApplyRequest{Resource: r}))
 		})
 		if err != nil {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/caarlos0/env/v11"
@@ -75,12 +76,22 @@
 	p.String(&s.OperatorAddress, "o", "operatorAddress", "IP:port for operators (TAMARACKD_OPERATOR_ADDRESS)")
 	p.String(&s.PlatformAddress, "a", "platformAddress", "IP:port of the platform's log and host list (TAMARACKD_PLATFORM_ADDRESS)")
 	p.String(&s.LogLevel, "l", "logLevel", "debug, info, warn or error (TAMARACKD_LOG_LEVEL)")
-	for _, o := range s.ints() {
-		p.Int(o.value, "", o.flag, fmt.Sprintf("%s, %d to %d (%s%s)", o.help, o.low, o.high, envPrefix, o.variable))
+	// flaggy's message for a value that is no number does not name the flag.
+	ints := s.ints()
+	numbers := make([]string, len(ints))
+	for i, o := range ints {
+		numbers[i] = strconv.Itoa(*o.value)
+		p.String(&numbers[i], "", o.flag, fmt.Sprintf("%s, %d to %d (%s%s)", o.help, o.low, o.high, envPrefix, o.variable))
 	}
 	if err := p.ParseArgs(args); err != nil {
 		return s, errors.Wrap(err, "flags")
 	}
+	for i, o := range ints {
+		var err error
+		if *o.value, err = strconv.Atoi(numbers[i]); err != nil {
+			return s, fmt.Errorf("--%s: %q is not a whole number", o.flag, numbers[i])
+		}
+	}
 	return s, s.check()
 }
 
--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -25,6 +25,7 @@
 		"unspecified":        {[]string{"--callerAddress=0.0.0.0:80"}, `--callerAddress: "0.0.0.0:80" must name an IP and a port that other hosts can reach`},
 		"platform scheme":    {[]string{"--platformAddress=http://x"}, `--platformAddress: "http://x" is not of the form IP:port`},
 		"log level":          {[]string{"--logLevel=loud"}, `--logLevel: "loud" is not one of [debug info warn error]`},
+		"queue no number":    {[]string{"--maxQueue=x"}, `--maxQueue: "x" is not a whole number`},
 		"queue out of range": {[]string{"--maxQueue=0"}, "--maxQueue: 0 is not from 1 to 100000"},
 	}
 	for name, tt := range tests {
