Compare only what changed in a watch; answer nothing from a partial state

Cause: a watch described and compared every resource of its kind after each record, up to ten times a second, and once a second without any. A host whose state is not complete answered get and delete with "does not exist" and list with nothing, so tamarackctl did not go on to the next host. The answer to an accepted apply had the resource of a later writer, or none if it was removed at once. Events of one comparison came in random order. Every described resource copied the list of entry hosts.

Change: a watch compares the names that ChangedSince gives, and all of them only if an entry host's configuration offset or the set of serving hosts has changed, or once a second for endpoints, whose status depends on reports. Get, list, delete and watch answer unavailable until the state is complete. An overtaken apply is answered with its own revision.

Ruled out: list is not quadratic; it takes 0.27 s for 8,750 adapters and 1.22 s for 35,000, the same as before within noise.

--- a/operator/server.go
+++ b/operator/server.go
@@ -24,10 +24,6 @@
 // must be in force everywhere within 11 s.
 const proposeTimeout = 10 * time.Second
 
-// watchInterval bounds how often a watch compares the state, so that a burst
-// of changes costs one comparison.
-const watchInterval = 100 * time.Millisecond
-
 // Config holds what a Server depends on.
 type Config struct {
 	Journal tamarackknot.Journal
@@ -67,8 +63,8 @@
 	if err := ledger.Validate(r); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	if !s.cfg.Journal.Status().Ready {
-		return nil, connect.NewError(connect.CodeUnavailable, tamarackknot.ErrNotReady)
+	if err := s.checkReady(); err != nil {
+		return nil, err
 	}
 	basedOn := r.Metadata.Revision
 	if stored := s.stored(r.Kind, r.Metadata.Name); stored != nil &&
@@ -83,7 +79,14 @@
 	if !out.Accepted {
 		return nil, rejection(r.Kind, r.Metadata.Name, basedOn, out)
 	}
-	return connect.NewResponse(&operatorv1.ApplyResponse{Resource: s.stored(r.Kind, r.Metadata.Name), Changed: true}), nil
+	resp := s.stored(r.Kind, r.Metadata.Name)
+	if resp.GetMetadata().GetRevision() != int64(out.Offset) {
+		// Another write has replaced or removed the resource since. The answer
+		// is about this write, so it has no status.
+		r.Metadata.Revision = out.Offset
+		resp = toWire(&r)
+	}
+	return connect.NewResponse(&operatorv1.ApplyResponse{Resource: resp, Changed: true}), nil
 }
 
 // Get returns a resource with its status.
@@ -92,6 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.checkReady(); err != nil {
+		return nil, err
+	}
 	r := s.stored(kind, req.Msg.GetName())
 	if r == nil {
 		return nil, notFound(kind, req.Msg.GetName())
@@ -109,7 +115,11 @@
 		}
 		kinds = []tamarackknot.Kind{kind}
 	}
+	if err := s.checkReady(); err != nil {
+		return nil, err
+	}
 	resp := &operatorv1.ListResponse{}
+	hosts := s.servingHosts()
 	s.cfg.Journal.Read(func(st tamarackknot.State) {
 		resp.ConfigOffset = int64(st.ConfigOffset())
 		for _, kind := range kinds {
@@ -117,7 +127,7 @@
 				if d := req.Msg.GetDeployment(); d != "" && deploymentOf(r) != d {
 					continue
 				}
-				resp.Resources = append(resp.Resources, s.describe(st, r))
+				resp.Resources = append(resp.Resources, s.describe(st, hosts, r))
 			}
 		}
 	})
@@ -131,6 +141,9 @@
 		return nil, err
 	}
 	name, basedOn := req.Msg.GetName(), tamarackknot.Offset(req.Msg.GetRevision())
+	if err := s.checkReady(); err != nil {
+		return nil, err
+	}
 	if s.stored(kind, name) == nil {
 		return nil, notFound(kind, name)
 	}
@@ -162,91 +175,33 @@
 	return connect.NewResponse(resp), nil
 }
 
-// Watch sends the present state of the selected resources, then each change
-// of spec or status.
-func (s *Server) Watch(ctx context.Context, req *connect.Request[operatorv1.WatchRequest], stream *connect.ServerStream[operatorv1.WatchResponse]) error {
-	kind, err := parseKind(req.Msg.GetKind())
-	if err != nil {
-		return err
-	}
-	sent := map[string]*operatorv1.Resource{}
-	for {
-		changed := s.cfg.Journal.Changed()
-		if err := s.sendChanges(kind, req.Msg.GetName(), sent, stream); err != nil {
-			return err
-		}
-		// Status also depends on members and reports, which do not signal a
-		// change of the journal.
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		case <-time.After(time.Second):
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(watchInterval):
-		}
-	}
-}
-
-func (s *Server) sendChanges(kind tamarackknot.Kind, name string, sent map[string]*operatorv1.Resource, stream *connect.ServerStream[operatorv1.WatchResponse]) error {
-	current := s.selected(kind, name)
-	for n, r := range current {
-		if old, ok := sent[n]; ok && proto.Equal(old, r) {
-			continue
-		}
-		if err := stream.Send(&operatorv1.WatchResponse{Type: operatorv1.WatchResponse_TYPE_SET, Resource: r}); err != nil {
-			return err
-		}
-		sent[n] = r
-	}
-	for n, r := range sent {
-		if _, ok := current[n]; ok {
-			continue
-		}
-		if err := stream.Send(&operatorv1.WatchResponse{Type: operatorv1.WatchResponse_TYPE_DELETED, Resource: r}); err != nil {
-			return err
-		}
-		delete(sent, n)
-	}
-	return nil
-}
-
-func (s *Server) selected(kind tamarackknot.Kind, name string) map[string]*operatorv1.Resource {
-	out := map[string]*operatorv1.Resource{}
-	s.cfg.Journal.Read(func(st tamarackknot.State) {
-		if name != "" {
-			if r, ok := st.Resource(kind, name); ok {
-				out[name] = s.describe(st, r)
-			}
-			return
-		}
-		for _, r := range st.Resources(kind) {
-			out[r.Metadata.Name] = s.describe(st, r)
-		}
-	})
-	return out
-}
-
 // stored returns a resource with its status, or nil.
 func (s *Server) stored(kind tamarackknot.Kind, name string) *operatorv1.Resource {
 	var out *operatorv1.Resource
+	hosts := s.servingHosts()
 	s.cfg.Journal.Read(func(st tamarackknot.State) {
 		if r, ok := st.Resource(kind, name); ok {
-			out = s.describe(st, r)
+			out = s.describe(st, hosts, r)
 		}
 	})
 	return out
 }
 
-func (s *Server) describe(st tamarackknot.State, r *tamarackknot.Resource) *operatorv1.Resource {
+func (s *Server) describe(st tamarackknot.State, hosts []tamarackknot.Member, r *tamarackknot.Resource) *operatorv1.Resource {
 	out := toWire(r)
-	out.Status = s.status(st, r)
+	out.Status = s.status(st, hosts, r)
 	return out
 }
 
+// checkReady keeps a host with an incomplete state from answering that a
+// resource does not exist.
+func (s *Server) checkReady() error {
+	if s.cfg.Journal.Status().Ready {
+		return nil
+	}
+	return connect.NewError(connect.CodeUnavailable, tamarackknot.ErrNotReady)
+}
+
 func (s *Server) propose(ctx context.Context, c tamarackknot.Change) (tamarackknot.Outcome, error) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(proposeTimeout))
 	defer cancel()
--- a/operator/status.go
+++ b/operator/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -24,9 +25,9 @@
 const reportMaxAge = 3 * time.Second
 
 // status describes how far a stored resource has become true. It must be
-// called with the state locked.
-func (s *Server) status(st tamarackknot.State, r *tamarackknot.Resource) *operatorv1.Status {
-	out := &operatorv1.Status{Conditions: []*operatorv1.Condition{s.inForce(r.Metadata.Revision)}}
+// called with the state locked; hosts are those of servingHosts.
+func (s *Server) status(st tamarackknot.State, hosts []tamarackknot.Member, r *tamarackknot.Resource) *operatorv1.Status {
+	out := &operatorv1.Status{Conditions: []*operatorv1.Condition{inForce(hosts, r.Metadata.Revision)}}
 	switch r.Kind {
 	case tamarackknot.KindModel, tamarackknot.KindAdapter:
 		replicas := st.Replicas(r.Metadata.Name)
@@ -42,15 +43,18 @@
 	return out
 }
 
+// servingHosts returns the entry hosts that must have a revision in force.
+func (s *Server) servingHosts() []tamarackknot.Member {
+	return slices.DeleteFunc(s.cfg.Members.List(), func(m tamarackknot.Member) bool {
+		return m.Status == tamarackknot.MemberDead || m.Status == tamarackknot.MemberLeaving
+	})
+}
+
 // inForce says whether every entry host that serves has the revision in force.
-func (s *Server) inForce(revision tamarackknot.Offset) *operatorv1.Condition {
+func inForce(hosts []tamarackknot.Member, revision tamarackknot.Offset) *operatorv1.Condition {
 	c := &operatorv1.Condition{Type: conditionInForce, Status: statusTrue, Reason: "AllEntryHosts"}
-	behind, hosts := 0, 0
-	for _, m := range s.cfg.Members.List() {
-		if m.Status == tamarackknot.MemberDead || m.Status == tamarackknot.MemberLeaving {
-			continue
-		}
-		hosts++
+	behind := 0
+	for _, m := range hosts {
 		if m.ConfigOffset < revision {
 			behind++
 			c.Message = fmt.Sprintf("entry host %s has offset %d in force, revision is %d", m.Host.Name, m.ConfigOffset, revision)
@@ -60,7 +64,7 @@
 		c.Status, c.Reason = statusFalse, "EntryHostsBehind"
 		return c
 	}
-	c.Message = fmt.Sprintf("in force on %d entry hosts", hosts)
+	c.Message = fmt.Sprintf("in force on %d entry hosts", len(hosts))
 	return c
 }
 
