Share the TestMain that fixes rapid's settings

Flags on the command line take precedence one by one, as in membership and peer before.

Ruled out: TestControllerFaults (seed 1) and TestFuzz of caller (three seeds) set other values in the test itself and stay as they are.

--- a/entry/daemon/system_test.go
+++ b/entry/daemon/system_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -17,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"tamarackknot.example/tamarackknot/fake"
+	"tamarackknot.example/tamarackknot/internal/rapidtest"
 )
 
 // step is one action of a run. All are drawn before the run starts, since
@@ -374,18 +374,7 @@
 	}
 }
 
-// TestMain fixes the seed of rapid unless the command line names one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.checks": "150"} {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 150) }
 
 // Guards against every promise of docs/GUARANTEES.md being broken by whole
 // entry daemons under random faults, singly, together and twice.
--- /dev/null
+++ b/internal/rapidtest/rapidtest.go
@@ -0,0 +1,33 @@
+// Package rapidtest fixes the settings of rapid, so that tests that draw their
+// input run the same cases each time.
+package rapidtest
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// seed is the seed of all runs whose command line names none.
+const seed = "20261203"
+
+// Main is the body of a TestMain: it calls Fix, runs the tests and exits.
+func Main(m *testing.M, checks int) {
+	Fix(checks)
+	os.Exit(m.Run())
+}
+
+// Fix sets the seed of rapid and the number of checks per test, and turns off
+// files of failed cases. Flags on the command line take precedence. The test
+// binary must import rapid.
+func Fix(checks int) {
+	flag.Parse()
+	fixed := map[string]string{"rapid.seed": seed, "rapid.checks": strconv.Itoa(checks), "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
--- a/journal/main_test.go
+++ b/journal/main_test.go
@@ -1,21 +1,14 @@
 package journal
 
 import (
-	"flag"
 	"testing"
 
 	"go.uber.org/goleak"
+
+	"tamarackknot.example/tamarackknot/internal/rapidtest"
 )
 
-// TestMain fixes the seed of rapid unless the command line names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.checks": "60"} {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
+	rapidtest.Fix(60)
 	goleak.VerifyTestMain(m)
 }
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -15,25 +13,13 @@
 	"github.com/google/uuid"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/rapidtest"
 )
 
 // envelopeBytes is the JSON-RPC envelope of a notification, with its frame.
 const envelopeBytes = 52
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20261203", "rapid.checks": "200", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if flag.Lookup(name) == nil {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 200) }
 
 // network is an in-memory network of entry hosts and their host list.
 type network struct {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -21,19 +20,10 @@
 	"pgregory.net/rapid"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20261203", "rapid.checks": "100", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 100) }
 
 // pipeNet connects meshes with net.Pipe; addresses are host names.
 type pipeNet struct {
