--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"syscall"
@@ -14,23 +13,21 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/fake"
 	"tamarackknot.example/tamarackknot/internal/journaltest"
 )
 
 // network connects the tables of several hosts and counts their polls.
 type network struct {
-	t        *testing.T
-	mu       sync.Mutex
-	handlers map[string]tamarackknot.PeerHandler
-	cut      map[string]bool // hosts that get no messages
-	polls    map[string]int  // by endpoint
-	messages int
-	sent     map[string]int // bytes by host
-	received map[string]int
-	report   func(address string) (tamarackknot.Report, error)
+	t      *testing.T
+	peers  *fake.Peers
+	mu     sync.Mutex
+	polls  map[string]int // by endpoint
+	report func(address string) (tamarackknot.Report, error)
 }
 
 type host struct {
+	*fake.PeersHost
 	net   *network
 	self  int
 	hosts int
@@ -48,33 +45,15 @@
 
 func hostName(i int) string { return fmt.Sprintf("entry-%02d", i) }
 
-func (h *host) Call(context.Context, string, string, any, any) error { return nil }
-
-func (h *host) Notify(ctx context.Context, to, method string, params any) error {
-	data, err := json.Marshal(params)
-	if err != nil {
-		return err
-	}
-	h.net.mu.Lock()
-	handler, cut := h.net.handlers[to+method], h.net.cut[to]
-	h.net.messages++
-	if h.net.sent != nil {
-		h.net.sent[hostName(h.self)] += len(data) + messageOverhead
-		h.net.received[to] += len(data) + messageOverhead
-	}
-	h.net.mu.Unlock()
-	if cut {
-		return context.DeadlineExceeded
-	}
-	if handler == nil {
-		return nil
+func newNetwork(t *testing.T, report func(string) (tamarackknot.Report, error)) *network {
+	t.Helper()
+	return &network{
+		t: t, peers: fake.NewPeers(fake.PeersConfig{Overhead: messageOverhead}), polls: map[string]int{}, report: report,
 	}
-	_, err = handler(ctx, hostName(h.self), data)
-	return err
 }
 
-func (h *host) Handle(method string, handler tamarackknot.PeerHandler) {
-	h.net.handlers[hostName(h.self)+method] = handler
+func (n *network) host(i, hosts int) *host {
+	return &host{PeersHost: n.peers.Host(hostName(i)), net: n, self: i, hosts: hosts}
 }
 
 func (h *host) Self() tamarackknot.Member { return h.List()[h.self] }
@@ -118,18 +97,14 @@
 			Kind: tamarackknot.KindEndpoint, Metadata: tamarackknot.Metadata{Name: "app"},
 			Endpoint: &tamarackknot.EndpointSpec{Address: "app", Slots: 4, Service: "book"},
 		})
-		net := &network{
-			t:        t,
-			handlers: map[string]tamarackknot.PeerHandler{}, cut: map[string]bool{}, polls: map[string]int{},
-			report: func(string) (tamarackknot.Report, error) {
-				return tamarackknot.Report{Time: time.Now(), Running: 3}, nil
-			},
-		}
+		net := newNetwork(t, func(string) (tamarackknot.Report, error) {
+			return tamarackknot.Report{Time: time.Now(), Running: 3}, nil
+		})
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		var hosts []*host
 		for i := range n {
-			h := &host{net: net, self: i, hosts: n}
+			h := net.host(i, n)
 			h.table = New(Config{Journal: &journaltest.Journal{Store: store}, Engine: h, Members: h, Peers: h, Spread: h.Spread})
 			hosts = append(hosts, h)
 		}
@@ -147,7 +122,8 @@
 func (n *network) reset() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.polls, n.messages = map[string]int{}, 0
+	n.polls = map[string]int{}
+	n.peers.ResetCounts()
 }
 
 // TestPollTraffic guards against report traffic at an endpoint that grows with
@@ -170,7 +146,7 @@
 				require.Equal(t, 3, r.Running)
 			}
 		}
-		require.LessOrEqual(t, net.messages, 10*20*19)
+		require.LessOrEqual(t, net.peers.Sent("", "").Messages, 10*20*19)
 	})
 }
 
@@ -180,8 +156,8 @@
 	inBubble(t, 10, 5, func(net *network, hosts []*host) {
 		t := net.t
 		time.Sleep(5500 * time.Millisecond)
+		net.peers.Cut("", hostName(0), true)
 		net.mu.Lock()
-		net.cut[hostName(0)] = true
 		net.report = func(string) (tamarackknot.Report, error) {
 			return tamarackknot.Report{Time: time.Now(), Running: 1}, nil
 		}
--- a/endpoint/traffic_test.go
+++ b/endpoint/traffic_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/fake"
 	"tamarackknot.example/tamarackknot/internal/journaltest"
 )
 
@@ -53,10 +54,7 @@
 		}
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				net := &network{
-					t: t, handlers: map[string]tamarackknot.PeerHandler{}, polls: map[string]int{},
-					sent: map[string]int{}, received: map[string]int{}, report: busy,
-				}
+				net := newNetwork(t, busy)
 				ctx, cancel := context.WithCancel(context.Background())
 				var wg sync.WaitGroup
 				defer wg.Wait()
@@ -83,22 +81,19 @@
 					}
 				}
 				load(40)
-				net.mu.Lock()
-				clear(net.sent)
-				clear(net.received)
-				net.polls = map[string]int{}
-				net.mu.Unlock()
+				net.reset()
 				load(measured)
 				net.mu.Lock()
 				defer net.mu.Unlock()
-				rate := func(m map[string]int) int { return m[hostName(0)] / measured }
+				rate := func(c fake.PeerCount) int { return c.Bytes / measured }
+				received, sent := rate(net.peers.Received(hostName(0), "")), rate(net.peers.Sent(hostName(0), ""))
 				polls := 0
 				for _, n := range net.polls {
 					polls += n
 				}
 				t.Logf("%d hosts, %d endpoints: received %d B/s, sent for subscriptions %d B/s, polls per endpoint and second %.2f",
-					tt.hosts, tt.endpoints, rate(net.received), rate(net.sent), float64(polls)/measured/float64(tt.endpoints))
-				require.LessOrEqual(t, rate(net.received), tt.limit)
+					tt.hosts, tt.endpoints, received, sent, float64(polls)/measured/float64(tt.endpoints))
+				require.LessOrEqual(t, received, tt.limit)
 				require.LessOrEqual(t, float64(polls)/measured/float64(tt.endpoints), pollersPerEndpoint+0.1)
 				requireFresh(t, subject.table, tt.planner)
 			})
@@ -120,7 +115,7 @@
 	var k ranking
 	k.update(&host{hosts: n})
 	for i := range n {
-		h := &host{net: net, self: i, hosts: n}
+		h := net.host(i, n)
 		store := journaltest.NewStore()
 		store.Apply(slices.DeleteFunc(slices.Clone(all), func(r *tamarackknot.Resource) bool {
 			p := k.pollers(r.Metadata.Name)
@@ -154,16 +149,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		const endpoints = 300
 		empty := false
-		net := &network{
-			t: t, handlers: map[string]tamarackknot.PeerHandler{}, polls: map[string]int{}, cut: map[string]bool{},
-		}
-		net.report = func(address string) (tamarackknot.Report, error) {
+		net := newNetwork(t, func(address string) (tamarackknot.Report, error) {
 			r, err := busy(address)
 			if empty {
 				r.Loaded, r.Cached = nil, nil
 			}
 			return r, err
-		}
+		})
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		defer wg.Wait()
@@ -200,12 +192,13 @@
 		set(func() { empty = true })
 		load(12, -1)
 		load(10, 0)
-		set(func() { net.cut[hostName(0)] = true }) // loses batches
+		net.peers.Cut("", hostName(0), true) // loses batches
 		time.Sleep(2 * time.Second)
-		set(func() { net.cut[hostName(0)], empty = false, false })
+		net.peers.Cut("", hostName(0), false)
+		set(func() { empty = false })
 		load(12, -1)
 		load(5, 3)
-		set(func() { net.cut[hostName(0)] = true })
+		net.peers.Cut("", hostName(0), true)
 		load(10, -1)
 		set(func() { net.polls = map[string]int{} })
 		load(10, 3) // from polls by the host itself
--- a/journal/cluster_test.go
+++ b/journal/cluster_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,91 +14,10 @@
 	"tamarackknot.example/tamarackknot/fake"
 )
 
-// network carries messages between the journals of a test.
-type network struct {
-	mu   sync.Mutex
-	node map[string]map[string]tamarackknot.PeerHandler
-	cut  map[string]bool // hosts that no message reaches or leaves
-}
-
-func newNetwork() *network {
-	return &network{node: make(map[string]map[string]tamarackknot.PeerHandler), cut: make(map[string]bool)}
-}
-
-func (n *network) setCut(host string, cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut[host] = cut
-}
-
-func (n *network) join(host string) *mesh {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.node[host] = make(map[string]tamarackknot.PeerHandler)
-	return &mesh{n: n, host: host}
-}
-
-func (n *network) leave(host string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.node, host)
-}
-
-func (n *network) hosts() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var hs []string
-	for h := range n.node {
-		hs = append(hs, h)
-	}
-	slices.Sort(hs)
-	return hs
-}
-
-type mesh struct {
-	n    *network
-	host string
-}
-
-var _ tamarackknot.Peers = (*mesh)(nil)
-
-func (m *mesh) Handle(method string, h tamarackknot.PeerHandler) {
-	m.n.mu.Lock()
-	defer m.n.mu.Unlock()
-	m.n.node[m.host][method] = h
-}
-
-func (m *mesh) Call(ctx context.Context, host, method string, params, result any) error {
-	m.n.mu.Lock()
-	h, ok := m.n.node[host][method]
-	cut := m.n.cut[host] || m.n.cut[m.host]
-	m.n.mu.Unlock()
-	if !ok || cut {
-		return errors.Newf("host %q cannot be reached", host)
-	}
-	data, err := json.Marshal(params)
-	if err != nil {
-		return err
-	}
-	res, err := h(ctx, m.host, data)
-	if err != nil {
-		return err
-	}
-	if data, err = json.Marshal(res); err != nil {
-		return err
-	}
-	return json.Unmarshal(data, result)
-}
-
-func (m *mesh) Notify(ctx context.Context, host, method string, params any) error {
-	var ignored json.RawMessage
-	return m.Call(ctx, host, method, params, &ignored)
-}
-
 // cluster is a log and some hosts with a journal each.
 type cluster struct {
 	log       *fake.Log
-	net       *network
+	peers     *fake.Peers
 	retention time.Duration
 	records   int // between snapshots
 	hosts     map[string]*host
@@ -114,8 +31,8 @@
 
 func newCluster(retention time.Duration, records int) *cluster {
 	return &cluster{
-		log: fake.NewLog(fake.LogConfig{Retention: retention, AppendDelay: 5 * time.Millisecond}),
-		net: newNetwork(), retention: retention, records: records, hosts: make(map[string]*host),
+		log:   fake.NewLog(fake.LogConfig{Retention: retention, AppendDelay: 5 * time.Millisecond}),
+		peers: fake.NewPeers(fake.PeersConfig{}), retention: retention, records: records, hosts: make(map[string]*host),
 	}
 }
 
@@ -123,8 +40,8 @@
 	c.starts++
 	h := &host{client: c.log.Client()}
 	h.Journal = New(Config{
-		Log: h.client, Peers: c.net.join(name), Host: name, Incarnation: fmt.Sprint(c.starts),
-		Hosts: c.net.hosts, Retention: c.retention, SnapshotRecords: c.records,
+		Log: h.client, Peers: c.peers.Host(name), Host: name, Incarnation: fmt.Sprint(c.starts),
+		Hosts: c.peers.Hosts, Retention: c.retention, SnapshotRecords: c.records,
 	})
 	h.Start()
 	c.hosts[name] = h
@@ -132,7 +49,7 @@
 }
 
 func (c *cluster) stop(name string) {
-	c.net.leave(name)
+	c.peers.Kill(name)
 	c.hosts[name].Close()
 	delete(c.hosts, name)
 }
--- a/journal/fuzz_test.go
+++ b/journal/fuzz_test.go
@@ -155,7 +155,7 @@
 			h.client.SetFaults(fake.LogFaults{ReadsDown: true, AppendsDown: true, Hang: s.Name == 0})
 		}
 		if s.Op != "cutLog" {
-			w.net.setCut(name(s.Host), true)
+			w.peers.Isolate(name(s.Host), true)
 		}
 		w.faulty = true
 		time.Sleep(pause)
@@ -207,7 +207,7 @@
 	w.log.SetFaults(fake.LogFaults{})
 	for n, h := range w.hosts {
 		h.client.SetFaults(fake.LogFaults{})
-		w.net.setCut(n, false)
+		w.peers.Isolate(n, false)
 	}
 	w.faulty, w.cut, w.restarted = false, false, false
 	time.Sleep(settleTime)
--- a/placement/cluster_test.go
+++ b/placement/cluster_test.go
@@ -34,6 +34,7 @@
 	hosts   *fake.HostList
 	engines map[string]*fake.Engine
 	history *fake.History
+	peers   *fake.Peers
 	store   *fake.Store
 	wg      sync.WaitGroup
 	output  io.Writer
@@ -72,7 +73,6 @@
 	pausedAt time.Time
 	cut      map[string]bool // endpoints whose orders and reports do not arrive
 	mute     map[string]bool // endpoints whose answers do not arrive
-	handlers map[string]tamarackknot.PeerHandler
 	reports  map[string]tamarackknot.Report
 }
 
@@ -109,6 +109,7 @@
 	c := &cluster{
 		log: fake.NewLog(fake.LogConfig{AppendDelay: 10 * time.Millisecond}), hosts: fake.NewHostList(time.Second),
 		engines: make(map[string]*fake.Engine), history: fake.NewHistory(), output: io.Discard,
+		peers: fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond}),
 		store: fake.NewStore(fake.StoreConfig{LoadsPerSecond: 4, LoadsAtOnce: 2}),
 		ended: make(map[tamarackknot.Process]time.Time), demand: make(map[string]int),
 		served: make(map[string]time.Time),
@@ -207,7 +208,7 @@
 	p := &process{
 		c: c, host: host, id: tamarackknot.Process{Host: hostName(host), Incarnation: fmt.Sprintf("i%d", c.count)},
 		client: c.log.Client(), cut: make(map[string]bool), mute: make(map[string]bool),
-		handlers: make(map[string]tamarackknot.PeerHandler), reports: make(map[string]tamarackknot.Report),
+		reports: make(map[string]tamarackknot.Report),
 	}
 	p.ctx, p.cancel = context.WithCancel(c.ctx)
 	c.processes[host] = p
@@ -218,7 +219,7 @@
 	p.journal.Start()
 	logger := log.NewWithOptions(c.output, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
 	p.ctl = New(Config{
-		Journal: gatedJournal{p.journal, p}, Peers: testPeers{p}, Members: testMembers{p}, Engine: testEngineClient{p},
+		Journal: gatedJournal{p.journal, p}, Peers: testPeers{c.peers.Host(p.id.Host), p}, Members: testMembers{p}, Engine: testEngineClient{p},
 		Reports: p, Hosts: c.hosts, Log: logger.With("process", p.id.Host+"/"+p.id.Incarnation),
 	})
 	c.wg.Go(func() { p.ctl.Run(p.ctx) })
@@ -249,6 +250,7 @@
 	c.mu.Lock()
 	p := c.processes[host]
 	c.processes[host] = nil
+	c.peers.Kill(hostName(host))
 	c.mu.Unlock()
 	if p == nil {
 		return
@@ -501,38 +503,27 @@
 	return tamarackknot.Report{}, errors.New("not used by the controller")
 }
 
-type testPeers struct{ p *process }
-
-func (t testPeers) Handle(method string, h tamarackknot.PeerHandler) { t.p.handlers[method] = h }
+// testPeers carries the messages of one process, which neither sends nor
+// handles any while it is paused.
+type testPeers struct {
+	*fake.PeersHost
+	p *process
+}
 
-func (t testPeers) Notify(ctx context.Context, host, method string, params any) error {
-	return t.Call(ctx, host, method, params, nil)
+func (t testPeers) Handle(method string, h tamarackknot.PeerHandler) {
+	t.PeersHost.Handle(method, func(ctx context.Context, from string, params json.RawMessage) (any, error) {
+		t.p.gate(ctx)
+		return h(ctx, from, params)
+	})
 }
 
 func (t testPeers) Call(ctx context.Context, host, method string, params, result any) error {
 	t.p.gate(ctx)
-	data, err := json.Marshal(params)
-	if err != nil {
-		return err
-	}
-	time.Sleep(time.Millisecond)
-	for i := range testHosts {
-		q := t.p.c.process(i)
-		if q == nil || q.id.Host != host {
-			continue
-		}
-		q.gate(ctx)
-		answer, err := q.handlers[method](ctx, t.p.id.Host, data)
-		if err != nil || result == nil {
-			return err
-		}
-		data, err := json.Marshal(answer)
-		if err != nil {
-			return err
-		}
-		return json.Unmarshal(data, result)
-	}
-	return errors.New("connection refused")
+	return t.PeersHost.Call(ctx, host, method, params, result)
+}
+
+func (t testPeers) Notify(ctx context.Context, host, method string, params any) error {
+	return t.Call(ctx, host, method, params, nil)
 }
 
 type testMembers struct{ p *process }
