Serve the engine tests of package fake over fake.Network

Cause: http_test.go had a listener for net.Pipe of its own, beside fake.Network in the same package.

Change: servePipe listens and dials on a fake.Network.

Ruled out: caller/bed_test.go, whose hosts have names instead of IP addresses and whose listener traps_test.go uses directly, and peer/mesh_test.go, whose hung peers need a writer that waits for its reader; connections of fake.Network buffer without limit.

--- a/fake/http_test.go
+++ b/fake/http_test.go
@@ -17,37 +17,16 @@
 	"tamarackknot.example/tamarackknot"
 )
 
-// pipeListener accepts connections that are net.Pipes.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
 func servePipe(t *testing.T, h http.Handler) *http.Client {
 	t.Helper()
-	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	const address = "10.0.0.1:80"
+	n := NewNetwork()
+	l, err := n.Host("server").Listen(t.Context(), address)
+	require.NoError(t, err)
 	srv := &http.Server{Handler: h}
 	go func() { _ = srv.Serve(l) }()
-	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
-		client, server := net.Pipe()
-		l.conns <- server
-		return client, nil
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return n.Host("client").Dial(ctx, network, address)
 	}}
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
