--- a/endpoint/traffic_test.go
+++ b/endpoint/traffic_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/fake"
 	"tamarackknot.example/tamarackknot/internal/journaltest"
 )
 
@@ -54,10 +55,7 @@
 		}
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				net := &network{
-					t: t, handlers: map[string]tamarackknot.PeerHandler{}, polls: map[string]int{},
-					sent: map[string]int{}, received: map[string]int{}, report: busy,
-				}
+				net := newNetwork(t, busy)
 				ctx, cancel := context.WithCancel(context.Background())
 				var wg sync.WaitGroup
 				defer wg.Wait()
@@ -84,15 +82,12 @@
 					}
 				}
 				load(40)
-				net.mu.Lock()
-				clear(net.sent)
-				clear(net.received)
-				net.polls = map[string]int{}
-				net.mu.Unlock()
+				net.reset()
 				load(measured)
 				net.mu.Lock()
 				defer net.mu.Unlock()
-				rate := func(m map[string]int) int { return m[hostName(0)] / measured }
+				rate := func(c fake.PeerCount) int { return c.Bytes / measured }
+				received := rate(net.peers.Received(hostName(0), ""))
 				polls := 0
 				for _, n := range net.polls {
 					polls += n
@@ -104,8 +99,8 @@
 					renewals += len(data) + messageOverhead
 				}
 				t.Logf("%d hosts, %d endpoints: received %d B/s, renewals of subscriptions %d B/s, polls per endpoint and second %.2f",
-					tt.hosts, tt.endpoints, rate(net.received), renewals/int(subscriptionTime.Seconds()/2), float64(polls)/measured/float64(tt.endpoints))
-				require.LessOrEqual(t, rate(net.received), tt.limit)
+					tt.hosts, tt.endpoints, received, renewals/int(subscriptionTime.Seconds()/2), float64(polls)/measured/float64(tt.endpoints))
+				require.LessOrEqual(t, received, tt.limit)
 				require.LessOrEqual(t, float64(polls)/measured/float64(tt.endpoints), pollersPerEndpoint+0.1)
 				requireFresh(t, subject.table, tt.planner)
 			})
@@ -127,7 +122,7 @@
 	var k ranking
 	k.update(&host{hosts: n})
 	for i := range n {
-		h := &host{net: net, self: i, hosts: n}
+		h := net.host(i, n)
 		store := journaltest.NewStore()
 		store.Apply(slices.DeleteFunc(slices.Clone(all), func(r *tamarackknot.Resource) bool {
 			p := k.pollers(r.Metadata.Name)
@@ -161,16 +156,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		const endpoints = 300
 		empty := false
-		net := &network{
-			t: t, handlers: map[string]tamarackknot.PeerHandler{}, polls: map[string]int{}, cut: map[string]bool{},
-		}
-		net.report = func(address string) (tamarackknot.Report, error) {
+		net := newNetwork(t, func(address string) (tamarackknot.Report, error) {
 			r, err := busy(address)
 			if empty {
 				r.Loaded, r.Cached = nil, nil
 			}
 			return r, err
-		}
+		})
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		defer wg.Wait()
@@ -207,22 +199,26 @@
 		set(func() { empty = true })
 		load(12, -1)
 		load(10, 0)
-		set(func() { net.cut[hostName(0)] = true }) // loses batches
+		net.peers.Cut("", hostName(0), true) // loses batches
 		time.Sleep(2 * time.Second)
-		set(func() { net.cut[hostName(0)], empty = false, false })
+		net.peers.Cut("", hostName(0), false)
+		set(func() { empty = false })
 		load(12, -1)
 		load(5, 3)
-		set(func() { net.cut[hostName(0)] = true })
+		net.peers.Cut("", hostName(0), true)
 		load(10, -1)
-		set(func() { net.polls = map[string]int{} })
+		set(func() { clear(net.pollsBy) })
 		load(10, 3) // from polls by the host itself
 		set(func() {
-			polls := 0
-			for _, n := range net.polls {
-				polls += n
+			assigned := 0
+			for i := range endpoints {
+				if table.ranking.polls(fmt.Sprintf("endpoint-%05d", i)) {
+					assigned++
+				}
 			}
-			require.Greater(t, polls, 10*endpoints*pollersPerEndpoint, "the host polls")
-			require.LessOrEqual(t, polls, 10*(endpoints*pollersPerEndpoint+maxOwnPolls))
+			// 10 s may hold the polls of 11 intervals.
+			require.Greater(t, net.pollsBy[0], 11*assigned, "the host polls by itself")
+			require.LessOrEqual(t, net.pollsBy[0], 11*(assigned+maxOwnPolls))
 		})
 	})
 }
