Move the replay of arrivals out of the tests of placement

Change: package internal/replay, on the exported API of placement; three long functions are split; types lose their w prefix. Ruled out: deleting tests.

--- a/placement/measure_test.go
+++ b/internal/replay/measure_test.go
@@ -1,4 +1,4 @@
-package placement
+package replay
 
 import (
 	"fmt"
@@ -12,9 +12,9 @@
 
 // runSeeds merges the results of several seeds: the 99th percentile of one day
 // depends on a handful of slow loads.
-func runSeeds(t *testing.T, cfg worldConfig, placer func(*world) placer) *wResult {
+func runSeeds(t *testing.T, cfg worldConfig, placer func(*world) placer) *result {
 	t.Helper()
-	var total wResult
+	var total result
 	for _, seed := range []uint64{0, 10, 20} {
 		c := cfg
 		c.seed += seed
@@ -26,12 +26,12 @@
 	return &total
 }
 
-func runPolicy(t *testing.T, cfg worldConfig, weight float64) *wResult {
+func runPolicy(t *testing.T, cfg worldConfig, weight float64) *result {
 	t.Helper()
 	return runSeeds(t, cfg, func(w *world) placer { return newPolicyPlacer(w, weight) })
 }
 
-func runBaseline(t *testing.T, cfg worldConfig, b baseline) *wResult {
+func runBaseline(t *testing.T, cfg worldConfig, b baseline) *result {
 	t.Helper()
 	return runSeeds(t, cfg, func(w *world) placer {
 		b := b
--- a/placement/world_test.go
+++ b/internal/replay/world.go
@@ -1,4 +1,6 @@
-package placement
+// Package replay measures a placement policy on generated arrivals, beside
+// simple baselines on the same arrivals.
+package replay
 
 import (
 	"cmp"
@@ -10,6 +12,7 @@
 	"time"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/placement"
 )
 
 // world replays generated arrivals against a placer at the decision interface.
@@ -32,6 +35,9 @@
 	wUnload                    = 3 * time.Second
 )
 
+// usagePeriod is how often entry hosts tell the planner of calls.
+const usagePeriod = 5 * time.Second
+
 // trueLoad returns the fixed seconds and the MB per second of loads by tier.
 func trueLoad(tier tamarackknot.Tier) (fixed, perSecond float64) {
 	switch tier {
@@ -52,12 +58,12 @@
 	return worldConfig{endpoints: 10, models: 50, adapters: 60, seed: 2, hours: 28, warmUp: 4, weight: 0.25}
 }
 
-type wTarget struct {
+type target struct {
 	tamarackknot.Target
-	base     *wTarget
-	replicas []*wReplica
-	waiting  []*wRequest
-	ghosts   []*wRequest // gave up; their time to a replica is still measured
+	base     *target
+	replicas []*replica
+	waiting  []*request
+	ghosts   []*request // gave up; their time to a replica is still measured
 	lastUsed time.Time
 	used     int
 	first    time.Time
@@ -65,21 +71,21 @@
 	queued   bool // in a baseline's load queue
 }
 
-type wEndpoint struct {
+type endpoint struct {
 	name    string
 	spec    tamarackknot.EndpointSpec
 	lost    bool
 	used    int64
 	running int
-	loaded  []*wReplica
-	memory  []*wTarget // least recently used first
-	disk    []*wTarget
+	loaded  []*replica
+	memory  []*target // least recently used first
+	disk    []*target
 	cached  []tamarackknot.CachedTarget // nil after a change
 }
 
-type wReplica struct {
-	t         *wTarget
-	e         *wEndpoint
+type replica struct {
+	t         *target
+	e         *endpoint
 	state     tamarackknot.ReplicaState
 	running   int
 	since     time.Time
@@ -90,54 +96,54 @@
 	remaining float64 // store work left, seconds at full speed
 }
 
-type wRequest struct {
+type request struct {
 	at, deadline time.Time
 	cold         bool
 }
 
 // placer decides for a world, through its methods load and unload.
 type placer interface {
-	arrived(w *world, t *wTarget)
+	arrived(w *world, t *target)
 	decide(w *world)
-	forecast(t *wTarget) tamarackknot.Forecast
+	forecast(t *target) tamarackknot.Forecast
 }
 
-type wEvent struct {
+type event struct {
 	at  time.Time
 	seq int
 	fn  func()
 }
 
-type wEvents []wEvent
+type events []event
 
-func (h wEvents) Len() int { return len(h) }
-func (h wEvents) Less(i, j int) bool {
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
 	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
 }
-func (h wEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *wEvents) Push(x any)   { *h = append(*h, x.(wEvent)) }
-func (h *wEvents) Pop() any     { o := *h; e := o[len(o)-1]; *h = o[:len(o)-1]; return e }
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any     { o := *h; e := o[len(o)-1]; *h = o[:len(o)-1]; return e }
 
 type world struct {
 	cfg        worldConfig
 	placer     placer
 	start, now time.Time
-	events     wEvents
+	events     events
 	seq        int
 	fence      tamarackknot.Offset
 	rng        *rand.Rand // load noise, consumed in event order
-	targets    []*wTarget
-	endpoints  []*wEndpoint
-	store      []*wReplica
+	targets    []*target
+	endpoints  []*endpoint
+	store      []*replica
 	storeAt    time.Time
 	storeGen   int
 	tokens     float64
 	tokensAt   time.Time
-	result     wResult
+	result     result
 	problems   []string
 }
 
-type wResult struct {
+type result struct {
 	cold, all          []float64 // first-token times in seconds
 	requests, rejected int
 	idle               float64 // endpoint hours, by memory share
@@ -152,7 +158,7 @@
 	return list[min(len(list)-1, int(q*float64(len(list))))]
 }
 
-func (r *wResult) merge(o *wResult) {
+func (r *result) merge(o *result) {
 	r.cold, r.all = append(r.cold, o.cold...), append(r.all, o.all...)
 	r.requests += o.requests
 	r.rejected += o.rejected
@@ -161,7 +167,7 @@
 	r.remote += o.remote
 }
 
-func (r *wResult) String() string {
+func (r *result) String() string {
 	return fmt.Sprintf("cold %6d p50 %5.1f p95 %6.1f p99 %6.1f s  all p99 %6.1f s  rejected %5.2f%%  idle %6.1f h  loads %5d remote %5d",
 		len(r.cold), quantile(r.cold, .5), quantile(r.cold, .95), quantile(r.cold, .99), quantile(r.all, .99),
 		100*float64(r.rejected)/float64(max(1, r.requests)), r.idle, r.loads, r.remote)
@@ -172,12 +178,12 @@
 	w := &world{cfg: cfg, placer: p, start: start, now: start, storeAt: start, tokensAt: start, rng: rand.New(rand.NewPCG(cfg.seed, 3))}
 	rng := rand.New(rand.NewPCG(cfg.seed, 1))
 	for i := range cfg.endpoints {
-		w.endpoints = append(w.endpoints, &wEndpoint{name: fmt.Sprintf("e%03d", i), spec: tamarackknot.EndpointSpec{
+		w.endpoints = append(w.endpoints, &endpoint{name: fmt.Sprintf("e%03d", i), spec: tamarackknot.EndpointSpec{
 			FailureDomain: fmt.Sprintf("d%d", i%3), MemoryMB: wEndpointMB, Slots: wSlots,
 		}})
 	}
 	for i := range cfg.models + cfg.adapters {
-		t := &wTarget{Target: tamarackknot.Target{Name: fmt.Sprintf("t%05d", i), Version: "1", Priority: 5, MaxReplicas: 3}}
+		t := &target{Target: tamarackknot.Target{Name: fmt.Sprintf("t%05d", i), Version: "1", Priority: 5, MaxReplicas: 3}}
 		t.MemoryMB = int64(min(71_680, 16_384*math.Exp(0.6*rng.NormFloat64())))
 		if i >= cfg.models {
 			t.base = w.targets[rng.IntN(cfg.models)]
@@ -202,7 +208,7 @@
 
 func (w *world) at(t time.Time, fn func()) {
 	w.seq++
-	heap.Push(&w.events, wEvent{t, w.seq, fn})
+	heap.Push(&w.events, event{t, w.seq, fn})
 }
 
 // arrivals schedules, for each target, bursts in active and quiet phases: 30%
@@ -236,22 +242,27 @@
 				continue
 			}
 			at += gap
-			for range 1 + min(14, int(rng.ExpFloat64()*5)) {
-				patience := 30 * time.Second
-				if rng.Float64() < 0.5 {
-					patience = 10 * time.Minute
-				}
-				when := w.start.Add(seconds(at + 2*rng.Float64()))
-				w.at(when, func() { w.request(t, when.Add(patience)) })
-			}
+			w.burst(t, at, rng)
 		}
 	}
 }
 
+// burst schedules the requests of one burst that begins at a second.
+func (w *world) burst(t *target, at float64, rng *rand.Rand) {
+	for range 1 + min(14, int(rng.ExpFloat64()*5)) {
+		patience := 30 * time.Second
+		if rng.Float64() < 0.5 {
+			patience = 10 * time.Minute
+		}
+		when := w.start.Add(seconds(at + 2*rng.Float64()))
+		w.at(when, func() { w.request(t, when.Add(patience)) })
+	}
+}
+
 func (w *world) measured() bool { return w.now.Sub(w.start).Hours() >= w.cfg.warmUp }
 
-func (w *world) request(t *wTarget, deadline time.Time) {
-	r := &wRequest{at: w.now, deadline: deadline}
+func (w *world) request(t *target, deadline time.Time) {
+	r := &request{at: w.now, deadline: deadline}
 	if t.used == 0 {
 		t.first = w.now
 	}
@@ -260,7 +271,7 @@
 	if t.base != nil {
 		t.base.lastUsed = w.now
 	}
-	r.cold = !slices.ContainsFunc(t.replicas, func(r *wReplica) bool { return r.serves() })
+	r.cold = !slices.ContainsFunc(t.replicas, func(r *replica) bool { return r.serves() })
 	if w.measured() {
 		w.result.requests++
 	}
@@ -269,12 +280,12 @@
 	w.dispatch(t)
 }
 
-func (r *wReplica) serves() bool { return r.state == tamarackknot.ReplicaLoaded && !r.e.lost }
+func (r *replica) serves() bool { return r.state == tamarackknot.ReplicaLoaded && !r.e.lost }
 
 // dispatch starts waiting requests on loaded replicas with free slots.
-func (w *world) dispatch(t *wTarget) {
+func (w *world) dispatch(t *target) {
 	for len(t.waiting) > 0 || len(t.ghosts) > 0 {
-		var best *wReplica
+		var best *replica
 		for _, r := range t.replicas {
 			if r.serves() && r.e.running < wSlots && (best == nil || r.e.running < best.e.running) {
 				best = r
@@ -298,13 +309,13 @@
 	}
 }
 
-func (w *world) dispatchAll(e *wEndpoint) {
+func (w *world) dispatchAll(e *endpoint) {
 	for _, r := range slices.Clone(e.loaded) {
 		w.dispatch(r.t)
 	}
 }
 
-func (w *world) served(q *wRequest) {
+func (w *world) served(q *request) {
 	if !w.measured() {
 		return
 	}
@@ -316,7 +327,7 @@
 }
 
 // busy counts a request on a replica and its idle time.
-func (w *world) busy(r *wReplica, n int) {
+func (w *world) busy(r *replica, n int) {
 	if r.gone {
 		return
 	}
@@ -329,7 +340,7 @@
 }
 
 // idle adds the idle time of a loaded replica up to now.
-func (w *world) idle(r *wReplica) {
+func (w *world) idle(r *replica) {
 	if r.state != tamarackknot.ReplicaClaimed && r.running == 0 && w.measured() {
 		from := later(r.idleSince, w.hour(w.cfg.warmUp))
 		w.result.idle += w.now.Sub(from).Hours() * float64(r.t.MemoryMB) / wEndpointMB
@@ -337,7 +348,7 @@
 	r.idleSince = w.now
 }
 
-func (w *world) tier(t *wTarget, e *wEndpoint) tamarackknot.Tier {
+func (w *world) tier(t *target, e *endpoint) tamarackknot.Tier {
 	switch {
 	case slices.Contains(e.memory, t):
 		return tamarackknot.TierMemory
@@ -348,9 +359,9 @@
 }
 
 // touch puts a checkpoint into the caches of an endpoint.
-func (w *world) touch(e *wEndpoint, t *wTarget) {
+func (w *world) touch(e *endpoint, t *target) {
 	e.cached = nil
-	same := func(x *wTarget) bool { return x == t }
+	same := func(x *target) bool { return x == t }
 	e.memory = append(slices.DeleteFunc(e.memory, same), t)
 	e.disk = slices.DeleteFunc(e.disk, same)
 	for sumMB(e.memory) > wHostMemoryMB {
@@ -362,7 +373,7 @@
 	}
 }
 
-func sumMB(ts []*wTarget) (mb int64) {
+func sumMB(ts []*target) (mb int64) {
 	for _, t := range ts {
 		mb += t.MemoryMB
 	}
@@ -377,14 +388,14 @@
 }
 
 // load starts a load; it notes limits that the placer broke.
-func (w *world) load(t *wTarget, e *wEndpoint) {
+func (w *world) load(t *target, e *endpoint) {
 	w.fence++
-	r := &wReplica{t: t, e: e, state: tamarackknot.ReplicaClaimed, since: w.now, idleSince: w.now, fence: w.fence, tier: w.tier(t, e)}
+	r := &replica{t: t, e: e, state: tamarackknot.ReplicaClaimed, since: w.now, idleSince: w.now, fence: w.fence, tier: w.tier(t, e)}
 	e.used += t.MemoryMB
 	e.loaded = append(e.loaded, r)
 	t.replicas = append(t.replicas, r)
 	t.dirty = true
-	base := t.base == nil || slices.ContainsFunc(e.loaded, func(r *wReplica) bool { return r.t == t.base && r.serves() })
+	base := t.base == nil || slices.ContainsFunc(e.loaded, func(r *replica) bool { return r.t == t.base && r.serves() })
 	if e.used > e.spec.MemoryMB || len(t.replicas) > t.MaxReplicas || !base || e.lost {
 		w.problems = append(w.problems, fmt.Sprintf("load of %s on %s: used %d, replicas %d, base %v, lost %v", t.Name, e.name, e.used, len(t.replicas), base, e.lost))
 	}
@@ -432,7 +443,7 @@
 	if len(w.store) == 0 {
 		return
 	}
-	r := slices.MinFunc(w.store, func(a, b *wReplica) int { return cmp.Compare(a.remaining, b.remaining) })
+	r := slices.MinFunc(w.store, func(a, b *replica) int { return cmp.Compare(a.remaining, b.remaining) })
 	// The speed may change; look again within a minute.
 	wait := min(60, math.Max(0.001, r.remaining/w.storeSpeed()))
 	w.at(w.now.Add(seconds(wait)), func() {
@@ -442,7 +453,7 @@
 		w.advanceStore()
 		for _, r := range slices.Clone(w.store) {
 			if r.remaining <= 0.001 {
-				w.store = slices.DeleteFunc(w.store, func(x *wReplica) bool { return x == r })
+				w.store = slices.DeleteFunc(w.store, func(x *replica) bool { return x == r })
 				w.loaded(r)
 			}
 		}
@@ -450,7 +461,7 @@
 	})
 }
 
-func (w *world) loaded(r *wReplica) {
+func (w *world) loaded(r *replica) {
 	if r.gone {
 		return
 	}
@@ -464,7 +475,7 @@
 }
 
 // unload frees a replica after the grace time.
-func (w *world) unload(r *wReplica) {
+func (w *world) unload(r *replica) {
 	if r.state != tamarackknot.ReplicaLoaded {
 		w.problems = append(w.problems, "unload of "+r.t.Name+" in state "+string(r.state))
 		return
@@ -474,7 +485,7 @@
 	w.at(w.now.Add(wUnload), func() { w.finishUnload(r) })
 }
 
-func (w *world) finishUnload(r *wReplica) {
+func (w *world) finishUnload(r *replica) {
 	if r.running > 0 {
 		w.at(w.now.Add(time.Second), func() { w.finishUnload(r) })
 		return
@@ -483,7 +494,7 @@
 	w.touch(r.e, r.t)
 }
 
-func (w *world) drop(r *wReplica) {
+func (w *world) drop(r *replica) {
 	if r.gone {
 		return
 	}
@@ -491,7 +502,7 @@
 	r.gone = true
 	r.e.used -= r.t.MemoryMB
 	r.e.running -= r.running
-	same := func(x *wReplica) bool { return x == r }
+	same := func(x *replica) bool { return x == r }
 	r.e.loaded = slices.DeleteFunc(r.e.loaded, same)
 	r.t.replicas = slices.DeleteFunc(r.t.replicas, same)
 	r.t.dirty = true
@@ -506,7 +517,7 @@
 		e.lost = lost
 		for _, r := range slices.Clone(e.loaded) {
 			w.advanceStore()
-			w.store = slices.DeleteFunc(w.store, func(x *wReplica) bool { return x == r })
+			w.store = slices.DeleteFunc(w.store, func(x *replica) bool { return x == r })
 			w.drop(r)
 		}
 		w.scheduleStore()
@@ -515,16 +526,16 @@
 
 // run replays all arrivals. Between events it decides every 250 ms while
 // requests wait and every 5 s otherwise.
-func (w *world) run() *wResult {
+func (w *world) run() *result {
 	end := w.hour(w.cfg.hours)
 	for w.now.Before(end) {
 		step := 5 * time.Second
-		if slices.ContainsFunc(w.targets, func(t *wTarget) bool { return len(t.waiting) > 0 || t.queued }) {
+		if slices.ContainsFunc(w.targets, func(t *target) bool { return len(t.waiting) > 0 || t.queued }) {
 			step = 250 * time.Millisecond
 		}
 		next := w.now.Add(step)
 		for len(w.events) > 0 && !w.events[0].at.After(next) {
-			e := heap.Pop(&w.events).(wEvent)
+			e := heap.Pop(&w.events).(event)
 			w.now = later(w.now, e.at)
 			e.fn()
 			if len(w.events) == 0 || w.events[0].at.After(e.at) {
@@ -567,14 +578,16 @@
 
 // policyPlacer connects a Policy to a world.
 type policyPlacer struct {
-	p       *Policy
+	p       *placement.Policy
 	reports time.Time
 	usage   time.Time
-	lost    map[*wEndpoint]bool
+	lost    map[*endpoint]bool
+	// demand holds the targets whose demand the policy knows.
+	demand map[string]bool
 }
 
 func newPolicyPlacer(w *world, weight float64) *policyPlacer {
-	pp := &policyPlacer{p: NewPolicy(PolicyConfig{}), lost: make(map[*wEndpoint]bool)}
+	pp := &policyPlacer{p: placement.NewPolicy(placement.PolicyConfig{}), lost: make(map[*endpoint]bool), demand: make(map[string]bool)}
 	pp.p.SetDeployment(tamarackknot.DeploymentSpec{ColdStartWeight: weight, LoadsPerSecond: wStorePerSecond, LoadsAtOnce: wStoreMax}, w.now)
 	for _, t := range w.targets {
 		pp.p.SetTarget(t.Target)
@@ -585,12 +598,21 @@
 	return pp
 }
 
-func (pp *policyPlacer) arrived(*world, *wTarget) {}
+func (pp *policyPlacer) arrived(*world, *target) {}
 
-func (pp *policyPlacer) forecast(t *wTarget) tamarackknot.Forecast { return pp.p.Forecast(t.Name) }
+func (pp *policyPlacer) forecast(t *target) tamarackknot.Forecast { return pp.p.Forecast(t.Name) }
 
+// sync tells the policy what its planner would know by now.
 func (pp *policyPlacer) sync(w *world) {
-	if w.now.Sub(pp.usage) >= usageInterval {
+	pp.syncUsage(w)
+	pp.syncReports(w)
+	for _, t := range w.targets {
+		pp.syncTarget(w, t)
+	}
+}
+
+func (pp *policyPlacer) syncUsage(w *world) {
+	if w.now.Sub(pp.usage) >= usagePeriod {
 		pp.usage = w.now
 		for _, t := range w.targets {
 			if t.used > 0 {
@@ -599,6 +621,9 @@
 			}
 		}
 	}
+}
+
+func (pp *policyPlacer) syncReports(w *world) {
 	if w.now.Sub(pp.reports) >= 2*time.Second {
 		pp.reports = w.now
 		running := 0
@@ -612,30 +637,32 @@
 		}
 		pp.p.Observe(running, w.now)
 	}
-	for _, t := range w.targets {
-		if t.dirty {
-			t.dirty = false
-			var list []tamarackknot.Replica
-			for _, r := range t.replicas {
-				list = append(list, tamarackknot.Replica{
-					Target: t.Name, Endpoint: r.e.name, Version: t.Version, MemoryMB: t.MemoryMB, State: r.state, Fence: r.fence, Since: r.since,
-				})
-			}
-			pp.p.SetReplicas(t.Name, w.fence, list, w.now)
-		}
-		d := tamarackknot.Demand{Target: t.Name, Waiting: len(t.waiting), Priority: 5}
-		for _, q := range t.waiting {
-			if d.Earliest.IsZero() || q.deadline.Before(d.Earliest) {
-				d.Earliest = q.deadline
-			}
+}
+
+func (pp *policyPlacer) syncTarget(w *world, t *target) {
+	if t.dirty {
+		t.dirty = false
+		var list []tamarackknot.Replica
+		for _, r := range t.replicas {
+			list = append(list, tamarackknot.Replica{
+				Target: t.Name, Endpoint: r.e.name, Version: t.Version, MemoryMB: t.MemoryMB, State: r.state, Fence: r.fence, Since: r.since,
+			})
 		}
-		if d.Waiting > 0 || pp.p.targets[t.Name].demand.Waiting > 0 {
-			pp.p.SetDemand(d, w.now)
+		pp.p.SetReplicas(t.Name, w.fence, list, w.now)
+	}
+	d := tamarackknot.Demand{Target: t.Name, Waiting: len(t.waiting), Priority: 5}
+	for _, q := range t.waiting {
+		if d.Earliest.IsZero() || q.deadline.Before(d.Earliest) {
+			d.Earliest = q.deadline
 		}
 	}
+	if d.Waiting > 0 || pp.demand[t.Name] {
+		pp.p.SetDemand(d, w.now)
+		pp.demand[t.Name] = d.Waiting > 0
+	}
 }
 
-func (w *world) report(e *wEndpoint) tamarackknot.Report {
+func (w *world) report(e *endpoint) tamarackknot.Report {
 	r := tamarackknot.Report{Endpoint: e.name, Time: w.now, Running: e.running}
 	for _, l := range e.loaded {
 		r.Loaded = append(r.Loaded, tamarackknot.LoadedTarget{Name: l.t.Name, Running: l.running})
@@ -655,12 +682,12 @@
 func (pp *policyPlacer) decide(w *world) {
 	pp.sync(w)
 	for _, d := range pp.p.Decide(w.now) {
-		if d.Action == ActionReject {
+		if d.Action == placement.ActionReject {
 			continue
 		}
-		t := w.targets[slices.IndexFunc(w.targets, func(t *wTarget) bool { return t.Name == d.Target })]
-		e := w.endpoints[slices.IndexFunc(w.endpoints, func(e *wEndpoint) bool { return e.name == d.Endpoint })]
-		if d.Action == ActionLoad {
+		t := w.targets[slices.IndexFunc(w.targets, func(t *target) bool { return t.Name == d.Target })]
+		e := w.endpoints[slices.IndexFunc(w.endpoints, func(e *endpoint) bool { return e.name == d.Endpoint })]
+		if d.Action == placement.ActionLoad {
 			if e.lost { // not reported yet
 				pp.p.Abandon(d)
 				pp.p.Refused(t.Name, e.name, w.now)
@@ -669,7 +696,7 @@
 			w.load(t, e)
 			continue
 		}
-		if i := slices.IndexFunc(t.replicas, func(r *wReplica) bool { return r.e == e }); i >= 0 {
+		if i := slices.IndexFunc(t.replicas, func(r *replica) bool { return r.e == e }); i >= 0 {
 			w.unload(t.replicas[i])
 		}
 	}
@@ -681,12 +708,12 @@
 	cacheAware bool // prefers endpoints with a cached copy
 	keep       time.Duration
 	rng        *rand.Rand
-	queue      []*wTarget
+	queue      []*target
 }
 
-func (b *baseline) forecast(*wTarget) tamarackknot.Forecast { return tamarackknot.Forecast{} }
+func (b *baseline) forecast(*target) tamarackknot.Forecast { return tamarackknot.Forecast{} }
 
-func (b *baseline) arrived(_ *world, t *wTarget) {
+func (b *baseline) arrived(_ *world, t *target) {
 	if !t.queued && len(t.replicas) == 0 {
 		t.queued = true
 		b.queue = append(b.queue, t)
@@ -697,7 +724,7 @@
 	for _, t := range slices.Clone(b.queue) {
 		if len(t.replicas) > 0 || len(t.waiting) == 0 || b.try(w, t) {
 			t.queued = false
-			b.queue = slices.DeleteFunc(b.queue, func(x *wTarget) bool { return x == t })
+			b.queue = slices.DeleteFunc(b.queue, func(x *target) bool { return x == t })
 		}
 	}
 	for _, t := range w.targets {
@@ -716,42 +743,29 @@
 
 // idle reports whether a replica may be unloaded. A replica counts as idle 5 s
 // after its load even if no request has reached it.
-func (b *baseline) idle(w *world, r *wReplica) bool {
+func (b *baseline) idle(w *world, r *replica) bool {
 	if r.state != tamarackknot.ReplicaLoaded || r.running > 0 || len(r.t.waiting) > 0 || w.now.Sub(r.since) < 5*time.Second {
 		return false
 	}
-	return !slices.ContainsFunc(r.e.loaded, func(a *wReplica) bool { return a.t.base == r.t })
+	return !slices.ContainsFunc(r.e.loaded, func(a *replica) bool { return a.t.base == r.t })
 }
 
 // try starts the load of t or evicts for it; it reports whether t is done.
-func (b *baseline) try(w *world, t *wTarget) bool {
+func (b *baseline) try(w *world, t *target) bool {
 	if t.base != nil {
-		for _, r := range t.base.replicas {
-			if r.serves() && r.e.used+t.MemoryMB <= r.e.spec.MemoryMB {
-				return b.load(w, t, r.e)
-			}
-		}
-		for _, r := range t.base.replicas {
-			if r.state == tamarackknot.ReplicaClaimed || b.evict(w, r.e, t) {
-				return false
-			}
-		}
-		if len(t.base.replicas) < t.base.MaxReplicas {
-			b.try(w, t.base)
-		}
-		return false
+		return b.tryAdapter(w, t)
 	}
-	list := slices.DeleteFunc(slices.Clone(w.endpoints), func(e *wEndpoint) bool {
-		return e.lost || slices.ContainsFunc(e.loaded, func(r *wReplica) bool { return r.t == t })
+	list := slices.DeleteFunc(slices.Clone(w.endpoints), func(e *endpoint) bool {
+		return e.lost || slices.ContainsFunc(e.loaded, func(r *replica) bool { return r.t == t })
 	})
 	if b.random {
 		b.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	} else {
-		slices.SortStableFunc(list, func(a, c *wEndpoint) int { return cmp.Compare(a.used, c.used) })
+		slices.SortStableFunc(list, func(a, c *endpoint) int { return cmp.Compare(a.used, c.used) })
 	}
 	if b.cacheAware {
 		rank := map[tamarackknot.Tier]int{tamarackknot.TierMemory: 0, tamarackknot.TierDisk: 1, tamarackknot.TierRemote: 2}
-		slices.SortStableFunc(list, func(a, c *wEndpoint) int { return cmp.Compare(rank[w.tier(t, a)], rank[w.tier(t, c)]) })
+		slices.SortStableFunc(list, func(a, c *endpoint) int { return cmp.Compare(rank[w.tier(t, a)], rank[w.tier(t, c)]) })
 	}
 	need := t.MemoryMB + 1000 // leaves room for an adapter
 	for _, e := range list {
@@ -767,7 +781,25 @@
 	return false
 }
 
-func (b *baseline) load(w *world, t *wTarget, e *wEndpoint) bool {
+// tryAdapter loads an adapter beside its base model, or the base model.
+func (b *baseline) tryAdapter(w *world, t *target) bool {
+	for _, r := range t.base.replicas {
+		if r.serves() && r.e.used+t.MemoryMB <= r.e.spec.MemoryMB {
+			return b.load(w, t, r.e)
+		}
+	}
+	for _, r := range t.base.replicas {
+		if r.state == tamarackknot.ReplicaClaimed || b.evict(w, r.e, t) {
+			return false
+		}
+	}
+	if len(t.base.replicas) < t.base.MaxReplicas {
+		b.try(w, t.base)
+	}
+	return false
+}
+
+func (b *baseline) load(w *world, t *target, e *endpoint) bool {
 	if w.tier(t, e) == tamarackknot.TierRemote && !w.storeReady() {
 		return false
 	}
@@ -776,9 +808,9 @@
 }
 
 // evict unloads the least recently used, or random, idle replicas until t fits.
-func (b *baseline) evict(w *world, e *wEndpoint, t *wTarget) bool {
+func (b *baseline) evict(w *world, e *endpoint, t *target) bool {
 	missing := e.used + t.MemoryMB + 1000 - e.spec.MemoryMB
-	var idle []*wReplica
+	var idle []*replica
 	for _, r := range e.loaded {
 		switch {
 		case r.state == tamarackknot.ReplicaUnloading:
@@ -787,11 +819,11 @@
 			idle = append(idle, r)
 		}
 	}
-	slices.SortStableFunc(idle, func(a, c *wReplica) int { return a.t.lastUsed.Compare(c.t.lastUsed) })
+	slices.SortStableFunc(idle, func(a, c *replica) int { return a.t.lastUsed.Compare(c.t.lastUsed) })
 	if b.random {
 		b.rng.Shuffle(len(idle), func(i, j int) { idle[i], idle[j] = idle[j], idle[i] })
 	}
-	var chosen []*wReplica
+	var chosen []*replica
 	for _, r := range idle {
 		if missing > 0 {
 			missing -= r.t.MemoryMB
@@ -806,3 +838,12 @@
 	}
 	return true
 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
