--- a/caller/admission_test.go
+++ b/caller/admission_test.go
@@ -83,7 +83,7 @@
 	inBubble(t, 6, func(b *bed) {
 		e, c, calls := b.warmSmall(), &tally{}, sync.WaitGroup{}
 		for i := range 24 {
-			calls.Go(func() { c.call(b, i%6, defaultDeadline) })
+			calls.Go(func() { c.call(b, i%6, defaultTimeout) })
 		}
 		calls.Wait()
 		b.t.Logf("served %d of 24, last answer after %v, declined sends %d", c.served, c.last, e.declined.Load())
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -224,7 +224,7 @@
 	if x.r.Header.Get(headerKey) != "" {
 		x.s.cfg.Journal.Read(func(st tamarackknot.State) { x.seen = st.Applied() })
 	}
-	x.opts, f = parseOptions(x.r.Header, x.start)
+	x.opts, f = parseOptions(x.r.Header, x.start, x.start.Add(x.s.cfg.DefaultTimeout))
 	return f
 }
 
@@ -238,7 +238,7 @@
 func (x *exchange) setWriteDeadline() {
 	deadline := x.opts.deadline
 	if deadline.IsZero() {
-		deadline = x.start.Add(defaultDeadline)
+		deadline = x.start.Add(x.s.cfg.DefaultTimeout)
 	}
 	if now := time.Now(); deadline.Before(now) {
 		deadline = now
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -32,7 +32,7 @@
 )
 
 const (
-	defaultDeadline = 30 * time.Second
+	defaultTimeout  = 30 * time.Second
 	maxDeadline     = 10 * time.Minute
 	defaultPriority = 5
 	maxPriority     = 9
@@ -52,9 +52,10 @@
 	created    time.Time
 }
 
-// parseOptions checks the headers of a request. Every header may appear once.
-func parseOptions(h http.Header, now time.Time) (options, *failure) {
-	o := options{deadline: now.Add(defaultDeadline), priority: defaultPriority}
+// parseOptions checks the headers of a request; deadline holds unless they name
+// another. Every header may appear once.
+func parseOptions(h http.Header, now, deadline time.Time) (options, *failure) {
+	o := options{deadline: deadline, priority: defaultPriority}
 	for _, name := range []string{headerDeadline, headerPriority, headerRepeatable, headerKey, headerCreated} {
 		if vs := h.Values(name); len(vs) > 1 {
 			return o, invalid(name, strings.Join(vs, ", "), "one value")
--- a/caller/server.go
+++ b/caller/server.go
@@ -66,6 +66,9 @@
 	Registry metrics.Registry
 	// DialContext connects to endpoints; net.Dialer's if nil.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// DefaultTimeout is the time until the deadline of a request that names
+	// none; 30 s if 0.
+	DefaultTimeout time.Duration
 	// MaxBody bounds a request body, MaxBuffered a response that is checked
 	// before it is relayed, MaxKept the responses kept for repeats of keyed
 	// requests, all in bytes; 8 MB, 32 MB and 64 MB if 0.
@@ -101,6 +104,9 @@
 	if cfg.DialContext == nil {
 		cfg.DialContext = (&net.Dialer{}).DialContext
 	}
+	if cfg.DefaultTimeout == 0 {
+		cfg.DefaultTimeout = defaultTimeout
+	}
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = 8 << 20
 	}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -237,17 +237,18 @@
 func (d *Daemon) connectServers() {
 	s, logger := d.cfg.Settings, d.cfg.Logger
 	d.callers = caller.New(caller.Config{
-		Journal:     d.journal,
-		Members:     d.members,
-		Router:      d.router,
-		Table:       d.table,
-		Addresses:   addresses{d.members},
-		Gate:        gate{d.members, d.journal},
-		Logger:      logger,
-		Registry:    d.registry,
-		DialContext: d.cfg.Dial,
-		MaxBody:     int64(s.MaxBodyMB) * bytesPerMB,
-		MaxKept:     s.ReplayMB * bytesPerMB,
+		Journal:        d.journal,
+		Members:        d.members,
+		Router:         d.router,
+		Table:          d.table,
+		Addresses:      addresses{d.members},
+		Gate:           gate{d.members, d.journal},
+		Logger:         logger,
+		Registry:       d.registry,
+		DialContext:    d.cfg.Dial,
+		DefaultTimeout: time.Duration(s.DefaultTimeoutSeconds) * time.Second,
+		MaxBody:        int64(s.MaxBodyMB) * bytesPerMB,
+		MaxKept:        s.ReplayMB * bytesPerMB,
 	})
 	d.callerHTTP = &http.Server{Handler: d.callers, ReadHeaderTimeout: headerTimeout}
 	operators := operator.New(operator.Config{
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -53,7 +53,7 @@
 		{&s.ReportIntervalMillis, "reportInterval", 50, 10000, "milliseconds between two reports read from an endpoint", "REPORT_INTERVAL_MILLIS"},
 		{&s.DefaultTimeoutSeconds, "defaultTimeout", 1, 600, "seconds until the deadline of a request that names none", "DEFAULT_TIMEOUT_SECONDS"},
 		{&s.MaxBodyMB, "maxBody", 1, 1024, "largest request body in MB", "MAX_BODY_MB"},
-		{&s.ReplayMB, "replay", 0, 1024, "memory in MB for answers that a repeated key replays", "REPLAY_MB"},
+		{&s.ReplayMB, "replay", 1, 1024, "memory in MB for answers that a repeated key replays", "REPLAY_MB"},
 		{&s.MaxQueue, "maxQueue", 1, 100000, "requests that may wait for one target", "MAX_QUEUE"},
 		{&s.DrainTimeoutSeconds, "drainTimeout", 1, 3600, "seconds after SIGTERM at which requests still in flight are given up; the default is above the longest request deadline", "DRAIN_TIMEOUT_SECONDS"},
 	}
