--- a/caller/traps_test.go
+++ b/caller/traps_test.go
@@ -156,7 +156,7 @@
 				_, _ = io.Copy(io.Discard, r.Body)
 				<-r.Context().Done()
 			}),
-			status: 504, run: RunUnknown, requests: 1, elapsed: defaultDeadline,
+			status: 504, run: RunUnknown, requests: 1, elapsed: defaultTimeout,
 		},
 	}
 	for name, tt := range tests {
@@ -178,11 +178,11 @@
 				}
 				b.settle()
 				start := time.Now()
-				deadline := start.Add(defaultDeadline).Format(time.RFC3339Nano)
+				deadline := start.Add(defaultTimeout).Format(time.RFC3339Nano)
 				a := b.do(0, http.MethodPost, "/services/book/a", "x", headerDeadline, deadline)
 				require.GreaterOrEqual(t, requests.Load(), tt.requests)
 				require.LessOrEqual(t, requests.Load(), tt.requests+tt.resent)
-				require.LessOrEqual(t, time.Since(start), defaultDeadline)
+				require.LessOrEqual(t, time.Since(start), defaultTimeout)
 				require.Equal(t, tt.run, a.run(t), a.body)
 				if tt.elapsed > 0 {
 					require.LessOrEqual(t, time.Since(start), tt.elapsed)
@@ -362,7 +362,7 @@
 		a = send(t, b, head+"Content-Length: 10\r\n\r\nabc")
 		require.Equal(t, http.StatusRequestTimeout, a.status)
 		require.Equal(t, NotRun, a.run(t))
-		require.Equal(t, defaultDeadline, time.Since(start))
+		require.Equal(t, defaultTimeout, time.Since(start))
 	})
 }
 
