--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -60,15 +60,15 @@
 
 type target struct {
 	tamarackknot.Target
-	base     *target
-	replicas []*replica
-	waiting  []*request
-	ghosts   []*request // gave up; their time to a replica is still measured
-	lastUsed time.Time
-	used     int
-	first    time.Time
-	dirty    bool
-	queued   bool // in a baseline's load queue
+	base      *target
+	replicas  []*replica
+	waiting   []*request
+	abandoned []*request // gave up; their time to a replica is still measured
+	lastUsed  time.Time
+	used      int
+	first     time.Time
+	dirty     bool
+	queued    bool // in a baseline's load queue
 }
 
 type endpoint struct {
@@ -284,7 +284,7 @@
 
 // dispatch starts waiting requests on loaded replicas with free slots.
 func (w *world) dispatch(t *target) {
-	for len(t.waiting) > 0 || len(t.ghosts) > 0 {
+	for len(t.waiting) > 0 || len(t.abandoned) > 0 {
 		var best *replica
 		for _, r := range t.replicas {
 			if r.serves() && r.e.running < wSlots && (best == nil || r.e.running < best.e.running) {
@@ -294,10 +294,10 @@
 		if best == nil {
 			return
 		}
-		for _, g := range t.ghosts {
+		for _, g := range t.abandoned {
 			w.served(g)
 		}
-		t.ghosts = nil
+		t.abandoned = nil
 		if len(t.waiting) == 0 {
 			return
 		}
@@ -567,7 +567,7 @@
 				if w.measured() {
 					w.result.rejected++
 				}
-				t.ghosts = append(t.ghosts, q)
+				t.abandoned = append(t.abandoned, q)
 				continue
 			}
 			kept = append(kept, q)
