--- a/cli/commands/apply.go
+++ b/cli/commands/apply.go
@@ -135,10 +135,8 @@
 		if missing == "" {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, waitInterval) {
 			return errors.Mark(fmt.Errorf("accepted, but not true after %d s: %s", a.settings.TimeoutSeconds, missing), errTimeout)
-		case <-time.After(waitInterval):
 		}
 	}
 }
--- a/entry/daemon/cluster_test.go
+++ b/entry/daemon/cluster_test.go
@@ -169,13 +169,19 @@
 	go func() { n.done <- n.daemon.Serve(ctx) }()
 }
 
-// kill ends a daemon as the loss of its host does: nothing that it still does
-// has an effect.
-func (c *cluster) kill(i int) {
+// take removes the daemon of host i from those that run, if there is one.
+func (c *cluster) take(i int) *node {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	n := c.nodes[i]
 	c.nodes[i] = nil
-	c.mu.Unlock()
+	return n
+}
+
+// kill ends a daemon as the loss of its host does: nothing that it still does
+// has an effect.
+func (c *cluster) kill(i int) {
+	n := c.take(i)
 	if n == nil {
 		return
 	}
@@ -189,10 +195,7 @@
 
 // term ends a daemon gracefully and returns when its process has ended.
 func (c *cluster) term(i int) {
-	c.mu.Lock()
-	n := c.nodes[i]
-	c.nodes[i] = nil
-	c.mu.Unlock()
+	n := c.take(i)
 	if n == nil {
 		return
 	}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -236,6 +236,7 @@
 
 func (d *Daemon) connectServers() {
 	s, logger := d.cfg.Settings, d.cfg.Logger
+	metrics.NewRegisteredFunctionalGauge("process.heapBytes", d.registry, heapBytes)
 	d.callers = caller.New(caller.Config{
 		Journal:        d.journal,
 		Members:        d.members,
@@ -270,11 +271,17 @@
 	return out
 }
 
+// heapBytes is read when the metrics page is; it stops the process briefly.
+func heapBytes() int64 {
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return int64(ms.HeapAlloc)
+}
+
 // loop passes on what one part learns and another needs, once a second.
 func (d *Daemon) loop(ctx context.Context) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
-	memory := metrics.GetOrRegisterGauge("process.heapBytes", d.registry)
 	for {
 		select {
 		case <-ctx.Done():
@@ -289,9 +296,6 @@
 			d.table.Hosts(hosts)
 		}
 		cancel()
-		var ms runtime.MemStats
-		runtime.ReadMemStats(&ms)
-		memory.Update(int64(ms.HeapAlloc))
 	}
 }
 
