Answer keyed requests of unchanged OpenAI clients; reject chats without messages

Cause: a key that carries no time of creation was rejected with 400, so two simultaneous requests with one key from an unchanged client were both turned away; and parseModel never looked at messages, so a chat completion without them reached an endpoint and was answered 200.

Change: on OpenAI's routes such a key counts from the arrival of the request; plain services still require the time. A chat completion needs a non-empty array of messages.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -224,7 +224,7 @@
 	if x.r.Header.Get(headerKey) != "" {
 		x.s.cfg.Journal.Read(func(st tamarackknot.State) { x.seen = st.Applied() })
 	}
-	x.opts, f = parseOptions(x.r.Header, x.start, x.start.Add(x.s.cfg.DefaultTimeout))
+	x.opts, f = parseOptions(x.r.Header, x.start, x.start.Add(x.s.cfg.DefaultTimeout), !x.route.plain)
 	return f
 }
 
@@ -310,6 +310,12 @@
 	if raw, ok = fields["stream"]; ok && !slices.Contains([]string{valueTrue, valueFalse, "null"}, string(raw)) {
 		return invalid("stream", string(raw), "true or false")
 	}
+	if x.route.chat {
+		var messages []json.RawMessage
+		if err := json.Unmarshal(fields["messages"], &messages); err != nil || len(messages) == 0 {
+			return invalid("messages", string(fields["messages"]), "a JSON array with at least one message")
+		}
+	}
 	for _, name := range []string{"messages", "prompt"} {
 		if raw, ok = fields[name]; ok {
 			x.prefix = xxhash.Sum64(raw[:min(len(raw), prefixBytes)])
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -53,8 +53,9 @@
 }
 
 // parseOptions checks the headers of a request; deadline holds unless they name
-// another. Every header may appear once.
-func parseOptions(h http.Header, now, deadline time.Time) (options, *failure) {
+// another. Every header may appear once. openAI says that the route is one of
+// OpenAI's, whose clients send keys without a time of creation.
+func parseOptions(h http.Header, now, deadline time.Time, openAI bool) (options, *failure) {
 	o := options{deadline: deadline, priority: defaultPriority}
 	for _, name := range []string{headerDeadline, headerPriority, headerRepeatable, headerKey, headerCreated} {
 		if vs := h.Values(name); len(vs) > 1 {
@@ -78,7 +79,7 @@
 		repeatable := v == valueTrue
 		o.repeatable = &repeatable
 	}
-	return o, o.parseKey(h, now)
+	return o, o.parseKey(h, now, openAI)
 }
 
 func single(h http.Header, name string) (string, bool) {
@@ -112,7 +113,7 @@
 	return nil
 }
 
-func (o *options) parseKey(h http.Header, now time.Time) *failure {
+func (o *options) parseKey(h http.Header, now time.Time, openAI bool) *failure {
 	created, hasCreated := single(h, headerCreated)
 	if hasCreated {
 		at, err := time.Parse(time.RFC3339, created)
@@ -138,6 +139,10 @@
 	if !hasCreated {
 		id, err := uuid.Parse(key)
 		if err != nil || id.Version() != 7 {
+			if openAI {
+				o.created = now
+				return nil
+			}
 			return invalid(headerKey, key, "a UUIDv7, or any key together with "+headerCreated)
 		}
 		sec, nsec := id.Time().UnixTime()
--- a/caller/keys_test.go
+++ b/caller/keys_test.go
@@ -63,6 +63,46 @@
 	})
 }
 
+// TestKeyOfUnchangedClient guards against the rejection of requests whose key
+// has no time of creation, as OpenAI's clients send it, and against a second run
+// of one that is not repeatable.
+func TestKeyOfUnchangedClient(t *testing.T) {
+	const key = "stainless-node-retry-0b6a0d2e-7f6f-4c53-9a6b-3a4f9a8f2c11"
+	for name, tt := range map[string]struct {
+		header []string
+		hosts  [2]int
+		status []int // of both answers, ascending
+		runs   int64
+	}{
+		"repeatable":                 {status: []int{200, 200}, runs: 2},
+		"not repeatable, one host":   {header: []string{headerRepeatable, "false"}, status: []int{200, 200}, runs: 1},
+		"not repeatable, both hosts": {header: []string{headerRepeatable, "false"}, hosts: [2]int{0, 1}, status: []int{200, 409}, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 2, func(b *bed) {
+				t := b.t
+				var runs atomic.Int64
+				b.addEndpoint("e1", "", 8, counted(&runs, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(time.Second)
+					_, _ = io.WriteString(w, "{}")
+				})))
+				b.warm("e1")
+				answers := make(chan answer, 2)
+				for _, host := range tt.hosts {
+					go func() {
+						answers <- b.do(host, http.MethodPost, chatPath, `{"model":"m","messages":[{"role":"user","content":"x"}]}`,
+							append([]string{headerKey, key}, tt.header...)...)
+					}()
+				}
+				a, other := <-answers, <-answers
+				status := []int{min(a.status, other.status), max(a.status, other.status)}
+				require.Equal(t, tt.status, status, "%s %s", a.body, other.body)
+				require.Equal(t, tt.runs, runs.Load())
+			})
+		})
+	}
+}
+
 // TestKeyCallerGone guards against the loss of a confirmation when the
 // caller's connection breaks: a repeat gets it.
 func TestKeyCallerGone(t *testing.T) {
--- a/caller/server.go
+++ b/caller/server.go
@@ -279,9 +279,12 @@
 		"use another address from /v1/entryhosts", now.Add(time.Second))
 }
 
+const chatPath = "/v1/chat/completions"
+
 // route is where a path leads.
 type route struct {
 	plain   bool   // leads to a plain service
+	chat    bool   // leads to chat completions
 	service string // prefix of the plain service
 	path    string // at the endpoint, escaped
 }
@@ -289,11 +292,11 @@
 func parseRoute(r *http.Request) (route, *failure) {
 	path := r.URL.EscapedPath()
 	switch path {
-	case "/v1/chat/completions", "/v1/completions":
+	case chatPath, "/v1/completions":
 		if r.Method != http.MethodPost {
 			return route{}, methodNotAllowed(r, http.MethodPost)
 		}
-		return route{path: path}, nil
+		return route{path: path, chat: path == chatPath}, nil
 	}
 	if rest, ok := strings.CutPrefix(path, "/services/"); ok {
 		if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
