Count a change as transmitted only if its receiver can get it; repair missed faults

Cause of TestScale/770 (KNOWN-RED): a change is sent a fixed number of times, and fill counted messages to members that are down, to which one of four messages goes as soon as one host is dead, and messages that did not carry it. The news of the second death of the test then missed a host in one kill of twenty by calculation.

Change: only messages that carry the change to a responsive member count. Messages carry a digest of the faults of the last minute; a host whose digest differs sends its own faults, at most eight and once a round.

Ruled out: the rule for older heartbeats (mergeOlder), since the host had no newer one; loss of messages, since the test network loses none; more transmissions alone, which leaves one kill in 600 at 770 hosts.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
@@ -22,6 +23,12 @@
 	// which it reaches 770 hosts. Without it the changes of a simultaneous
 	// start of 770 hosts were repeated for five minutes.
 	changeLife = 20 * time.Second
+	// faultRepair is how long hosts compare the faults that they know: three
+	// times the life of a change.
+	faultRepair = 3 * changeLife
+	// repairUpdates limits the faults in one repair, so that a failure of many
+	// hosts does not use up the control plane's 8 KB/s.
+	repairUpdates = 8
 	// maxMeasured limits the members asked per round for their age bounds.
 	maxMeasured = 8
 	// detailsEvery is the number of messages to random peers per one that
@@ -77,6 +84,7 @@
 	m.refreshSelf(now)
 	m.expireSigns(now)
 	asks := m.detect(now)
+	m.repaired = false
 	out := m.round(now, asks)
 	m.lastTick = now
 	m.mu.Unlock()
@@ -216,7 +224,48 @@
 // number grows with every message, so that a copy of an older state never wins.
 func (m *Membership) newMessage(now time.Time, withDetails bool) *message {
 	m.self.beat = max(m.self.beat+1, uint64(now.Sub(m.started)/time.Microsecond))
-	return &message{Head: m.gate.head, Updates: []update{m.self.update(now, withDetails)}}
+	return &message{Head: m.gate.head, Faults: m.faultDigest(now), Updates: []update{m.self.update(now, withDetails)}}
+}
+
+// recentFault reports whether a member is missed and has been so for at most
+// faultRepair.
+func (m *Membership) recentFault(mb *member, now time.Time) bool {
+	return mb != m.self && mb.known() && mb.fault != faultNone && now.Sub(mb.faultSince) <= faultRepair
+}
+
+// faultDigest is the same at hosts that miss the same processes.
+func (m *Membership) faultDigest(now time.Time) uint64 {
+	var d uint64
+	for _, mb := range m.byName {
+		if m.recentFault(mb, now) {
+			d += xxhash.Sum64(append([]byte(mb.host.Name), mb.incarnation[:]...))
+		}
+	}
+	return d
+}
+
+// repair tells a host that misses other processes than this one which ones this
+// one misses, once a round at most. The news of a fault is sent a limited number
+// of times, so that it may fail to reach a host.
+func (m *Membership) repair(in *message, now time.Time) []outgoing {
+	if m.repaired || in.Faults == m.faultDigest(now) {
+		return nil
+	}
+	var faults []*member
+	for _, mb := range m.byName {
+		if m.recentFault(mb, now) && mb.host.Name != in.Updates[0].Host {
+			faults = append(faults, mb)
+		}
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	m.repaired = true
+	msg := m.newMessage(now, false)
+	for _, mb := range m.sample(faults, repairUpdates) {
+		msg.Updates = append(msg.Updates, mb.update(now, false))
+	}
+	return []outgoing{{host: in.Updates[0].Host, msg: msg}}
 }
 
 // choosePeers returns random responsive members and one that is not: it may
@@ -247,23 +296,24 @@
 }
 
 // fill adds updates up to the limits: changes, most recent first, then members
-// in turn, then watched members.
+// in turn, then watched members. A change counts as transmitted only if it was
+// added to a message that its receiver is expected to get.
 func (m *Membership) fill(msg *message, to *member, now time.Time) {
 	bytes := msg.Updates[0].size()
-	add := func(mb *member, withDetails bool, limit int) bool {
+	add := func(mb *member, withDetails bool, limit int) (added, full bool) {
 		if mb == m.self || mb == to || !mb.known() {
-			return true
+			return false, false
 		}
 		if slices.ContainsFunc(msg.Updates, func(u update) bool { return u.Host == mb.host.Name }) {
-			return true
+			return false, false
 		}
 		u := mb.update(now, withDetails)
 		if len(msg.Updates) >= maxUpdates || bytes+u.size() > limit {
-			return false
+			return false, true
 		}
 		bytes += u.size()
 		msg.Updates = append(msg.Updates, u)
-		return true
+		return true, false
 	}
 	var changed, fresh []*member
 	for _, mb := range m.byName {
@@ -278,14 +328,17 @@
 	}
 	slices.SortFunc(changed, func(a, b *member) int { return int(int64(b.changed) - int64(a.changed)) })
 	for _, mb := range changed {
-		if !add(mb, true, maxUpdateBytes) {
+		added, full := add(mb, true, maxUpdateBytes)
+		if full {
 			break
 		}
-		mb.sends--
+		if added && to.responsive() {
+			mb.sends--
+		}
 	}
 	for range min(repeatedUpdates, len(m.byName)) {
 		next := (m.cursor + 1) % len(m.byName)
-		if !add(m.byName[next], false, maxRepeatBytes) {
+		if _, full := add(m.byName[next], false, maxRepeatBytes); full {
 			break
 		}
 		m.cursor = next
@@ -326,7 +379,7 @@
 	accused := slices.ContainsFunc(msg.Updates, func(u update) bool {
 		return u.Host == m.self.host.Name && u.Fault != faultNone
 	})
-	out := m.answer(msg, accused, now)
+	out := append(m.answer(msg, accused, now), m.repair(msg, now)...)
 	fresh, forward := m.takeSigns(msg.Signs, from, now)
 	out = append(out, forward...)
 	m.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -93,6 +93,8 @@
 	cursor   int       // next member of byName to repeat
 	changes  uint64
 	lastTick time.Time
+	// repaired says that this round's repair was sent.
+	repaired bool
 	leaving  atomic.Bool
 	idle     bool
 	// superseded says that a newer process of this host exists.
--- a/membership/message.go
+++ b/membership/message.go
@@ -96,8 +96,10 @@
 
 // message is a gossip message. The first update is the sender's own.
 type message struct {
-	_       struct{}            `cbor:",toarray"`
-	Head    tamarackknot.Offset // newest log offset that any host is known to have applied
+	_    struct{}            `cbor:",toarray"`
+	Head tamarackknot.Offset // newest log offset that any host is known to have applied
+	// Faults is a digest of the processes that the sender misses.
+	Faults  uint64
 	Updates []update
 	Signs   []sign
 	// Ask names members whose newest state the sender wants back at once.
