Close callers' connections by the limits of the configuration in force

Cause: idle connections and slow headers of callers were closed after fixed times, 2 min and 10 s, whatever the configuration says; callers may reuse a connection that idled for four fifths of its limit.

Change: ingress.Connections follows the phase of each connection and closes those beyond the limits in force, twice a second, also after a change. The fixed times hold until a configuration is known, and for the platform's own calls.

Ruled out: the fields of http.Server, which are fixed once it serves, and one server per set of limits, whose open connections would keep the old ones. StateActive is reported only after the headers, so the first bytes of a request are seen by a wrapped connection.

TestConnectionLimits; before the change the cases with other limits than the fixed ones do not hold.

--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -47,8 +47,8 @@
 	acceptTime = 3 * time.Second
 	// exitMargin is kept between the end of a leaving host and its kill.
 	exitMargin = 700 * time.Millisecond
-	// idleTimeout closes idle connections of callers; it is above what any
-	// configuration has allowed them so far.
+	// idleTimeout closes idle connections of the platform; callers' follow the
+	// configuration.
 	idleTimeout = 2 * time.Minute
 	// catalogAge is how long ago the planner may have read the configuration
 	// for hosts that rely on it: its reads wait up to 0.6 s.
@@ -67,7 +67,7 @@
 	// relayTime is how long a version may take to come from another host until
 	// this one reads the store itself.
 	relayTime = 400 * time.Millisecond
-	// headerTimeout bounds how long a caller may take for its headers.
+	// headerTimeout bounds how long the platform may take for its headers.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the headers before the configuration's limit is
 	// checked.
@@ -393,15 +393,11 @@
 	d.start(partsCtx, d.catalog.Run, d.catalog.RunRelay, d.roster.Run, d.lease.Run, d.hosts.Run, d.hub.Run, d.board.Run, d.planner.Run, d.dispatch.Run, d.loop)
 	failed := make(chan error, 4)
 	directory := platform.DirectoryHandler(d)
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{s.CallerAddress, d.callers},
-		{s.ReadyAddress, directory},
-		{s.DirectoryAddress, directory},
-	} {
-		if err := d.listen(partsCtx, l.address, l.handler, failed); err != nil {
+	if err := d.listenCallers(partsCtx, failed); err != nil {
+		return err
+	}
+	for _, address := range []string{s.ReadyAddress, s.DirectoryAddress} {
+		if err := d.listen(partsCtx, address, directory, failed); err != nil {
 			return err
 		}
 	}
@@ -440,25 +436,50 @@
 	}
 }
 
+// listenCallers serves callers, whose limits follow the configuration.
+func (d *Daemon) listenCallers(ctx context.Context, failed chan<- error) error {
+	l, err := listen(ctx, d.cfg.Settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	server := newServer(d.callers)
+	connections := ingress.NewConnections(d.callerLimits)
+	d.start(ctx, connections.Run)
+	d.serve(server, connections.Watch(server, l), failed)
+	return nil
+}
+
+func (d *Daemon) callerLimits() tamarackknot.CallerLimits {
+	if v := d.catalog.Current(); v != nil {
+		return v.Catalog.Limits
+	}
+	return tamarackknot.CallerLimits{}
+}
+
 func (d *Daemon) listen(ctx context.Context, address string, handler http.Handler, failed chan<- error) error {
 	l, err := listen(ctx, address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(io.Discard).StandardLog(),
-	}
+	server := newServer(handler)
+	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+	d.serve(server, l, failed)
+	return nil
+}
+
+// newServer returns a server without time limits for its connections.
+func newServer(handler http.Handler) *http.Server {
+	//nolint:gosec // listenCallers and listen limit the time for headers
+	return &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard).StandardLog()}
+}
+
+func (d *Daemon) serve(server *http.Server, l net.Listener, failed chan<- error) {
 	d.listeners = append(d.listeners, server)
 	d.running.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			failed <- errors.Wrapf(err, "serve %s", address)
+			failed <- errors.Wrapf(err, "serve %s", l.Addr())
 		}
 	})
-	return nil
 }
 
 func listen(ctx context.Context, address string) (net.Listener, error) {
--- /dev/null
+++ b/ingress/connections.go
@@ -0,0 +1,169 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+const (
+	// defaultHeaderTimeout and defaultIdleTimeout hold until the configuration
+	// names limits.
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	// sweepInterval is how often connections are compared with the limits,
+	// which they may exceed by as much.
+	sweepInterval = 500 * time.Millisecond
+)
+
+// Connections closes callers' connections that idle, or send a request's
+// headers, for longer than the configuration in force allows. The limits of a
+// net/http server are fixed when it starts.
+type Connections struct {
+	limits func() tamarackknot.CallerLimits
+
+	mu    sync.Mutex
+	conns map[*callerConn]bool
+}
+
+// NewConnections returns Connections that apply the limits in force.
+func NewConnections(limits func() tamarackknot.CallerLimits) *Connections {
+	return &Connections{limits: limits, conns: make(map[*callerConn]bool)}
+}
+
+// Watch has c see the connections of a server that has not started. The server
+// is to serve the listener returned.
+func (c *Connections) Watch(s *http.Server, l net.Listener) net.Listener {
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			conn.enter(phaseServing)
+		}
+		next.ServeHTTP(w, r)
+	})
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	s.ConnState = c.changed
+	return &callerListener{Listener: l, connections: c}
+}
+
+func (c *Connections) changed(conn net.Conn, state http.ConnState) {
+	cc, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		c.mu.Lock()
+		c.conns[cc] = true
+		c.mu.Unlock()
+	case http.StateIdle:
+		cc.enter(phaseIdle)
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		delete(c.conns, cc)
+		c.mu.Unlock()
+	case http.StateActive: // reported only after the headers
+	}
+}
+
+// Run closes connections until ctx ends.
+func (c *Connections) Run(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			c.sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Connections) sweep(now time.Time) {
+	limits := c.limits()
+	headers, idle := limits.HeaderTimeout, limits.IdleTimeout
+	if headers <= 0 {
+		headers = defaultHeaderTimeout
+	}
+	if idle <= 0 {
+		idle = defaultIdleTimeout
+	}
+	var late []net.Conn
+	c.mu.Lock()
+	for conn := range c.conns {
+		p, since := conn.state()
+		if waited := now.Sub(since); p == phaseIdle && waited > idle || p == phaseHeaders && waited > headers {
+			late = append(late, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range late {
+		_ = conn.Close() // the server sees the error and forgets the connection
+	}
+}
+
+type callerListener struct {
+	net.Listener
+
+	connections *Connections
+}
+
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // net/http looks at the error's type
+	}
+	return &callerConn{Conn: conn, since: time.Now()}, nil
+}
+
+// callerConn is a caller's connection; a read while it idles begins a request.
+type callerConn struct {
+	net.Conn
+
+	mu    sync.Mutex
+	phase phase
+	since time.Time
+}
+
+type phase int
+
+const (
+	phaseIdle phase = iota
+	phaseHeaders
+	phaseServing
+)
+
+type connKey struct{}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		if c.phase == phaseIdle {
+			c.phase, c.since = phaseHeaders, time.Now()
+		}
+		c.mu.Unlock()
+	}
+	return n, err //nolint:wrapcheck // net/http looks at the error's type
+}
+
+func (c *callerConn) enter(p phase) {
+	now := time.Now()
+	c.mu.Lock()
+	c.phase, c.since = p, now
+	c.mu.Unlock()
+}
+
+func (c *callerConn) state() (phase, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase, c.since
+}
--- /dev/null
+++ b/ingress/connections_test.go
@@ -0,0 +1,115 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// pipeListener accepts the far ends of pipes.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l pipeListener) Close() error   { close(l); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestConnectionLimits guards against connections closed earlier than the
+// configuration in force lets callers reuse them, against limits that an
+// accepted change does not alter, and against callers that hold a connection
+// without ever sending a whole request.
+func TestConnectionLimits(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	for name, tt := range map[string]struct {
+		limits, later tamarackknot.CallerLimits // later: in force after a second
+		sent          string
+		serving       time.Duration
+		least, most   time.Duration // after the last byte sent or received
+	}{
+		"idle after a request": {
+			limits: tamarackknot.CallerLimits{IdleTimeout: time.Minute}, sent: request, least: time.Minute, most: 61 * time.Second,
+		},
+		"idle beyond the default": {
+			limits: tamarackknot.CallerLimits{IdleTimeout: time.Hour}, sent: request, least: time.Hour, most: time.Hour + time.Second,
+		},
+		"idle without a request": {
+			limits: tamarackknot.CallerLimits{IdleTimeout: time.Minute}, least: time.Minute, most: 61 * time.Second,
+		},
+		"idle limit raised": {
+			limits: tamarackknot.CallerLimits{IdleTimeout: 5 * time.Second},
+			later:  tamarackknot.CallerLimits{IdleTimeout: time.Minute}, sent: request, least: time.Minute, most: 61 * time.Second,
+		},
+		"idle limit lowered": {
+			limits: tamarackknot.CallerLimits{IdleTimeout: time.Hour},
+			later:  tamarackknot.CallerLimits{IdleTimeout: time.Minute}, sent: request, least: time.Minute, most: 61 * time.Second,
+		},
+		"no configuration yet": {sent: request, least: defaultIdleTimeout, most: defaultIdleTimeout + time.Second},
+		"slow headers": {
+			limits: tamarackknot.CallerLimits{HeaderTimeout: 3 * time.Second, IdleTimeout: time.Hour},
+			sent:   request[:20], least: 3 * time.Second, most: 4 * time.Second,
+		},
+		"long answer": {
+			limits: tamarackknot.CallerLimits{HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second},
+			sent:   request, serving: time.Minute, least: 2 * time.Second, most: 3 * time.Second,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var limits atomic.Pointer[tamarackknot.CallerLimits]
+				limits.Store(&tt.limits)
+				c := NewConnections(func() tamarackknot.CallerLimits { return *limits.Load() })
+				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(tt.serving)
+					w.WriteHeader(http.StatusNoContent)
+				})}
+				l := make(pipeListener)
+				watched := c.Watch(s, l)
+				go func() { _ = s.Serve(watched) }()
+				defer func() { _ = s.Close() }()
+				ctx, cancel := context.WithCancel(t.Context())
+				go c.Run(ctx)
+				here, there := net.Pipe()
+				l <- there
+				last := time.Now()
+				if tt.sent != "" {
+					_, err := io.WriteString(here, tt.sent)
+					require.NoError(t, err)
+				}
+				if tt.later != (tamarackknot.CallerLimits{}) {
+					time.AfterFunc(time.Second, func() { limits.Store(&tt.later) })
+				}
+				buf, got := make([]byte, 4096), 0
+				for {
+					n, err := here.Read(buf)
+					if err != nil {
+						break
+					}
+					last, got = time.Now(), got+n
+				}
+				require.Equal(t, tt.sent == request, got > 0, "an answer came")
+				open := time.Since(last)
+				require.GreaterOrEqual(t, open, tt.least)
+				require.LessOrEqual(t, open, tt.most)
+				cancel()
+				require.NoError(t, s.Close())
+				synctest.Wait()
+				require.Empty(t, c.conns)
+			})
+		})
+	}
+}
