--- a/ingress/bed_test.go
+++ b/ingress/bed_test.go
@@ -53,7 +53,7 @@
 
 // bed is a Server before endpoints whose handlers a test chooses.
 type bed struct {
-	t       *testing.T
+	t       testing.TB
 	view    *catalog.View
 	server  *Server
 	front   *httptest.Server
@@ -64,7 +64,7 @@
 	seen []string // endpoints in the order in which requests reached them
 }
 
-func newBed(t *testing.T, route tamarackknot.Route, endpoints ...http.HandlerFunc) *bed {
+func newBed(t testing.TB, route tamarackknot.Route, endpoints ...http.HandlerFunc) *bed {
 	t.Helper()
 	route.Name, route.Host, route.Prefix = "r", "a.example", "/p/"
 	route.Shares = []tamarackknot.Share{{Service: "s", Weight: 1}}
