--- a/ingress/bed_test.go
+++ b/ingress/bed_test.go
@@ -64,8 +64,8 @@
 	seen []string // endpoints in the order in which requests reached them
 }
 
-func newBed(t testing.TB, route tamarackknot.Route, endpoints ...http.HandlerFunc) *bed {
-	t.Helper()
+func newBed(tb testing.TB, route tamarackknot.Route, endpoints ...http.HandlerFunc) *bed {
+	tb.Helper()
 	route.Name, route.Host, route.Prefix = "r", "a.example", "/p/"
 	route.Shares = []tamarackknot.Share{{Service: "s", Weight: 1}}
 	if route.Objective == 0 {
@@ -73,7 +73,7 @@
 	}
 	route.Attempts = max(route.Attempts, 1)
 	logger := log.New(io.Discard)
-	b := &bed{t: t, entries: make(map[string]tamarackknot.EndpointEntry)}
+	b := &bed{t: tb, entries: make(map[string]tamarackknot.EndpointEntry)}
 	b.d = dispatch.New(dispatch.Config{PlannerHeard: func() bool { return false }, Logger: logger})
 	keeper := catalog.New(catalog.Config{Logger: logger})
 	keeper.Offer(&tamarackknot.Catalog{
@@ -92,7 +92,7 @@
 			w.Header().Set("Signed", id)
 			h(w, r)
 		}))
-		t.Cleanup(s.Close)
+		tb.Cleanup(s.Close)
 		b.entries[id] = tamarackknot.EndpointEntry{
 			ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 10 - i, State: tamarackknot.EndpointReady,
 		}
@@ -104,7 +104,7 @@
 		Budget: &dispatch.Budget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Hosts: func() int { return 1 },
 	})
 	b.front = httptest.NewServer(b.server)
-	t.Cleanup(b.front.Close)
+	tb.Cleanup(b.front.Close)
 	return b
 }
 
