Have a host that missed a message of the planner ask for all

Cause: a message that the mesh drops after its deadline, or that is lost with a connection, gave no error; with changes only, the host kept an outdated view of an engine until the next whole view, up to 2 s.

Change: messages to a host are numbered; one with a gap before it makes the host say so with its next demand, and the planner tells it all.

Ruled out: acknowledging each message, which doubles their number.

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -196,7 +196,9 @@
 		}
 		// A moment after a whole view; the load of one engine changes.
 		require.Less(t, bytes(), 200)
+		nodes[1].mu.Lock()
 		require.Len(t, nodes[1].forecasts, 100)
+		nodes[1].mu.Unlock()
 
 		nodes[0].hub.Publish(view(3*time.Second, 40), true)
 		time.Sleep(publishEvery)
@@ -226,5 +228,20 @@
 		nodes[1].mu.Lock()
 		require.Len(t, nodes[1].forecasts, 3)
 		nodes[1].mu.Unlock()
+		// So is what was lost without an error.
+		h.mu.Lock()
+		h.hosts["h1"].sent["e005"] = sentEngine{version: -1}
+		h.hosts["h1"].number++
+		clear(h.hosts["h1"].forecasts)
+		h.mu.Unlock()
+		nodes[1].host.mu.Lock()
+		clear(nodes[1].host.forecasts)
+		clear(nodes[1].host.held)
+		nodes[1].host.mu.Unlock()
+		time.Sleep(3 * publishEvery)
+		nodes[1].host.mu.Lock()
+		require.Len(t, nodes[1].host.held, 100)
+		require.Len(t, nodes[1].host.forecasts, 3)
+		nodes[1].host.mu.Unlock()
 	})
 }
--- a/board/host.go
+++ b/board/host.go
@@ -62,6 +62,10 @@
 	registered int
 	told       bool // the planner has had all of the demand
 	leaving    bool
+	// number is that of the planner's last message; behind says that one before
+	// is missing.
+	number int64
+	behind bool
 	// held and forecasts are what the planner has told so far.
 	held      map[string][]tamarackknot.HeldModel
 	forecasts map[modelMessage]time.Time
@@ -163,9 +167,12 @@
 	if m.Fence > h.fence || from != h.planner {
 		h.cfg.Logger.Info("planner heard", "planner", from, "fence", m.Fence, "before", h.planner)
 		h.planner, h.fence, h.told = from, m.Fence, false
+		h.number, h.behind = 0, false
 		clear(h.held)
 		clear(h.forecasts)
 	}
+	h.behind = !m.All && !m.Leaving && (h.behind || m.Number != h.number+1)
+	h.number = m.Number
 	h.heardAt = now
 	if m.Leaving {
 		h.heardAt = time.Time{}
@@ -179,10 +186,10 @@
 	if len(m.Hosts) > 0 {
 		h.hosts, h.hostsAt = m.Hosts, now
 	}
-	told := h.told
+	missing := !h.told || h.behind
 	v := h.merge(m, now)
 	h.mu.Unlock()
-	if !told {
+	if missing {
 		h.Urgent()
 	}
 	v.Planner, v.Fence = from, m.Fence
@@ -239,7 +246,7 @@
 		case <-tick.C:
 		}
 		h.mu.Lock()
-		planner, all, leaving := h.planner, !h.told, h.leaving
+		planner, all, leaving, behind := h.planner, !h.told, h.leaving, h.behind
 		heard := !h.heardAt.IsZero() && time.Since(h.heardAt) < heardFor
 		h.mu.Unlock()
 		if planner == "" || !heard {
@@ -249,10 +256,10 @@
 		d.Host, d.Leaving = h.cfg.Self.Name, leaving
 		running := runningTotals(d.Running)
 		due := time.Since(lastSent) >= keepAlive
-		if !urgent && !due && !all && len(d.Wants) == 0 && maps.Equal(running, last) {
+		if !urgent && !due && !all && !behind && len(d.Wants) == 0 && maps.Equal(running, last) {
 			continue
 		}
-		if h.send(ctx, planner, d, all) {
+		if h.send(ctx, planner, encodeDemand(d, all, behind, h.cfg.Catalog(), time.Now())) {
 			h.mu.Lock()
 			h.told = h.told || all && h.planner == planner
 			h.mu.Unlock()
@@ -274,14 +281,14 @@
 	return out
 }
 
-func (h *Host) send(ctx context.Context, planner string, d tamarackknot.HostDemand, all bool) bool {
+func (h *Host) send(ctx context.Context, planner string, m demandMessage) bool {
 	if planner == h.cfg.Self.Name {
-		h.cfg.Local.take(d.Host, encodeDemand(d, all, h.cfg.Catalog(), time.Now()))
+		h.cfg.Local.take(planner, m)
 		return true
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(sendTime))
 	defer cancel()
-	if err := h.cfg.Peers.Notify(ctx, planner, methodDemand, encodeDemand(d, all, h.cfg.Catalog(), time.Now())); err != nil {
+	if err := h.cfg.Peers.Notify(ctx, planner, methodDemand, m); err != nil {
 		h.cfg.Logger.Debug("demand not sent", "planner", planner, "error", err)
 		return false
 	}
--- a/board/hub.go
+++ b/board/hub.go
@@ -81,6 +81,7 @@
 	sent      map[string]sentEngine
 	forecasts map[modelMessage]time.Time
 	wholeAt   time.Time
+	number    int64
 	fence     int64
 }
 
@@ -125,12 +126,19 @@
 	if m.All {
 		clear(s.wants)
 	}
+	behind := m.Behind && now.Sub(s.wholeAt) >= publishEvery
+	if behind {
+		s.wholeAt = time.Time{}
+	}
 	waiting := false
 	for _, w := range m.Wants {
 		s.wants[[2]string{w.Service, w.Model}] = decodeWant(w, now)
 		waiting = waiting || w.Waiting > 0
 	}
 	h.mu.Unlock()
+	if behind {
+		h.tellSoon()
+	}
 	h.cfg.CatalogSeen(m.Catalog)
 	if waiting && h.cfg.Demanded != nil {
 		h.cfg.Demanded()
@@ -180,10 +188,14 @@
 	h.setView(v)
 	h.mu.Unlock()
 	if now {
-		select {
-		case h.publish <- struct{}{}:
-		default:
-		}
+		h.tellSoon()
+	}
+}
+
+func (h *Hub) tellSoon() {
+	select {
+	case h.publish <- struct{}{}:
+	default:
 	}
 }
 
@@ -308,7 +320,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.state(host)
-	m := viewMessage{Fence: fence, Catalog: encodeStream(h.cfg.Catalog(), now), Endpoints: encodeStream(h.cfg.Endpoints(), now)}
+	s.number++
+	m := viewMessage{Fence: fence, Number: s.number, Catalog: encodeStream(h.cfg.Catalog(), now), Endpoints: encodeStream(h.cfg.Endpoints(), now)}
 	if s.fence != fence || now.Sub(s.wholeAt) >= wholeEvery {
 		m.All, m.Hosts, m.Planner, m.Registered = true, alive, &h.cfg.Self, len(h.cfg.Hosts())
 		s.fence, s.wholeAt = fence, now
--- a/board/message.go
+++ b/board/message.go
@@ -21,6 +21,8 @@
 	Wants   []wantMessage           `json:"wants,omitempty"`
 	// Catalog is the version of the configuration in force at the host.
 	Catalog int64 `json:"catalog,omitempty"`
+	// Behind says that the host has missed a message and needs a whole view.
+	Behind bool `json:"behind,omitempty"`
 }
 
 type wantMessage struct {
@@ -38,7 +40,9 @@
 
 // viewMessage goes from the planner to a host.
 type viewMessage struct {
-	Fence   int64 `json:"fence"`
+	Fence int64 `json:"fence"`
+	// Number counts the messages to the host.
+	Number  int64 `json:"n,omitempty"`
 	All     bool  `json:"all,omitempty"`
 	Leaving bool  `json:"leaving,omitempty"`
 	// Engines and Forecasts are those that changed since the last message, or
@@ -100,8 +104,8 @@
 	Model   string `json:"model"`
 }
 
-func encodeDemand(d tamarackknot.HostDemand, all bool, catalog int64, now time.Time) demandMessage {
-	m := demandMessage{Leaving: d.Leaving, All: all, Running: d.Running, Catalog: catalog}
+func encodeDemand(d tamarackknot.HostDemand, all, behind bool, catalog int64, now time.Time) demandMessage {
+	m := demandMessage{Leaving: d.Leaving, All: all, Running: d.Running, Catalog: catalog, Behind: behind}
 	for _, w := range d.Wants {
 		out := wantMessage{
 			Service: w.Service, Model: w.Model, Waiting: w.Waiting, Tight: w.Tight, Adapters: w.Adapters,
