Count adapters on their way that an order without an answer has set off

An adapter whose load got no answer was dropped from what the planner counts, and a report's adapters on their way were only used to keep known ones; the next order could then name one adapter more than the engine has places for. The same happens with what an earlier planner has ordered.

Change: merging a report counts its pending adapters; they become usable once listed as held.

Ruled out: models (a load without an answer is awaited as busy, and memory for all adapter places is kept free) and orders under an old sequence, which the engine declines.

TestPendingAdapters fails without the change.

--- a/planner/engine.go
+++ b/planner/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -94,6 +95,8 @@
 		for _, a := range m.Adapters {
 			if h.adapters[a] == nil {
 				h.adapters[a] = &adapterHolding{usableAt: now, usedAt: now}
+			} else if now.Before(h.adapters[a].usableAt) {
+				h.adapters[a].usableAt = now
 			}
 		}
 		for a := range h.adapters {
@@ -107,6 +110,14 @@
 			delete(e.held, name)
 		}
 	}
+	// Adapters on their way take places whoever ordered them: an earlier planner,
+	// or this one by an order that got no answer.
+	for _, p := range r.Pending {
+		model, adapter, _ := strings.Cut(p, "/")
+		if h := e.held[model]; h != nil && h.adapters[adapter] == nil {
+			h.adapters[adapter] = &adapterHolding{usableAt: now.Add(overdue), usedAt: now}
+		}
+	}
 	e.setCopies(r)
 }
 
