Take over from a lost planner sooner, and by a strong host

A watcher counted the lapse of 1.7 s from its own first read of the lease, 0.9 s and more after the holder fell silent; and the time that weak hosts wait was part of that lapse, so that it had no effect.

Change: messages of the planner name the end of the lease's stream; a record that is unchanged since such a message is known to be so since the message was heard. Weak hosts wait 0.8 s beyond the lapse; a silent planner does not count as a stronger host. Routine messages of the planner are never further apart than a third of the time after which it counts as silent, which 300 hosts exceeded.

Ruled out: a shorter lapse, which the validity of a renewal bounds (1.5 s), and reading the lease while the planner is heard, which costs reads of every host.

Tests that failed first: TestTakeoverAfterSilence, TestDeferAfterLapse.

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -65,7 +65,7 @@
 			},
 			Catalog:     func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
 			Endpoints:   func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
-			CatalogSeen: func(int64) {},
+			CatalogSeen: func(int64) {}, LeaseEnd: func() int64 { return 7 },
 		})
 		n.host = NewHost(HostConfig{
 			Self: entry, Peers: host, Local: n.hub, Logger: logger,
--- a/board/host.go
+++ b/board/host.go
@@ -60,7 +60,8 @@
 	hostsAt time.Time
 	// registered is the number of registered hosts, 0 while it is not known.
 	registered int
-	told       bool // the planner has had all of the demand
+	leaseEnd   int64 // as the planner's last message names it
+	told       bool  // the planner has had all of the demand
 	leaving    bool
 	// number is that of the planner's last message; behind says that one before
 	// is missing.
@@ -95,6 +96,17 @@
 	return h.planner
 }
 
+// LeaseSaid returns the end of the lease's stream as the planner named it last,
+// and how long ago.
+func (h *Host) LeaseSaid() (end int64, age time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.heardAt.IsZero() || h.leaseEnd == 0 {
+		return 0, 0, false
+	}
+	return h.leaseEnd, time.Since(h.heardAt), true
+}
+
 // Hosts returns the entry hosts that the planner hears from, nil if that is
 // not known.
 func (h *Host) Hosts() []tamarackknot.HostEntry {
@@ -172,7 +184,7 @@
 		clear(h.forecasts)
 	}
 	h.behind = !m.All && !m.Leaving && (h.behind || m.Number != h.number+1)
-	h.number = m.Number
+	h.number, h.leaseEnd = m.Number, m.Lease
 	h.heardAt = now
 	if m.Leaving {
 		h.heardAt = time.Time{}
--- a/board/hub.go
+++ b/board/hub.go
@@ -45,6 +45,8 @@
 	Hosts func() []tamarackknot.HostEntry
 	// Held returns the fencing token while this host plans.
 	Held func() (fence int64, held bool)
+	// LeaseEnd returns the end of the lease's stream while this host plans.
+	LeaseEnd func() int64
 	// Catalog and Endpoints return how far this host follows these streams.
 	Catalog   func() tamarackknot.StreamState
 	Endpoints func() tamarackknot.StreamState
@@ -247,7 +249,7 @@
 	for {
 		// Many hosts are told less often: the planner's share of a core bounds
 		// the messages that it can send.
-		every := max(publishEvery, time.Duration(len(h.cfg.Hosts()))*publishPerHost)
+		every := min(max(publishEvery, time.Duration(len(h.cfg.Hosts()))*publishPerHost), heardFor/3)
 		if _, held := h.cfg.Held(); !held {
 			every = idleEvery
 		}
@@ -321,7 +323,7 @@
 	defer h.mu.Unlock()
 	s := h.state(host)
 	s.number++
-	m := viewMessage{Fence: fence, Number: s.number, Catalog: encodeStream(h.cfg.Catalog(), now), Endpoints: encodeStream(h.cfg.Endpoints(), now)}
+	m := viewMessage{Fence: fence, Number: s.number, Lease: h.cfg.LeaseEnd(), Catalog: encodeStream(h.cfg.Catalog(), now), Endpoints: encodeStream(h.cfg.Endpoints(), now)}
 	if s.fence != fence || now.Sub(s.wholeAt) >= wholeEvery {
 		m.All, m.Hosts, m.Planner, m.Registered = true, alive, &h.cfg.Self, len(h.cfg.Hosts())
 		s.fence, s.wholeAt = fence, now
--- a/board/message.go
+++ b/board/message.go
@@ -51,6 +51,8 @@
 	Forecasts []forecastMessage        `json:"forecasts,omitempty"`
 	Settled   []modelMessage           `json:"settled,omitempty"`
 	Hosts     []tamarackknot.HostEntry `json:"hosts,omitempty"`
+	// Lease is the end of the lease's stream, as the planner knows it.
+	Lease int64 `json:"lease,omitempty"`
 	// Planner is the entry of the planner, in whole views.
 	Planner *tamarackknot.HostEntry `json:"planner,omitempty"`
 	// Registered is the number of registered hosts, alive or not.
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -62,7 +62,7 @@
 	// planner, deferTime how much longer weaker ones wait, and yieldEvery how
 	// often a planner looks for one.
 	strongerFactor = 1.5
-	deferTime      = 1200 * time.Millisecond
+	deferTime      = 800 * time.Millisecond
 	yieldEvery     = 2 * time.Second
 	// relayTime is how long a version may take to come from another host until
 	// this one reads the store itself.
@@ -183,6 +183,7 @@
 	d.lease = lease.New(lease.Config{
 		Store: store, Host: s.Host, Incarnation: d.self.Incarnation, Gap: s.LeaseGap, Fenced: s.EndpointsFence,
 		HolderHeard: func() bool { return d.board.Heard() }, Defer: d.deference, Logger: logger,
+		HolderSaid: func() (int64, time.Duration, bool) { return d.board.LeaseSaid() },
 	})
 	held := func() bool { return d.lease.Status().Held }
 	d.hosts = board.NewRegistry(board.RegistryConfig{Store: store, Self: d.self, Follow: held, Logger: logger})
@@ -192,7 +193,8 @@
 			st := d.lease.Status()
 			return st.Fence, st.Held
 		},
-		Catalog: d.catalog.State, Endpoints: d.roster.State, CatalogSeen: d.catalog.Seen,
+		LeaseEnd: func() int64 { return d.lease.Status().End },
+		Catalog:  d.catalog.State, Endpoints: d.roster.State, CatalogSeen: d.catalog.Seen,
 		Demanded: func() { d.planner.Demanded() },
 	})
 	d.board = board.NewHost(board.HostConfig{
@@ -358,10 +360,15 @@
 	return 0
 }
 
-// strongerHost reports whether a host that is much stronger is heard of.
+// strongerHost reports whether a host that is much stronger is heard of. The
+// planner does not count once it is silent.
 func (d *Daemon) strongerHost() bool {
+	silent := ""
+	if !d.board.Heard() {
+		silent = d.board.Planner()
+	}
 	return slices.ContainsFunc(d.board.Hosts(), func(h tamarackknot.HostEntry) bool {
-		return h.Strength >= strongerFactor*d.self.Strength
+		return h.Name != silent && h.Strength >= strongerFactor*d.self.Strength
 	})
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -65,6 +65,10 @@
 	// HolderHeard reports whether this host hears from the holder; then it
 	// does not read the lease.
 	HolderHeard func() bool
+	// HolderSaid returns the end of the lease's stream as the holder named it
+	// last, and how long ago this host heard so; ok is false if it never did.
+	// Nil means that holders say nothing.
+	HolderSaid func() (end int64, age time.Duration, ok bool)
 	// Clock is the time since the machine started, suspended or not; nil takes
 	// the system's.
 	Clock  func() time.Duration
@@ -77,6 +81,8 @@
 	// give orders already.
 	Held  bool
 	Fence int64
+	// End is the offset after the newest record that this holder knows.
+	End int64
 }
 
 type record struct {
@@ -138,7 +144,7 @@
 func (k *Keeper) Status() Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Status{Held: k.held && k.valid(), Fence: k.fence}
+	return Status{Held: k.held && k.valid(), Fence: k.fence, End: k.end}
 }
 
 // MayOrder returns the fencing token if an order may be given now.
@@ -353,11 +359,16 @@
 		return watchEvery + jitter
 	}
 	if end != k.seenOffset {
-		k.seenOffset, k.seenAt = end, now
+		k.seenOffset, k.seenAt = end, k.unchangedSince(end, now)
 	}
 	wait, free := k.vacant(newest, now)
-	if k.cfg.Defer != nil && now-k.seenAt < k.cfg.Defer() {
-		free = false
+	if free && k.cfg.Defer != nil {
+		// Others are free to take it since the release or the lapse.
+		since := k.seenAt
+		if newest != nil && !newest.Released && newest.Holder != k.cfg.Host {
+			since += lapseTime
+		}
+		free = now-since >= k.cfg.Defer()
 	}
 	if !free {
 		return watchEvery + jitter
@@ -372,6 +383,18 @@
 	return renewEvery
 }
 
+// unchangedSince is the time since which the newest record is known to be the
+// newest. The holder's last message proves that it was so when it was heard.
+func (k *Keeper) unchangedSince(end int64, now time.Duration) time.Duration {
+	if k.cfg.HolderSaid == nil {
+		return now
+	}
+	if said, age, ok := k.cfg.HolderSaid(); ok && said == end {
+		return now - age
+	}
+	return now
+}
+
 // vacant reports whether the lease can be taken and how long the new holder
 // must wait before its first order.
 func (k *Keeper) vacant(newest *record, now time.Duration) (wait time.Duration, free bool) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -186,6 +186,62 @@
 	}
 }
 
+// TestTakeoverAfterSilence guards against a lease that lies vacant for longer
+// than it must after its holder was lost without a sign, and against one taken
+// while the holder, unheard, still renews it.
+func TestTakeoverAfterSilence(t *testing.T) {
+	const heardFor = 900 * time.Millisecond
+	for name, alive := range map[string]bool{"lost": false, "unheard but alive": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(true)
+				first := b.keeper("a", "1")
+				stop := b.run(t, first)
+				time.Sleep(2 * time.Second)
+				second := b.keeper("b", "1")
+				end, lastHeard := first.Status().End, time.Now()
+				second.cfg.HolderHeard = func() bool { return time.Since(lastHeard) < heardFor }
+				second.cfg.HolderSaid = func() (int64, time.Duration, bool) { return end, time.Since(lastHeard), true }
+				defer b.run(t, second)()
+				if alive {
+					time.Sleep(10 * time.Second)
+					require.False(t, second.Status().Held)
+					stop()
+					return
+				}
+				stop()
+				for !mayOrder(second) {
+					time.Sleep(10 * time.Millisecond)
+					require.Less(t, time.Since(lastHeard), lapseTime+watchEvery+watchEvery/4+50*time.Millisecond)
+				}
+				require.GreaterOrEqual(t, time.Since(lastHeard), holdTime)
+			})
+		})
+	}
+}
+
+// TestDeferAfterLapse guards against a weak host that takes the lease of a lost
+// holder before a stronger one had the time to.
+func TestDeferAfterLapse(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(true)
+			first := b.keeper("a", "1")
+			stop := b.run(t, first)
+			time.Sleep(2 * time.Second)
+			strong, weak := b.keeper("b", "1"), b.keeper("c", "1")
+			weak.cfg.Defer = func() time.Duration { return 800 * time.Millisecond }
+			defer b.run(t, strong)()
+			defer b.run(t, weak)()
+			time.Sleep(time.Second)
+			stop()
+			time.Sleep(4 * time.Second)
+			require.True(t, mayOrder(strong))
+			require.False(t, weak.Status().Held)
+		})
+	}
+}
+
 // TestRestart guards against a host that waits for its own earlier lease.
 func TestRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
