Bound the planner's messages by the number of hosts and engines

Every host got a whole view of 300 KB each 2 s, with a list of all hosts; every message named all engines whose load had changed; each host had a map of all engines; all engines were asked for reports each 1.5 s.

Change: whole views only when a host needs one, a bounded number a round, and otherwise rarely; the list of hosts when it changes, encoded once; at most 60 engines a message of which only the load changed, in turn; slices instead of maps; reports of engines spaced by their number, at most 256 at once.

Ruled out: telling hosts of their own failure domain only, since requests go to engines of all domains.

Test: TestManyEngines, which the code before does not meet (300 whole views in the first round).

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -181,14 +181,9 @@
 		time.Sleep(wholeEvery + time.Second)
 		h := nodes[0].hub
 		bytes := func() int {
-			now := time.Now()
-			h.mu.Lock()
-			forecasts := make(map[modelMessage]time.Time)
-			for _, f := range h.view.Forecasts {
-				forecasts[modelMessage{f.Service, f.Model}] = f.ReadyAt
-			}
-			h.mu.Unlock()
-			m := h.message("h1", 5, nil, map[string]int{"e001": 1 + now.Nanosecond()%3}, forecasts, now)
+			r := h.round(5, h.cfg.Hosts(), time.Now())
+			r.totals[3] = 1
+			m := h.message("h1", r)
 			require.False(t, m.All)
 			data, err := json.Marshal(m)
 			require.NoError(t, err)
@@ -230,7 +225,6 @@
 		nodes[1].mu.Unlock()
 		// So is what was lost without an error.
 		h.mu.Lock()
-		h.hosts["h1"].sent["e005"] = sentEngine{version: -1}
 		h.hosts["h1"].number++
 		clear(h.hosts["h1"].forecasts)
 		h.mu.Unlock()
@@ -245,3 +239,58 @@
 		nodes[1].host.mu.Unlock()
 	})
 }
+
+// TestManyEngines guards against messages that outgrow the planner's memory and
+// network at 300 hosts and 3,000 engines: there, whole views to all hosts at
+// once and the load of every engine in every message broke the system down.
+func TestManyEngines(t *testing.T) {
+	const hosts, engines = 300, 3000
+	var entries []tamarackknot.HostEntry
+	for i := range hosts {
+		entries = append(entries, tamarackknot.HostEntry{Name: fmt.Sprintf("h%03d", i), Address: "10.0.0.1:8149", PeerAddress: "10.0.0.1:7380"})
+	}
+	none := func() tamarackknot.StreamState { return tamarackknot.StreamState{} }
+	h := NewHub(HubConfig{
+		Self: tamarackknot.HostEntry{Name: "self"}, Peers: &countingPeers{}, Hosts: func() []tamarackknot.HostEntry { return entries },
+		Catalog: none, Endpoints: none, CatalogSeen: func(int64) {}, LeaseEnd: func() int64 { return 7 }, Logger: log.New(io.Discard),
+	})
+	v := tamarackknot.FleetView{Engines: make(map[string]tamarackknot.EngineView)}
+	for i := range engines {
+		v.Engines[fmt.Sprintf("i-%08d", i)] = tamarackknot.EngineView{Held: []tamarackknot.HeldModel{{Name: "daka510000"}, {Name: "rada7437b5"}}}
+	}
+	h.Publish(v, false)
+	now := time.Now()
+	for _, e := range entries {
+		h.state(e.Name).heardAt = now.Add(time.Hour)
+	}
+	whole, known := make(map[string]bool), make(map[string]int)
+	for round := range 2 * hosts / leastWholes {
+		now = now.Add(heardFor / 3)
+		r := h.round(5, entries, now)
+		for i := range r.totals {
+			r.totals[i] = round + i
+		}
+		sent, wholes := 0, 0
+		for _, e := range entries {
+			m := h.message(e.Name, r)
+			data, err := json.Marshal(m)
+			require.NoError(t, err)
+			sent += len(data)
+			if m.All {
+				whole[e.Name] = true
+				wholes++
+				continue
+			}
+			require.Less(t, len(data), 64<<10)
+			if e.Name == "h000" {
+				for _, em := range m.Engines {
+					known[em.ID] = round
+				}
+			}
+		}
+		require.LessOrEqual(t, wholes, leastWholes)
+		require.Less(t, sent, 16<<20)
+	}
+	require.Len(t, whole, hosts, "every host has been told all")
+	require.Len(t, known, engines, "the load of every engine is told in turn")
+}
--- a/board/host.go
+++ b/board/host.go
@@ -58,6 +58,8 @@
 	heardAt time.Time
 	hosts   []tamarackknot.HostEntry
 	hostsAt time.Time
+	// hostsFence is the fencing token of the planner that hosts are from.
+	hostsFence int64
 	// registered is the number of registered hosts, 0 while it is not known.
 	registered int
 	leaseEnd   int64 // as the planner's last message names it
@@ -195,9 +197,7 @@
 	if m.Registered > 0 {
 		h.registered = m.Registered
 	}
-	if len(m.Hosts) > 0 {
-		h.hosts, h.hostsAt = m.Hosts, now
-	}
+	h.takeHosts(m.Hosts, now)
 	missing := !h.told || h.behind
 	v := h.merge(m, now)
 	h.mu.Unlock()
@@ -211,6 +211,22 @@
 	}
 }
 
+// takeHosts takes a list of hosts; without one, that of the message before holds
+// on unless a message is missing.
+func (h *Host) takeHosts(list json.RawMessage, now time.Time) {
+	var hosts []tamarackknot.HostEntry
+	switch {
+	case len(list) > 0:
+		if err := json.Unmarshal(list, &hosts); err != nil {
+			h.cfg.Logger.Error("list of hosts not decoded", "planner", h.planner, "error", err)
+			return
+		}
+		h.hosts, h.hostsAt, h.hostsFence = hosts, now, h.fence
+	case h.hostsFence == h.fence && !h.behind:
+		h.hostsAt = now
+	}
+}
+
 // merge completes a message with what was told before: the engines that it
 // names, and all forecasts.
 func (h *Host) merge(m viewMessage, now time.Time) tamarackknot.FleetView {
--- a/board/hub.go
+++ b/board/hub.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -30,9 +31,22 @@
 	idleEvery = 250 * time.Millisecond
 	// urgentShare is the part of the pause after which news are told at once.
 	urgentShare = 8
-	// wholeEvery is the pause between two whole views, which replace what a
-	// broken connection has lost.
-	wholeEvery = 2 * time.Second
+	// wholeEvery is the least pause between two whole views to a host, which
+	// otherwise asks for one when it has missed a message; wholePerEngine is the
+	// least pause for each engine and host, which bounds them to 1 MB/s.
+	wholeEvery     = 2 * time.Second
+	wholePerEngine = 100 * time.Microsecond
+	// wholeEngines and leastWholes bound the whole views of one round, since
+	// messages that wait for their connection take memory.
+	wholeEngines = 30000
+	leastWholes  = 10
+	// loadUpdates is how many engines a message names of which only the load
+	// has changed; the others follow in turn.
+	loadUpdates = 60
+	// hostsEvery is the least pause between two lists of hosts, hostsPerHost
+	// the least for each host.
+	hostsEvery   = 500 * time.Millisecond
+	hostsPerHost = 10 * time.Millisecond
 	// aliveFor is how long a host counts as alive after a message.
 	aliveFor = 1200 * time.Millisecond
 )
@@ -67,10 +81,17 @@
 	mu    sync.Mutex
 	hosts map[string]*hostState
 	view  tamarackknot.FleetView
-	// engines are those of view; versions counts all their changes.
+	// engines are those of view; list has each at its index, nil where none is,
+	// and versions counts all their changes.
 	engines  map[string]*engineState
+	list     []*engineState
 	versions int64
 	left     bool
+	// alive is the list of hosts that was told last, encoded, with the number of
+	// its changes.
+	alive        json.RawMessage
+	aliveVersion int64
+	aliveAt      time.Time
 }
 
 type hostState struct {
@@ -80,22 +101,36 @@
 	wants   map[[2]string]tamarackknot.ModelWant
 	// sent is what the host was last told of each engine, forecasts what it was
 	// told of models to come.
-	sent      map[string]sentEngine
-	forecasts map[modelMessage]time.Time
-	wholeAt   time.Time
-	number    int64
-	fence     int64
+	sent         []sentEngine
+	next         int // index from which load changes are told
+	forecasts    map[modelMessage]time.Time
+	wholeAt      time.Time
+	number       int64
+	aliveVersion int64
+	fence        int64
 }
 
-// sentEngine is what a host was told of an engine.
+// sentEngine is what a host was told of an engine; version is 0 if nothing.
 type sentEngine struct {
 	version int64
 	others  int
 }
 
+// round is what all messages of one round have in common.
+type round struct {
+	fence     int64
+	now       time.Time
+	totals    []int // requests at each engine, by index
+	forecasts map[modelMessage]time.Time
+	hosts     int
+	wholes    int // that may still be told
+}
+
 // engineState is an engine of the view in the form of a message, with the
 // number of its changes.
 type engineState struct {
+	id      string
+	index   int
 	held    []tamarackknot.HeldModel
 	message []heldMessage
 	version int64
@@ -151,8 +186,7 @@
 	s := h.hosts[name]
 	if s == nil {
 		s = &hostState{
-			wants: make(map[[2]string]tamarackknot.ModelWant), sent: make(map[string]sentEngine),
-			forecasts: make(map[modelMessage]time.Time),
+			wants: make(map[[2]string]tamarackknot.ModelWant), forecasts: make(map[modelMessage]time.Time),
 		}
 		h.hosts[name] = s
 	}
@@ -210,19 +244,35 @@
 			continue
 		}
 		h.versions++
-		s = &engineState{held: e.Held, version: h.versions}
+		next := &engineState{id: id, held: e.Held, version: h.versions}
+		if s != nil {
+			next.index = s.index
+		} else {
+			next.index = h.freeIndex()
+		}
+		s = next
+		h.list[s.index] = s
 		for _, held := range e.Held {
 			s.message = append(s.message, heldMessage{Model: held.Name, Adapters: held.Adapters})
 		}
 		h.engines[id] = s
 	}
-	for id := range h.engines {
+	for id, s := range h.engines {
 		if _, ok := v.Engines[id]; !ok {
+			h.list[s.index] = nil
 			delete(h.engines, id)
 		}
 	}
 }
 
+func (h *Hub) freeIndex() int {
+	if len(h.engines) < len(h.list) {
+		return slices.Index(h.list, nil)
+	}
+	h.list = append(h.list, nil)
+	return len(h.list) - 1
+}
+
 func sameHeld(a, b tamarackknot.HeldModel) bool {
 	return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 }
@@ -277,21 +327,10 @@
 }
 
 func (h *Hub) tell(ctx context.Context, fence int64) {
-	now := time.Now()
 	registered := h.cfg.Hosts()
-	alive := h.alive(registered, now)
-	h.mu.Lock()
-	totals := h.totals(now)
-	h.mu.Unlock()
-	forecasts := make(map[modelMessage]time.Time)
-	for _, f := range h.forecasts() {
-		k := modelMessage{f.Service, f.Model}
-		if at, ok := forecasts[k]; !ok || f.ReadyAt.Before(at) {
-			forecasts[k] = f.ReadyAt
-		}
-	}
+	r := h.round(fence, registered, time.Now())
 	for _, host := range registered {
-		m := h.message(host.Name, fence, alive, totals, forecasts, now)
+		m := h.message(host.Name, r)
 		if host.Name == h.cfg.Self.Name {
 			h.local.take(host.Name, m)
 			continue
@@ -300,10 +339,29 @@
 	}
 }
 
-// alive returns the hosts that callers may be sent to.
-func (h *Hub) alive(registered []tamarackknot.HostEntry, now time.Time) []tamarackknot.HostEntry {
+func (h *Hub) round(fence int64, registered []tamarackknot.HostEntry, now time.Time) *round {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	r := &round{
+		fence: fence, now: now, hosts: len(registered), totals: h.totals(now),
+		forecasts: make(map[modelMessage]time.Time),
+		wholes:    max(leastWholes, wholeEngines/max(len(h.engines), 1)),
+	}
+	for _, f := range h.view.Forecasts {
+		k := modelMessage{f.Service, f.Model}
+		if at, ok := r.forecasts[k]; !ok || f.ReadyAt.Before(at) {
+			r.forecasts[k] = f.ReadyAt
+		}
+	}
+	h.listAlive(registered, now)
+	return r
+}
+
+// listAlive renews the list of the hosts that callers may be sent to.
+func (h *Hub) listAlive(registered []tamarackknot.HostEntry, now time.Time) {
+	if now.Sub(h.aliveAt) < max(hostsEvery, time.Duration(len(registered))*hostsPerHost) {
+		return
+	}
 	var out []tamarackknot.HostEntry
 	for _, host := range registered {
 		s := h.hosts[host.Name]
@@ -311,51 +369,90 @@
 			out = append(out, host)
 		}
 	}
-	return out
+	if len(out) == 0 {
+		return
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		h.cfg.Logger.Error("list of hosts not encoded", "error", err)
+		return
+	}
+	if !bytes.Equal(data, h.alive) {
+		h.alive, h.aliveAt = data, now
+		h.aliveVersion++
+	}
 }
 
-// message builds what a host is told: the engines that changed since the last
-// message, or all.
-func (h *Hub) message(
-	host string, fence int64, alive []tamarackknot.HostEntry, totals map[string]int, forecasts map[modelMessage]time.Time, now time.Time,
-) viewMessage {
+// message builds what a host is told: what changed since the last message, or
+// all.
+func (h *Hub) message(host string, r *round) viewMessage {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.state(host)
 	s.number++
-	m := viewMessage{Fence: fence, Number: s.number, Lease: h.cfg.LeaseEnd(), Catalog: encodeStream(h.cfg.Catalog(), now), Endpoints: encodeStream(h.cfg.Endpoints(), now)}
-	if s.fence != fence || now.Sub(s.wholeAt) >= wholeEvery {
-		m.All, m.Hosts, m.Planner, m.Registered = true, alive, &h.cfg.Self, len(h.cfg.Hosts())
-		s.fence, s.wholeAt = fence, now
+	m := viewMessage{
+		Fence: r.fence, Number: s.number, Lease: h.cfg.LeaseEnd(),
+		Catalog: encodeStream(h.cfg.Catalog(), r.now), Endpoints: encodeStream(h.cfg.Endpoints(), r.now),
+	}
+	pause := max(wholeEvery, time.Duration(r.hosts*len(h.engines))*wholePerEngine)
+	if s.fence != r.fence || r.now.Sub(s.wholeAt) >= pause {
+		if r.wholes == 0 {
+			// The host is told that the planner lives; it gets all in its turn.
+			s.wholeAt = time.Time{}
+			return m
+		}
+		r.wholes--
+		m.All, m.Planner, m.Registered = true, &h.cfg.Self, r.hosts
+		s.fence, s.wholeAt, s.aliveVersion = r.fence, r.now, 0
 		clear(s.sent)
 		clear(s.forecasts)
 	}
-	own := make(map[string]int)
-	for _, r := range s.running {
-		own[r.Endpoint] += r.Count
+	if s.aliveVersion != h.aliveVersion {
+		s.aliveVersion = h.aliveVersion
+		m.Hosts = h.alive
+	}
+	h.loads(s, &m, r.totals)
+	s.foretell(&m, r.forecasts, r.now)
+	return m
+}
+
+// loads adds the engines that changed: all whose models did, and a bounded
+// number of those whose load did.
+func (h *Hub) loads(s *hostState, m *viewMessage, totals []int) {
+	if missing := len(h.list) - len(s.sent); missing > 0 {
+		s.sent = append(s.sent, make([]sentEngine, missing)...)
 	}
-	for id, e := range h.engines {
-		now := sentEngine{e.version, max(totals[id]-own[id], 0)}
-		last, told := s.sent[id]
-		if told && last == now {
+	own := make(map[int]int, len(s.running))
+	for _, c := range s.running {
+		if e := h.engines[c.Endpoint]; e != nil {
+			own[e.index] += c.Count
+		}
+	}
+	left, first := loadUpdates, s.next
+	for k := range h.list {
+		i := (first + k) % len(h.list)
+		e := h.list[i]
+		if e == nil {
+			continue
+		}
+		now := sentEngine{e.version, max(totals[i]-own[i], 0)}
+		last := s.sent[i]
+		if last == now {
 			continue
 		}
-		s.sent[id] = now
-		em := engineMessage{ID: id, Others: now.others, Same: told && last.version == now.version}
-		if !em.Same {
+		em := engineMessage{ID: e.id, Others: now.others, Same: last.version == now.version}
+		if em.Same {
+			if left == 0 {
+				continue
+			}
+			left--
+			s.next = (i + 1) % len(h.list)
+		} else {
 			em.Held = e.message
 		}
+		s.sent[i] = now
 		m.Engines = append(m.Engines, em)
 	}
-	s.foretell(&m, forecasts, now)
-	return m
-}
-
-// forecasts returns those of the view.
-func (h *Hub) forecasts() []tamarackknot.ModelForecast {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.view.Forecasts
 }
 
 // foretell adds the forecasts that moved since the host was told.
@@ -376,14 +473,17 @@
 	}
 }
 
-func (h *Hub) totals(now time.Time) map[string]int {
-	out := make(map[string]int)
+// totals sums up the requests at each engine, by index.
+func (h *Hub) totals(now time.Time) []int {
+	out := make([]int, len(h.list))
 	for _, s := range h.hosts {
 		if now.Sub(s.heardAt) > aliveFor {
 			continue
 		}
 		for _, r := range s.running {
-			out[r.Endpoint] += r.Count
+			if e := h.engines[r.Endpoint]; e != nil {
+				out[e.index] += r.Count
+			}
 		}
 	}
 	return out
--- a/board/message.go
+++ b/board/message.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"encoding/json"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -47,10 +48,12 @@
 	Leaving bool  `json:"leaving,omitempty"`
 	// Engines and Forecasts are those that changed since the last message, or
 	// all; Settled names the models that have no forecast any more.
-	Engines   []engineMessage          `json:"engines,omitempty"`
-	Forecasts []forecastMessage        `json:"forecasts,omitempty"`
-	Settled   []modelMessage           `json:"settled,omitempty"`
-	Hosts     []tamarackknot.HostEntry `json:"hosts,omitempty"`
+	Engines   []engineMessage   `json:"engines,omitempty"`
+	Forecasts []forecastMessage `json:"forecasts,omitempty"`
+	Settled   []modelMessage    `json:"settled,omitempty"`
+	// Hosts are those that callers may be sent to, as a list of HostEntry; left
+	// out if they are those of the last message.
+	Hosts json.RawMessage `json:"hosts,omitempty"`
 	// Lease is the end of the lease's stream, as the planner knows it.
 	Lease int64 `json:"lease,omitempty"`
 	// Planner is the entry of the planner, in whole views.
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -25,8 +25,13 @@
 	stepRest = 3
 	// idleEvery is the same on a host that does not plan.
 	idleEvery = 250 * time.Millisecond
-	// reportEvery is the pause between two routine reports of an engine.
-	reportEvery = 1500 * time.Millisecond
+	// reportEvery is the least pause between two routine reports of an engine,
+	// reportPerEngine the least for each engine: a report takes the planner about
+	// 0.3 ms, of which many engines leave it no time.
+	reportEvery     = 1500 * time.Millisecond
+	reportPerEngine = 4 * time.Millisecond
+	// maxReports bounds the reports that are awaited at once.
+	maxReports = 256
 	// busyReport is the pause before the next report of an engine that carries
 	// out an order of another process.
 	busyReport = 200 * time.Millisecond
@@ -220,6 +225,13 @@
 // syncEngines takes the list of endpoints and asks for reports that are due.
 func (c *Controller) syncEngines(ctx context.Context, catalog *tamarackknot.Catalog, now time.Time) {
 	listed := c.cfg.Endpoints()
+	every := max(reportEvery, time.Duration(len(c.engines))*reportPerEngine)
+	reporting := 0
+	for _, e := range c.engines {
+		if e.reporting {
+			reporting++
+		}
+	}
 	for id, entry := range listed {
 		pool, ok := catalog.Services[entry.Service]
 		if !ok || pool.Engine == nil {
@@ -236,7 +248,12 @@
 		}
 		e.entry = entry
 		e.spec = pool.Engine
-		if !e.reporting && now.Sub(e.askedAt) >= reportEvery {
+		pause := reportEvery
+		if e.reported {
+			pause = every
+		}
+		if !e.reporting && now.Sub(e.askedAt) >= pause && reporting < maxReports {
+			reporting++
 			e.reporting, e.askedAt = true, now
 			c.running.Go(func() { c.runReport(ctx, e) })
 		}
