Leave an address where another instance started alone; count repeats for the whole window

An instance of a plain service that had started again under the same address answered 421, and one request went there six times within 2 ms: the pause after 421 was noted per model, which plain services do not look at. And the window of the budget covered 9 to 10 s, since its newest part is not over, so that repeats of the oldest part were forgotten too early.

Change: after 421 a plain service's endpoint is paused like one that cannot be reached; repeats are counted over 10 to 11 s, requests over 9 to 10 s.

Tests that failed first: TestBudgetSlides (21 repeats, allowed 20), TestMisplacedService (50 sends within no time).

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// budgetBuckets is how many parts the window of a Budget has.
-const budgetBuckets = 10
+const (
+	// budgetBuckets is how many parts the window of a Budget has.
+	budgetBuckets = 10
+	// keptBuckets has one more: the newest part is not over, so that
+	// budgetBuckets of them cover less than the window.
+	keptBuckets = budgetBuckets + 1
+)
 
 // Budget bounds how often requests are sent once more, per service. Each host
 // takes its share of what all hosts may send together.
@@ -23,8 +28,8 @@
 }
 
 type budgetWindow struct {
-	requests [budgetBuckets]int
-	repeats  [budgetBuckets]int
+	requests [keptBuckets]int
+	repeats  [keptBuckets]int
 	bucket   int64 // number of the newest bucket
 }
 
@@ -33,7 +38,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	w.requests[w.bucket%budgetBuckets]++
+	w.requests[w.bucket%keptBuckets]++
 }
 
 // Repeat reports whether a request may be sent once more, and counts it. hosts
@@ -43,10 +48,12 @@
 	defer b.mu.Unlock()
 	w := b.window(service, now)
 	requests, repeats := 0, 0
-	for i := range budgetBuckets {
+	for i := range w.repeats {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
+	// Requests count for less than the window, repeats for more.
+	requests -= w.requests[(w.bucket+1)%keptBuckets]
 	allowed := b.Ratio * float64(requests)
 	if hosts > 0 {
 		allowed += b.Slack / float64(hosts)
@@ -54,7 +61,7 @@
 	if float64(repeats+1) > allowed {
 		return false
 	}
-	w.repeats[w.bucket%budgetBuckets]++
+	w.repeats[w.bucket%keptBuckets]++
 	return true
 }
 
@@ -71,10 +78,10 @@
 		b.services[service] = w
 	}
 	for ; w.bucket < n; w.bucket++ {
-		if n-w.bucket > budgetBuckets {
-			w.bucket = n - budgetBuckets
+		if n-w.bucket > keptBuckets {
+			w.bucket = n - keptBuckets
 		}
-		next := (w.bucket + 1) % budgetBuckets
+		next := (w.bucket + 1) % keptBuckets
 		w.requests[next], w.repeats[next] = 0, 0
 	}
 	return w
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -253,6 +253,59 @@
 	})
 }
 
+// TestBudgetSlides guards against more repeats than allowed in a window that
+// begins at any moment.
+func TestBudgetSlides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &Budget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+		b.Request("s", time.Now())
+		var repeats []time.Time
+		for range 4000 {
+			time.Sleep(13 * time.Millisecond)
+			if b.Repeat("s", 1, time.Now()) {
+				repeats = append(repeats, time.Now())
+			}
+		}
+		for i, from := range repeats {
+			n := 0
+			for _, at := range repeats[i:] {
+				if at.Sub(from) < b.Window {
+					n++
+				}
+			}
+			require.LessOrEqual(t, n, 20, "repeats in the window from %v", from)
+		}
+		require.Greater(t, len(repeats), 60, "the budget is used")
+	})
+}
+
+// TestMisplacedService guards against a request that is sent again and again to
+// an address where another instance of a plain service has started.
+func TestMisplacedService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{PlannerHeard: func() bool { return false }, Logger: log.New(io.Discard)})
+		ctx, cancel := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		d.SetEndpoints(map[string]tamarackknot.EndpointEntry{
+			"e": {ID: "e", Service: "s", Slots: 4, State: tamarackknot.EndpointReady},
+		}, map[string][]string{"s": {"e"}}, true)
+		begun, sent := time.Now(), 0
+		for sent < 50 && time.Since(begun) < time.Second {
+			g, _ := d.Acquire(t.Context(), &Request{ID: "r", Service: "s", Deadline: time.Now().Add(5 * time.Second)})
+			if g == nil {
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			sent++
+			g.Done(ResultMisplaced)
+		}
+		require.LessOrEqual(t, sent, 8)
+		require.Positive(t, sent)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // BenchmarkChoose measures the choice of an endpoint at 140 engines of 824
 // models and 630 adapters.
 func BenchmarkChoose(b *testing.B) {
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -144,7 +144,13 @@
 		e.fulls++
 		return
 	case ResultMisplaced:
-		e.missing[runKey{req.Model, req.Adapter}] = now.Add(missingPause)
+		if req.Model != "" {
+			e.missing[runKey{req.Model, req.Adapter}] = now.Add(missingPause)
+			return
+		}
+		// Another instance has the address until the list says so.
+		e.pausedUntil = now.Add(min(unreachablePause<<min(e.pauses, 8), maxUnreachablePause))
+		e.pauses++
 		return
 	case ResultUnreachable:
 		e.failures = mean*(1-failureWeight) + failureWeight
