--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 BIN := $(CURDIR)/bin
 GOLANGCI := $(BIN)/golangci-lint
 MODULES := ./... ./entry/... ./cli/... ./standin/... ./call/... ./soak/...
+# Packages whose goroutines share state; their tests also run under the race
+# detector. TestManyEngines has one goroutine and takes 20 s there.
+RACE_PACKAGES := ./catalog ./roster ./relay ./lease ./board ./planner ./dispatch ./ingress ./platform
 FUZZ_SECONDS ?= 120
 SOAK_SECONDS ?= 20
 SOAK_SEEDS ?= $(shell bash -c 'echo $$RANDOM')
@@ -27,6 +30,7 @@
 	go vet $(MODULES)
 	@cat KNOWN-RED.txt
 	go test -count=1 -skip '$(KNOWN_RED)' $(MODULES)
+	go test -count=1 -race -skip 'TestManyEngines' $(RACE_PACKAGES)
 	$(BIN)/tamaracksoak --bin $(BIN) --seed 1 --seconds 5
 
 lint: $(GOLANGCI)
