--- a/planner/engine_test.go
+++ b/planner/engine_test.go
@@ -95,10 +95,11 @@
 		time.Sleep(500 * time.Millisecond)
 		c.mu.Lock()
 		c.take(e, held)
-		require.Equal(t, 1, e.adapterCount(), "the place of an order under way")
+		places := e.adapterCount()
 		c.mu.Unlock()
 		cancel()
 		c.running.Wait()
+		require.Equal(t, 1, places, "the place of an order under way")
 
 		// The order is settled; this report is older than it.
 		e.held["m00"].adapters["a1"] = &adapterHolding{usableAt: now, usedAt: now}
