Share one wait, one wake and one comparison of times

No behaviour changes.

Ruled out: the functions seconds of placement and platform, which differ in what they do beyond the range of a duration.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -107,10 +107,7 @@
 	if v != nil && v.Catalog.Version >= version {
 		return
 	}
-	select {
-	case k.behind <- struct{}{}:
-	default:
-	}
+	wait.Wake(k.behind)
 }
 
 // RunRelay takes the configuration from other hosts whenever this one is
--- a/cli/commands/apply.go
+++ b/cli/commands/apply.go
@@ -14,6 +14,7 @@
 
 	"tamarackknot.example/tamarackknot/cli/manifest"
 	operatorv1 "tamarackknot.example/tamarackknot/gen/operator/v1"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 // applyConcurrency bounds the writes in flight; each waits for its record to
@@ -135,7 +136,7 @@
 		if missing == "" {
 			return nil
 		}
-		if !sleep(ctx, waitInterval) {
+		if !wait.For(ctx, waitInterval) {
 			return errors.Mark(fmt.Errorf("accepted, but not true after %d s: %s", a.settings.TimeoutSeconds, missing), errTimeout)
 		}
 	}
--- a/cli/commands/output.go
+++ b/cli/commands/output.go
@@ -1,11 +1,9 @@
 package commands
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -13,16 +11,6 @@
 	operatorv1 "tamarackknot.example/tamarackknot/gen/operator/v1"
 )
 
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (a *app) json() bool { return a.settings.Output == "json" }
 
 func (a *app) printJSON(m proto.Message) error {
--- a/cli/commands/write.go
+++ b/cli/commands/write.go
@@ -10,6 +10,7 @@
 	"github.com/integrii/flaggy"
 
 	operatorv1 "tamarackknot.example/tamarackknot/gen/operator/v1"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 func (a *app) delete() *command {
@@ -102,7 +103,7 @@
 		if err == nil && n == 0 {
 			return nil
 		}
-		if !sleep(ctx, waitInterval) {
+		if !wait.For(ctx, waitInterval) {
 			return errors.Mark(fmt.Errorf("draining, but %d replicas are still reserved on endpoint %q", n, name), errTimeout)
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -250,10 +251,7 @@
 		return a.req.Objective.Compare(b.req.Objective)
 	})
 	d.waiting = slices.Insert(d.waiting, i, w)
-	select {
-	case d.queued <- struct{}{}:
-	default:
-	}
+	wait.Wake(d.queued)
 	d.changed[target{w.req.Service, w.req.Model}] = true
 }
 
@@ -304,7 +302,7 @@
 	ready, known := d.forecasts[target{req.Service, req.Model}]
 	if known && d.cfg.PlannerHeard() {
 		if ready.Add(leastService).After(req.Deadline) {
-			return &Refusal{Reason: "the model will not be held in time", RetryAt: later(ready, now.Add(refusedRetry))}
+			return &Refusal{Reason: "the model will not be held in time", RetryAt: times.Later(ready, now.Add(refusedRetry))}
 		}
 		return nil
 	}
@@ -324,13 +322,6 @@
 	return nil
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // best returns the endpoint that suits the request best, nil if none can take
 // it, and its score.
 func (d *Dispatcher) best(req *Request, now time.Time) (*endpoint, float64) {
--- a/fake/network.go
+++ b/fake/network.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 // Network connects named hosts by connections in memory, which work on the
@@ -244,10 +246,7 @@
 }
 
 func (c *networkConn) signal() {
-	select {
-	case c.ready <- struct{}{}:
-	default:
-	}
+	wait.Wake(c.ready)
 }
 
 // run carries the buffer to the other side, except during a cut.
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait pauses goroutines.
+// Package wait pauses goroutines and wakes them.
 package wait
 
 import (
@@ -8,6 +8,9 @@
 
 // For waits for a time and reports whether it has passed before ctx ended.
 func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -17,3 +20,12 @@
 		return true
 	}
 }
+
+// Wake sends to a channel with room for one element, unless one is there that
+// its reader has not taken yet.
+func Wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/journal/keybatcher.go
+++ b/journal/keybatcher.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 const (
@@ -56,10 +57,7 @@
 	b.mu.Lock()
 	b.queue = append(b.queue, item)
 	b.mu.Unlock()
-	select {
-	case b.wake <- struct{}{}:
-	default:
-	}
+	wait.Wake(b.wake)
 	var cause error
 	select {
 	case r := <-item.done:
--- a/journal/tail.go
+++ b/journal/tail.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 // Bounds of the delay between requests to a log that fails. With the jitter of
@@ -79,15 +80,8 @@
 
 // pause waits for d or the end of ctx.
 func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
+	if !wait.For(ctx, d) {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return nil
 }
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -9,6 +9,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 const (
@@ -172,10 +173,7 @@
 
 // nudge wakes the loop.
 func (c *Controller) nudge() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	wait.Wake(c.wake)
 }
 
 // post hands an event to the loop unless the controller has ended.
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 )
 
 const (
@@ -308,7 +309,7 @@
 		start = start.Add(p.cfg.UnloadTime)
 	}
 	if pl.base != nil && pl.base.State != tamarackknot.ReplicaLoaded {
-		start = later(start, d.now.Add(seconds(p.remaining(pl.base, d.now))))
+		start = times.Later(start, d.now.Add(seconds(p.remaining(pl.base, d.now))))
 	}
 	if pl.tier == tamarackknot.TierRemote {
 		start = d.reserveStore(start, t)
@@ -405,7 +406,7 @@
 		if t.needsBase && t.base.exists && len(t.base.replicas) < t.base.MaxReplicas && !t.base.forecast.Refused {
 			load := seconds(p.loads.expect(tamarackknot.TierRemote, t.base.MemoryMB) +
 				p.loads.expect(tamarackknot.TierRemote, t.MemoryMB))
-			d.promise(t, later(t.base.forecast.ReadyAt, d.now.Add(load)))
+			d.promise(t, times.Later(t.base.forecast.ReadyAt, d.now.Add(load)))
 			return false
 		}
 		if urgent && d.now.Before(p.expectUntil) {
@@ -486,14 +487,14 @@
 func (d *decider) peekStore() time.Time {
 	at := d.p.store.nextToken(d.started, d.now)
 	if n := max(1, d.p.store.atOnce); len(d.slots) >= n {
-		at = later(at, d.slots[len(d.slots)-n])
+		at = times.Later(at, d.slots[len(d.slots)-n])
 	}
 	return at
 }
 
 // reserveStore takes the next start from the store for t.
 func (d *decider) reserveStore(start time.Time, t *target) time.Time {
-	start = later(start, d.peekStore())
+	start = times.Later(start, d.peekStore())
 	d.started++
 	end := start.Add(seconds(d.p.loads.expect(tamarackknot.TierRemote, t.MemoryMB)))
 	i, _ := slices.BinarySearchFunc(d.slots, end, time.Time.Compare)
@@ -501,13 +502,6 @@
 	return start
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // load decides a load and assumes it until the replicas show it.
 func (d *decider) load(t *target, ready time.Time) {
 	p, pl := d.p, t.plan
@@ -612,12 +606,12 @@
 	}
 	at := p.keepUntil(r, d.now)
 	if d.surplus(t) {
-		at = earlier(at, t.surplusSince.Add(surplusHold))
-		recheck = earlier(at, recheck)
+		at = times.Earlier(at, t.surplusSince.Add(surplusHold))
+		recheck = times.Earlier(at, recheck)
 	}
 	if at.After(d.now) {
 		if t.loaded() > 1 {
-			return earlier(at, recheck)
+			return times.Earlier(at, recheck)
 		}
 		return at
 	}
@@ -657,10 +651,3 @@
 	}
 	return true
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 )
 
 // Defaults of PolicyConfig.
@@ -241,7 +242,7 @@
 // ExpectEndpoints says that endpoints may become usable until a deadline, so
 // that a request for which there is no place now is not rejected before.
 func (p *Policy) ExpectEndpoints(until time.Time) {
-	p.expectUntil = later(p.expectUntil, until)
+	p.expectUntil = times.Later(p.expectUntil, until)
 }
 
 // SetDeployment sets the weight and the store limits.
@@ -543,7 +544,7 @@
 		// Callers were told when to come back; the load must be there then.
 		t.promised = t.rejected
 		if t.promised && t.forecast.ReadyAt.After(t.fadeUntil) {
-			t.fadeUntil = earlier(t.forecast.ReadyAt, now.Add(maxFade))
+			t.fadeUntil = times.Earlier(t.forecast.ReadyAt, now.Add(maxFade))
 		}
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 const (
@@ -117,10 +118,7 @@
 
 // Kick has the next step taken at once: the planner has told of a change.
 func (r *Roster) Kick() {
-	select {
-	case r.kick <- struct{}{}:
-	default:
-	}
+	wait.Wake(r.kick)
 }
 
 // follow takes over what the planner knows and reports whether that is as good
--- a/routing/router.go
+++ b/routing/router.go
@@ -16,6 +16,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/endpoint"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 const (
@@ -169,7 +170,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-			if !pause(ctx, time.Until(r.index.nextSync)) {
+			if !wait.For(ctx, time.Until(r.index.nextSync)) {
 				return
 			}
 		case <-tick.C:
@@ -178,21 +179,6 @@
 	}
 }
 
-// pause returns false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (r *Router) stop() {
 	defer r.tell()
 	r.mu.Lock()
