--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -37,6 +37,8 @@
 	// maxRetryPause is the upper limit of the backoff while the store is
 	// unavailable.
 	maxRetryPause = 800 * time.Millisecond
+	// startCheckInterval is the pause between two calls of MayStart.
+	startCheckInterval = 20 * time.Millisecond
 )
 
 // Config configures a Watcher.
@@ -55,19 +57,25 @@
 	// HasFollowers reports whether other hosts follow this one, which then uses a
 	// shorter long poll. It may be nil.
 	HasFollowers func() bool
+	// MayStart reports whether the first configuration may be read from the store,
+	// which may hold an older version than other hosts have in force. Nil means
+	// always.
+	MayStart func() bool
 	// OnChange is called with each version that comes into force. It may be nil.
 	OnChange func(*View)
 	Logger   *log.Logger
 }
 
 // Watcher follows the configuration in the platform's store. The version in force
-// is never replaced by an older one.
+// is never replaced by an older one, and none comes into force that is older
+// than a version observed on another host.
 type Watcher struct {
-	cfg     Config
-	current atomic.Pointer[View]
-	next    int64 // offset of the next record to read; only Run uses it
-	catchUp chan struct{}
-	readAt  atomic.Pointer[time.Time]
+	cfg      Config
+	current  atomic.Pointer[View]
+	observed atomic.Int64          // newest version in force on another host
+	next     tamarackknot.Position // of the next record to read; only Run uses it
+	catchUp  chan struct{}
+	readAt   atomic.Pointer[time.Time]
 }
 
 // New returns a Watcher without a configuration; Run reads the first one.
@@ -86,6 +94,10 @@
 			wait.For(ctx, plannerCheckInterval)
 			continue
 		}
+		if w.Current() == nil && w.cfg.MayStart != nil && !w.cfg.MayStart() {
+			wait.For(ctx, startCheckInterval)
+			continue
+		}
 		err := w.poll(ctx, synced)
 		if err == nil {
 			synced, pause = true, retryPause
@@ -106,6 +118,12 @@
 // ObserveVersion reports a version that is in force on another host. If it is
 // newer than the one on this host, RunRelay reads it from other hosts at once.
 func (w *Watcher) ObserveVersion(version int64) {
+	for {
+		old := w.observed.Load()
+		if old >= version || w.observed.CompareAndSwap(old, version) {
+			break
+		}
+	}
 	v := w.Current()
 	if v != nil && v.Catalog.Version >= version {
 		return
@@ -138,6 +156,10 @@
 		if err != nil {
 			return err
 		}
+		if page.Next.Era > w.next.Era && w.Current() != nil {
+			w.cfg.Logger.Info("configuration read again after a restore of the store", "eraBefore", w.next.Era, "era", page.Next.Era,
+				"records", len(page.Records), "versionInForce", w.Current().Catalog.Version)
+		}
 		w.apply(page.Records)
 		w.next = page.Next
 		w.recordRead(page)
@@ -199,12 +221,16 @@
 }
 
 // Offer puts a configuration into force unless the current version is the same
-// or newer.
+// or newer, or another host has a newer one.
 func (w *Watcher) Offer(c *tamarackknot.Catalog) {
 	old := w.current.Load()
 	if old != nil && old.Catalog.Version >= c.Version {
 		return
 	}
+	if newer := w.observed.Load(); old == nil && c.Version < newer {
+		w.cfg.Logger.Warn("configuration ignored: another host has a newer version in force", "version", c.Version, "newer", newer)
+		return
+	}
 	v := newView(c)
 	if !w.current.CompareAndSwap(old, v) {
 		w.Offer(c)
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -127,6 +127,62 @@
 	})
 }
 
+// TestOlderCopy guards against a version that is replaced by the older one of a
+// restored store, and against a later version that is missed because its offset
+// was read before the restore.
+func TestOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fake.NewStreams()
+		w := New(Config{Store: store.Client("a"), Decode: decode, Logger: log.New(io.Discard)})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go w.Run(ctx)
+		put(t, store, 3)
+		time.Sleep(3 * time.Second)
+		put(t, store, 9)
+		time.Sleep(time.Second)
+		require.Equal(t, int64(9), version(w))
+		store.Restore(2 * time.Second)
+		put(t, store, 12)
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, int64(12), version(w))
+		store.Restore(5 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, int64(12), version(w))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestOlderCopyAtStart guards against a host that starts with the older version of
+// a restored store although another host has a newer one in force.
+func TestOlderCopyAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fake.NewStreams()
+		put(t, store, 3)
+		var mayStart atomic.Bool
+		w := New(Config{
+			Store: store.Client("a"), Decode: decode, Logger: log.New(io.Discard), MayStart: mayStart.Load,
+			ReadPeers: func(context.Context) (tamarackknot.StreamPage, error) {
+				return tamarackknot.StreamPage{}, fake.ErrNoAnswer
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(time.Second)
+		require.Nil(t, w.Current(), "the version may be out of date")
+		w.ObserveVersion(9)
+		mayStart.Store(true)
+		time.Sleep(time.Second)
+		require.Nil(t, w.Current(), "version 9 is in force elsewhere")
+		put(t, store, 9)
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, int64(9), version(w))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestRoute guards against a route that is not the longest match of host and path
 // prefix.
 func TestRoute(t *testing.T) {
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -32,6 +32,12 @@
 	// missingGrace is how long an entry is kept that disappears after an outage of
 	// the store: entries that expired meanwhile return within about 2 s.
 	missingGrace = 2300 * time.Millisecond
+	// startCheckInterval is the pause between two checks whether the list may be
+	// read for the first time.
+	startCheckInterval = 20 * time.Millisecond
+	// settleTime is how long after a restore of the store a host reads all changes
+	// of the list. Stale entries expire within a few heartbeats.
+	settleTime = 6 * time.Second
 )
 
 // Config configures a Watcher.
@@ -47,7 +53,11 @@
 	// reads changes with ReadPlanner instead of reading the store. Both may be
 	// nil.
 	PlannerState func() (state tamarackknot.StreamState, planner string, ok bool)
-	ReadPlanner  func(ctx context.Context, from int64) (tamarackknot.StreamPage, error)
+	ReadPlanner  func(ctx context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error)
+	// RestoredRecently reports whether the store was restored from an older copy
+	// shortly before this host started. The list is not read until that is known.
+	// Nil means that it was not.
+	RestoredRecently func() (recently, known bool)
 	// HasFollowers reports whether other hosts follow this one, which then reads
 	// more often. It may be nil.
 	HasFollowers func() bool
@@ -77,10 +87,19 @@
 	rejected     map[string]string    // reasons already logged, by key
 	failedAt     time.Time            // last failed read
 	synced       bool
-	next         int64
-	version      int64     // counts the changes that must be propagated to other hosts
-	readAt       time.Time // last successful read of the store; zero: never, or the last read failed or was relayed
-	refresh      chan struct{}
+	next         tamarackknot.Position
+	// confirmFrom is the end of the list when it was first read after a restore of
+	// the store. A record before it that names an unknown endpoint may describe
+	// one that has left, so it is ignored until the endpoint writes again.
+	confirmFrom int64
+	// readBefore is the end of the part of the older copy that was read before the
+	// restore.
+	readBefore  int64
+	unconfirmed map[string]bool // endpoints whose records are ignored for that reason
+	settledAt   time.Time       // when all live endpoints have written again after a restore
+	version     int64           // counts the changes that must be propagated to other hosts
+	readAt      time.Time       // last successful read of the store; zero: never, or the last read failed or was relayed
+	refresh     chan struct{}
 	// applied is the planner's version of the list up to which this host has
 	// applied the changes.
 	applied plannerVersion
@@ -98,6 +117,7 @@
 		entries:      make(map[string]tamarackknot.EndpointEntry),
 		missingUntil: make(map[string]time.Time),
 		rejected:     make(map[string]string),
+		unconfirmed:  make(map[string]bool),
 		refresh:      make(chan struct{}, 1),
 	}
 	w.current.Store(&Snapshot{})
@@ -107,11 +127,12 @@
 // Current returns the latest snapshot; it is empty before the first read.
 func (w *Watcher) Current() *Snapshot { return w.current.Load() }
 
-// HasSynced reports whether the list was read at least once.
+// HasSynced reports whether the list was read at least once and does not consist
+// of unconfirmed endpoints only.
 func (w *Watcher) HasSynced() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.synced || len(w.entries) > 0
+	return len(w.entries) > 0 || w.synced && len(w.unconfirmed) == 0
 }
 
 // State returns this host's position in the list.
@@ -139,12 +160,15 @@
 	}
 	w.mu.Lock()
 	synced, next := w.synced, w.next
-	current := w.applied == plannerVersion{planner, state.Version}
+	// An entry that changes on this host only, because the planner knew more of it
+	// before an outage, does not change the planner's version.
+	current := w.applied == plannerVersion{planner, state.Version} && len(w.missingUntil) == 0 && !time.Now().Before(w.settledAt)
 	w.mu.Unlock()
 	if !synced {
 		return false
 	}
 	if current {
+		w.Apply(nil, time.Now())
 		return true
 	}
 	page, err := w.cfg.ReadPlanner(ctx, next)
@@ -153,15 +177,24 @@
 		return false
 	}
 	w.mu.Lock()
-	w.next = max(w.next, page.Next)
 	w.applied = plannerVersion{planner, state.Version}
 	w.mu.Unlock()
+	if page.Full {
+		return w.replaceAll(page)
+	}
+	w.mu.Lock()
+	if page.Next.Compare(w.next) > 0 {
+		w.next = page.Next
+	}
+	w.mu.Unlock()
 	w.Apply(page.Records, time.Now())
 	return true
 }
 
 // Run follows the list until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	for !w.mayStart() && wait.For(ctx, startCheckInterval) {
+	}
 	for ctx.Err() == nil {
 		pause := readInterval
 		if w.cfg.HasFollowers != nil && w.cfg.HasFollowers() {
@@ -223,13 +256,19 @@
 		if err != nil {
 			return err
 		}
-		w.replaceAll(page)
+		if !w.replaceAll(page) {
+			return errors.New("the listing belongs to an earlier era of the store")
+		}
 		return nil
 	}
 	page, err := w.cfg.Store.Read(ctx, tamarackknot.StreamEndpoints, next, time.Now())
 	if err != nil {
 		return err
 	}
+	if page.Full {
+		w.replaceAll(page)
+		return nil
+	}
 	w.mu.Lock()
 	w.next = page.Next
 	w.recordRead(page)
@@ -238,24 +277,66 @@
 	return nil
 }
 
-// replaceAll applies a full listing. Entries missing from it are removed.
-func (w *Watcher) replaceAll(page tamarackknot.StreamPage) {
+// replaceAll applies a full listing and reports whether it did: one of an earlier
+// era is ignored. Entries missing from it are removed; after a restore of the
+// store they get a grace period, since the older copy lacks recent endpoints.
+func (w *Watcher) replaceAll(page tamarackknot.StreamPage) bool {
 	now := time.Now()
 	seen := make(map[string]bool, len(page.Records))
 	for _, rec := range page.Records {
 		seen[rec.Key] = true
 	}
 	w.mu.Lock()
+	if page.Next.Era < w.next.Era {
+		w.mu.Unlock()
+		return false
+	}
+	first := w.next == (tamarackknot.Position{}) && len(w.entries) == 0
+	restored := !first && page.Next.Era > w.next.Era
+	if restored || first && w.restoredRecently() {
+		w.confirmFrom, w.settledAt = page.Next.Offset, now.Add(settleTime)
+		clear(w.unconfirmed)
+	}
 	var missing []tamarackknot.KeyedRecord
 	for id := range w.entries {
-		if !seen[id] {
+		switch {
+		case seen[id]:
+		case restored:
+			delete(w.missingUntil, id)
+			w.keepMissing(id, now)
+		default:
 			missing = append(missing, tamarackknot.KeyedRecord{Key: id})
 		}
 	}
+	if restored {
+		w.readBefore = min(w.next.Offset, w.confirmFrom)
+		w.version++
+		w.failedAt = now
+		w.cfg.Logger.Info("endpoint list read again after a restore of the store", "eraBefore", w.next.Era, "era", page.Next.Era,
+			"listed", len(page.Records), "missing", len(w.missingUntil))
+	}
 	w.synced, w.next = true, page.Next
 	w.recordRead(page)
 	w.mu.Unlock()
 	w.Apply(append(page.Records, missing...), now)
+	return true
+}
+
+func (w *Watcher) restoredRecently() bool {
+	if w.cfg.RestoredRecently == nil {
+		return false
+	}
+	recently, _ := w.cfg.RestoredRecently()
+	return recently
+}
+
+// mayStart reports whether the list may be read for the first time.
+func (w *Watcher) mayStart() bool {
+	if w.cfg.RestoredRecently == nil || w.HasSynced() {
+		return true
+	}
+	_, known := w.cfg.RestoredRecently()
+	return known
 }
 
 // Apply applies records that were read at the time now.
@@ -264,25 +345,10 @@
 	changed := w.expireMissing(now)
 	for _, rec := range records {
 		if rec.Value == nil && rec.Key != "" {
-			changed = w.remove(rec.Key, now) || changed
-			continue
-		}
-		e, err := w.cfg.Decode(rec, now)
-		if err != nil {
-			changed = w.reject(rec.Key, err) || changed
-			continue
-		}
-		old, known := w.entries[e.ID]
-		if !known || needsPropagation(old, e) {
-			w.version++
-		}
-		if !known || old.State != e.State {
-			w.cfg.Logger.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "state", e.State)
+			changed = w.applyRemoval(rec.Key, now) || changed
+		} else {
+			changed = w.applyEntry(rec, now) || changed
 		}
-		delete(w.missingUntil, e.ID)
-		delete(w.rejected, e.ID)
-		w.entries[e.ID] = e
-		changed = true
 	}
 	var snap *Snapshot
 	if changed {
@@ -295,6 +361,49 @@
 	}
 }
 
+// applyRemoval applies the removal of an entry and reports whether the list has
+// changed. w.mu is held.
+func (w *Watcher) applyRemoval(id string, now time.Time) bool {
+	if w.unconfirmed[id] {
+		// Followers may rely on the entry.
+		delete(w.unconfirmed, id)
+		w.version++
+	}
+	return w.remove(id, now)
+}
+
+// applyEntry applies the entry in a record and reports whether the list has
+// changed. w.mu is held.
+func (w *Watcher) applyEntry(rec tamarackknot.KeyedRecord, now time.Time) bool {
+	old, known := w.entries[rec.Key]
+	if !known && rec.Offset < w.confirmFrom {
+		w.unconfirmed[rec.Key] = true
+		return false
+	}
+	delete(w.unconfirmed, rec.Key)
+	e, err := w.cfg.Decode(rec, now)
+	if known && rec.Offset < w.readBefore && (err != nil || !e.Born.After(old.Born)) {
+		return false // read before the restore, and perhaps changed since
+	}
+	if err != nil {
+		return w.reject(rec.Key, err)
+	}
+	if known && old.State == tamarackknot.EndpointDraining && !e.Born.IsZero() && e.Born.Equal(old.Born) {
+		// The endpoint may have restored its own entry from before it drained.
+		e.State = tamarackknot.EndpointDraining
+	}
+	if !known || needsPropagation(old, e) {
+		w.version++
+	}
+	if !known || old.State != e.State {
+		w.cfg.Logger.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "state", e.State)
+	}
+	delete(w.missingUntil, e.ID)
+	delete(w.rejected, e.ID)
+	w.entries[e.ID] = e
+	return true
+}
+
 // needsPropagation reports whether other hosts must learn of a change at once.
 // Changes of what an engine holds reach them with the planner's view.
 func needsPropagation(a, b tamarackknot.EndpointEntry) bool {
@@ -310,10 +419,7 @@
 		return false
 	}
 	if !w.failedAt.IsZero() && now.Sub(w.failedAt) < w.cfg.RecoveryTime && e.State == tamarackknot.EndpointReady {
-		if _, missing := w.missingUntil[id]; !missing {
-			w.missingUntil[id] = now.Add(missingGrace)
-			w.cfg.Logger.Info("endpoint entry expired during a store outage", "endpoint", id, "keptFor", missingGrace)
-		}
+		w.keepMissing(id, now)
 		return false
 	}
 	delete(w.entries, id)
@@ -322,6 +428,16 @@
 	return true
 }
 
+// keepMissing starts the grace period of an entry that is missing from the list,
+// unless it has one. w.mu is held.
+func (w *Watcher) keepMissing(id string, now time.Time) {
+	if _, missing := w.missingUntil[id]; missing {
+		return
+	}
+	w.missingUntil[id] = now.Add(missingGrace)
+	w.cfg.Logger.Info("endpoint entry missing after a store outage", "endpoint", id, "keptFor", missingGrace)
+}
+
 // expireMissing removes the entries whose grace period is over and reports
 // whether there were any. w.mu is held.
 func (w *Watcher) expireMissing(now time.Time) bool {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -41,6 +41,13 @@
 	h.raw(id, value)
 }
 
+// putBorn registers an endpoint that started at a time, in Unix seconds.
+func (h harness) putBorn(id string, state tamarackknot.EndpointState, born int64) {
+	value, err := json.Marshal(tamarackknot.EndpointEntry{Service: "s", Address: "10.0.0.1:80", State: state, Born: time.Unix(born, 0)})
+	require.NoError(h.t, err)
+	h.raw(id, value)
+}
+
 func (h harness) raw(id string, value []byte) {
 	_, err := h.store.Put(context.Background(), tamarackknot.StreamEndpoints, id, value)
 	require.NoError(h.t, err)
@@ -120,7 +127,7 @@
 		var w *Watcher
 		h, w, stop := start(t, Config{
 			PlannerState: func() (tamarackknot.StreamState, string, bool) { return *state.Load(), "p", true },
-			ReadPlanner: func(_ context.Context, from int64) (tamarackknot.StreamPage, error) {
+			ReadPlanner: func(_ context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
 				relayed.Add(1)
 				return h.store.Read(context.Background(), tamarackknot.StreamEndpoints, from, time.Now())
 			},
@@ -146,3 +153,97 @@
 		require.Equal(t, []string{"e1", "e2", "e3"}, usable(w))
 	})
 }
+
+// TestOlderCopy guards against requests to endpoints that have left or drain, but
+// that the older copy of a restored store lists as ready, and against endpoints
+// that are dropped because the copy lacks them.
+func TestOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, w, stop := start(t, Config{})
+		defer stop()
+		for _, id := range []string{"left", "drains", "stays"} {
+			h.putBorn(id, tamarackknot.EndpointReady, 1)
+		}
+		time.Sleep(4 * time.Second)
+		h.raw("left", nil)
+		h.putBorn("drains", tamarackknot.EndpointDraining, 1)
+		h.putBorn("recent", tamarackknot.EndpointReady, 1)
+		h.putBorn("recent and lost", tamarackknot.EndpointReady, 1)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"recent", "recent and lost", "stays"}, usable(w))
+		h.store.Restore(2 * time.Second)
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, []string{"recent", "recent and lost", "stays"}, usable(w))
+		}
+		h.putBorn("recent", tamarackknot.EndpointReady, 1)
+		h.putBorn("drains", tamarackknot.EndpointReady, 1) // it restores its own older entry
+		time.Sleep(missingGrace + time.Second)
+		require.Equal(t, []string{"recent", "stays"}, usable(w))
+		h.putBorn("left", tamarackknot.EndpointReady, 2)
+		h.putBorn("drains", tamarackknot.EndpointReady, 2)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"drains", "left", "recent", "stays"}, usable(w))
+	})
+}
+
+// TestOlderCopyAtStart guards against a host that starts soon after a restore and
+// uses endpoints of the older copy that have left.
+func TestOlderCopyAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var known atomic.Bool
+		h, w, stop := start(t, Config{RestoredRecently: func() (bool, bool) { return true, known.Load() }})
+		defer stop()
+		h.putBorn("left", tamarackknot.EndpointReady, 1)
+		h.putBorn("live", tamarackknot.EndpointReady, 1)
+		time.Sleep(time.Second)
+		require.False(t, w.HasSynced())
+		known.Store(true)
+		time.Sleep(time.Second)
+		require.False(t, w.HasSynced(), "no endpoint is confirmed")
+		h.putBorn("live", tamarackknot.EndpointReady, 1)
+		time.Sleep(time.Second)
+		require.True(t, w.HasSynced())
+		require.Equal(t, []string{"live"}, usable(w))
+	})
+}
+
+// TestFollowerAfterRestore guards against a host that follows the planner and
+// stays with an endpoint that the planner knew to have left before a restore.
+func TestFollowerAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h harness
+		planner := New(Config{Decode: decode, Logger: log.New(io.Discard)})
+		h, w, stop := start(t, Config{
+			PlannerState: func() (tamarackknot.StreamState, string, bool) { return planner.State(), "p", true },
+			ReadPlanner: func(ctx context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
+				page, err := h.store.Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
+				if errors.Is(err, tamarackknot.ErrExpired) {
+					return h.store.Newest(ctx, tamarackknot.StreamEndpoints)
+				}
+				return page, err
+			},
+		})
+		defer stop()
+		planner.cfg.Store = h.store.Client("p")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go planner.Run(ctx)
+		h.putBorn("e1", tamarackknot.EndpointReady, 1)
+		h.putBorn("e2", tamarackknot.EndpointReady, 1)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"e1", "e2"}, usable(w))
+		// Only the planner reads the removal before the store is restored.
+		h.raw("e1", nil)
+		planner.Refresh()
+		synctest.Wait()
+		require.Equal(t, []string{"e2"}, usable(planner))
+		h.store.Restore(time.Second)
+		time.Sleep(settleTime + time.Second)
+		h.raw("e1", nil) // the entry expires
+		h.putBorn("e2", tamarackknot.EndpointReady, 1)
+		time.Sleep(missingGrace + 2*time.Second)
+		require.Equal(t, []string{"e2"}, usable(w))
+		require.Equal(t, []string{"e2"}, usable(planner))
+	})
+}
--- /dev/null
+++ b/entry/hosted/components.go
@@ -0,0 +1,326 @@
+package hosted
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/catalog"
+	"tamarackknot.example/tamarackknot/discovery"
+	"tamarackknot.example/tamarackknot/dispatch"
+	"tamarackknot.example/tamarackknot/fleet"
+	"tamarackknot.example/tamarackknot/lease"
+	"tamarackknot.example/tamarackknot/planner"
+	"tamarackknot.example/tamarackknot/platform"
+	"tamarackknot.example/tamarackknot/relay"
+)
+
+const (
+	// maxCatalogAge is the maximum age of the planner's last read of the
+	// configuration for other hosts to rely on it. A long poll of the planner
+	// takes up to 0.6 s.
+	maxCatalogAge = 1100 * time.Millisecond
+	// minCPURatio is the minimum ratio of another host's CPU cores to this
+	// host's for the other to be preferred as planner. weakerHostDelay is the
+	// additional delay of a weaker host before it takes the lease, and
+	// yieldCheckInterval the pause between two checks of the planner for a
+	// stronger host.
+	minCPURatio        = 1.5
+	weakerHostDelay    = 800 * time.Millisecond
+	yieldCheckInterval = 2 * time.Second
+	// relayTimeout is how long this host waits for an announced version of the
+	// configuration from other hosts before it reads the store itself.
+	relayTimeout = 400 * time.Millisecond
+	// restoreSettleTime is how long after a restore of the store the records of
+	// its older copy are not relied on. Operators and endpoints write theirs
+	// again within seconds, and entries of lost endpoints expire.
+	restoreSettleTime = 10 * time.Second
+	// startTimeout is how long a starting host waits for the planner after a
+	// restore before it relies on the configuration in the store.
+	startTimeout = 3 * time.Second
+)
+
+// componentsConfig configures components.
+type componentsConfig struct {
+	settings    platform.SiteSettings
+	incarnation string
+	store       tamarackknot.Store
+	control     tamarackknot.WeightControl
+	peers       tamarackknot.Peers
+	// clock returns the time since boot, including the time of suspension. Nil
+	// means the system's clock.
+	clock  func() time.Duration
+	logger *log.Logger
+}
+
+// components are the parts of an entry host between the platform, the engines and
+// the other hosts. They listen on no address of their own.
+type components struct {
+	cfg  componentsConfig
+	self tamarackknot.HostEntry
+
+	store          *relay.Store
+	catalog        *catalog.Watcher
+	discovery      *discovery.Watcher
+	lease          *lease.Elector
+	hosts          *fleet.Registry
+	publisher      *fleet.Publisher
+	fleet          *fleet.Client
+	planner        *planner.Controller
+	dispatch       *dispatch.Dispatcher
+	plannerStreams atomic.Pointer[plannerStreams]
+	startBy        time.Time // when a starting host stops waiting for the planner
+}
+
+// newComponents wires the components without starting them.
+func newComponents(cfg componentsConfig) *components {
+	s := cfg.settings
+	c := &components{cfg: cfg, startBy: time.Now().Add(startTimeout), self: tamarackknot.HostEntry{
+		Name: s.Host, Incarnation: cfg.incarnation, FailureDomain: s.FailureDomain,
+		Address: s.CallerAddress, PeerAddress: s.PeerAddress, CPUCores: s.CPUCores,
+	}}
+	c.store = relay.New(relay.Config{
+		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
+		Streams: []tamarackknot.Stream{tamarackknot.StreamCatalog, tamarackknot.StreamEndpoints},
+	})
+	c.buildStreamWatchers()
+	c.buildPlanning()
+	return c
+}
+
+// loops returns the functions that run the components until their context ends.
+func (c *components) loops() []func(context.Context) {
+	return []func(context.Context){
+		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.yieldLoop,
+	}
+}
+
+// buildStreamWatchers builds the components that follow the platform's streams, and
+// the dispatcher that they update.
+func (c *components) buildStreamWatchers() {
+	s, store, logger := c.cfg.settings, c.store, c.cfg.logger
+	c.dispatch = dispatch.New(dispatch.Config{
+		FailureDomain:      s.FailureDomain,
+		HostIndex:          c.hostIndex,
+		PlannerViewCurrent: func() bool { return c.fleet.PlannerAlive() },
+		OnModelWait:        func() { c.fleet.SendNow() },
+		Logger:             logger,
+	})
+	c.catalog = catalog.New(catalog.Config{
+		Store: store, Decode: platform.DecodeCatalog, Logger: logger, FollowsPlanner: c.followsPlanner,
+		HasFollowers: func() bool { return c.lease.Status().Held },
+		ReadPeers: func(ctx context.Context) (tamarackknot.StreamPage, error) {
+			return store.ReadPeers(ctx, tamarackknot.StreamCatalog, tamarackknot.Position{})
+		},
+		MayStart: c.mayReadCatalog,
+		OnChange: func(v *catalog.View) { c.dispatch.SetPools(v.Catalog.Services) },
+	})
+	c.discovery = discovery.New(discovery.Config{
+		Store: store, Decode: platform.DecodeEndpoint, RecoveryTime: s.RecoveryTime, Logger: logger,
+		PlannerState:     c.plannerEndpointState,
+		HasFollowers:     func() bool { return c.lease.Status().Held },
+		RestoredRecently: c.storeRestoredRecently,
+		ReadPlanner: func(ctx context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
+			return store.ReadPeer(ctx, c.fleet.Planner(), tamarackknot.StreamEndpoints, from)
+		},
+		OnChange: func(snap *discovery.Snapshot) {
+			c.dispatch.SetEndpoints(snap.Endpoints, snap.ByService, !c.fleet.PlannerAlive())
+		},
+	})
+}
+
+// buildPlanning builds the lease, the host registry, both sides of the exchange
+// between hosts and planner, and the planner.
+func (c *components) buildPlanning() {
+	s, store, logger := c.cfg.settings, c.store, c.cfg.logger
+	c.lease = lease.New(lease.Config{
+		Store: store, Host: s.Host, Incarnation: c.self.Incarnation, OrderGap: s.OrderGap, FencingEnforced: s.EnginesEnforceFencing,
+		HolderReachable: func() bool { return c.fleet.PlannerAlive() }, TakeoverDelay: c.takeoverDelay, Logger: logger,
+		FirstStart: s.FirstStart, Clock: c.cfg.clock,
+		HolderEnd: func() (tamarackknot.Position, time.Duration, bool) { return c.fleet.ReportedLeaseEnd() },
+	})
+	held := func() bool { return c.lease.Status().Held }
+	c.hosts = fleet.NewRegistry(fleet.RegistryConfig{
+		Store: store, Self: c.self, Follow: held, PlannerHeard: func() bool { return c.fleet.PlannerAlive() }, Logger: logger,
+	})
+	c.publisher = fleet.NewPublisher(fleet.PublisherConfig{
+		Self: c.self, Peers: c.cfg.peers, Hosts: c.hosts.Hosts, Logger: logger,
+		LeaseHeld: func() (int64, bool) {
+			st := c.lease.Status()
+			return st.Fence, st.Held
+		},
+		LeaseEnd: func() tamarackknot.Position { return c.lease.Status().End },
+		Catalog:  c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
+		OnDemand: func() { c.planner.Replan() },
+	})
+	c.fleet = fleet.NewClient(fleet.ClientConfig{
+		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
+		Demand: c.dispatch.Demand, OnView: c.dispatch.SetView,
+		CatalogVersion: c.catalogVersion, OnStreamStates: c.updatePlannerStreams, OnStoreEra: store.AnnounceEra,
+	})
+	c.publisher.Bind(c.fleet)
+	c.planner = planner.New(planner.Config{
+		Host: s.Host, Lease: c.lease, HoldsLease: held,
+		Control:         c.cfg.control,
+		Store:           store,
+		Catalog:         c.currentCatalog,
+		Endpoints:       func() map[string]tamarackknot.EndpointEntry { return c.discovery.Current().Endpoints },
+		Demands:         c.publisher.Demands,
+		Publish:         c.publisher.Publish,
+		FencingEnforced: s.EnginesEnforceFencing, LoadWindow: s.LoadWindow, LoadFactor: s.LoadFactor,
+		Logger: logger,
+	})
+}
+
+// plannerStreams holds the planner's positions in the platform's streams, from its
+// last message.
+type plannerStreams struct {
+	catalog, endpoints tamarackknot.StreamState
+	// catalogSeenAt is when the planner first announced this version of the
+	// configuration.
+	catalogSeenAt time.Time
+}
+
+// updatePlannerStreams stores the planner's positions and triggers the reads of
+// the changes that they announce.
+func (c *components) updatePlannerStreams(catalog, endpoints tamarackknot.StreamState) {
+	streams := &plannerStreams{catalog: catalog, endpoints: endpoints, catalogSeenAt: time.Now()}
+	if old := c.plannerStreams.Load(); old != nil && old.catalog.Version == catalog.Version {
+		streams.catalogSeenAt = old.catalogSeenAt
+	}
+	// The version must be observed before mayReadCatalog relies on the planner.
+	c.catalog.ObserveVersion(catalog.Version)
+	old := c.plannerStreams.Swap(streams)
+	if old == nil || old.endpoints.Version != endpoints.Version {
+		c.discovery.Refresh()
+	}
+}
+
+// mayReadCatalog reports whether the first configuration may be read from the
+// store. After a restore the store may hold an older version than other hosts
+// have in force, so this host waits until it hears from the planner which
+// version that is, or until no host is expected to answer any more.
+func (c *components) mayReadCatalog() bool {
+	if c.plannerStreams.Load() != nil && c.fleet.PlannerAlive() {
+		return true
+	}
+	recently, known := c.storeRestoredRecently()
+	return known && !recently || time.Now().After(c.startBy)
+}
+
+// storeRestoredRecently reports whether the store was restored so recently that
+// records of its older copy may be out of date. That is known once the lease was
+// read; a host that cannot read it does not wait for it longer than startTimeout.
+func (c *components) storeRestoredRecently() (recently, known bool) {
+	age, restored, known := c.lease.RestoreAge()
+	return restored && age < restoreSettleTime, known || time.Now().After(c.startBy)
+}
+
+// followsPlanner reports whether this host need not read the configuration
+// itself: a live planner on another host has read it recently, and this host has
+// the announced version or has waited less than relayTimeout for it.
+func (c *components) followsPlanner() bool {
+	streams := c.plannerStreams.Load()
+	if streams == nil || c.fleet.Planner() == c.self.Name || !c.fleet.PlannerAlive() || time.Since(streams.catalog.ReadAt) > maxCatalogAge {
+		return false
+	}
+	return c.catalogVersion() >= streams.catalog.Version || time.Since(streams.catalogSeenAt) < relayTimeout
+}
+
+// plannerEndpointState returns the planner's position in the endpoint list and its
+// name. The last result is false while there is no other host that is a live
+// planner.
+func (c *components) plannerEndpointState() (tamarackknot.StreamState, string, bool) {
+	streams := c.plannerStreams.Load()
+	planner := c.fleet.Planner()
+	if streams == nil || planner == c.self.Name || !c.fleet.PlannerAlive() {
+		return tamarackknot.StreamState{}, "", false
+	}
+	return streams.endpoints, planner, true
+}
+
+// currentCatalog returns the configuration in force, nil before the first one.
+func (c *components) currentCatalog() *tamarackknot.Catalog {
+	if v := c.catalog.Current(); v != nil {
+		return v.Catalog
+	}
+	return nil
+}
+
+// catalogVersion returns the version of the configuration in force, 0 before the
+// first one.
+func (c *components) catalogVersion() int64 {
+	if c := c.currentCatalog(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// hostIndex returns the index of this host among the hosts that the planner
+// considers alive, 0 if it is not one of them.
+func (c *components) hostIndex() int {
+	return max(slices.IndexFunc(c.fleet.Hosts(), func(h tamarackknot.HostEntry) bool { return h.Name == c.self.Name }), 0)
+}
+
+// otherHosts returns the names of the other live hosts, through which the store
+// can be read.
+func (c *components) otherHosts() []string {
+	var out []string
+	for _, h := range c.fleet.Hosts() {
+		if h.Name != c.self.Name {
+			out = append(out, h.Name)
+		}
+	}
+	return out
+}
+
+func (c *components) peerAddress(host string) (string, bool) {
+	if address, ok := c.fleet.PeerAddress(host); ok {
+		return address, true
+	}
+	return c.hosts.PeerAddress(host)
+}
+
+// takeoverDelay returns how much longer this host waits before it takes the lease,
+// so that stronger hosts take it first.
+func (c *components) takeoverDelay() time.Duration {
+	if c.hasStrongerHost() {
+		return weakerHostDelay
+	}
+	return 0
+}
+
+// hasStrongerHost reports whether the host list contains a host that has at least
+// minCPURatio times as many CPU cores as this one. A planner that is no longer
+// alive does not count.
+func (c *components) hasStrongerHost() bool {
+	unreachable := ""
+	if !c.fleet.PlannerAlive() {
+		unreachable = c.fleet.Planner()
+	}
+	return slices.ContainsFunc(c.fleet.Hosts(), func(h tamarackknot.HostEntry) bool {
+		return h.Name != unreachable && h.CPUCores >= minCPURatio*c.self.CPUCores
+	})
+}
+
+// yieldLoop yields the lease whenever there is a stronger host, until ctx ends.
+func (c *components) yieldLoop(ctx context.Context) {
+	tick := time.NewTicker(yieldCheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if c.lease.Status().Held && c.hasStrongerHost() {
+			c.cfg.logger.Info("lease yielded to a stronger host", "strength", c.self.CPUCores)
+			c.lease.Yield()
+		}
+	}
+}
--- a/entry/hosted/hosted_test.go
+++ b/entry/hosted/hosted_test.go
@@ -34,6 +34,7 @@
 func startHost(t *testing.T, p *storeServer, name string) *host {
 	t.Helper()
 	h := &host{done: make(chan error, 1), settings: platform.SiteSettings{
+		FirstStart: true,
 		Host: name, FailureDomain: "z1", IP: "127.0.0.1",
 		CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t), DirectoryAddress: freeAddress(t), PeerAddress: freeAddress(t),
 		StoreAddress: p.Listener.Addr().String(), Grace: 6 * time.Second, OrderGap: 3 * time.Second,
@@ -158,6 +159,57 @@
 	require.NoError(t, <-one.done)
 }
 
+// TestServeOverRestore runs two hosts on loopback while the store is restored from
+// an older copy. It guards against requests that fail, a configuration that goes
+// back or is missed, and loads that do not go on.
+func TestServeOverRestore(t *testing.T) {
+	p := newStoreServer(t)
+	e := newEngine(t, "i-1", "warm")
+	one, two := startHost(t, p, "h1"), startHost(t, p, "h2")
+	defer func() {
+		for _, h := range []*host{one, two} {
+			h.stop()
+			require.NoError(t, <-h.done)
+		}
+	}()
+	register := func() {
+		entry := e.state()
+		entry["svc"], entry["addr"], entry["zone"], entry["slots"], entry["state"] = "s", e.Listener.Addr().String(), "z1", 8, "ready"
+		p.put(t, "keyed.servers", "i-1", entry)
+	}
+	older := p.copy()
+	p.put(t, "keyed.op", "config", config(1))
+	register()
+	for _, h := range []*host{one, two} {
+		require.Eventually(t, func() bool {
+			status, _ := h.request(t, "warm")
+			return status == http.StatusOK
+		}, 5*time.Second, 20*time.Millisecond)
+	}
+	p.restore(older) // without the configuration, the endpoint and the hosts
+	for range 20 {
+		for _, h := range []*host{one, two} {
+			status, body := h.request(t, "warm")
+			require.Equal(t, http.StatusOK, status, body)
+		}
+	}
+	register()
+	changed := config(2)
+	changed["routes"].([]map[string]any)[0]["host"] = "b.example"
+	p.put(t, "keyed.op", "config", changed)
+	for _, h := range []*host{one, two} {
+		require.Eventually(t, func() bool {
+			status, _ := h.request(t, "warm") // for a.example, which has no route any more
+			return status == http.StatusNotFound
+		}, 4*time.Second, 20*time.Millisecond)
+	}
+	p.put(t, "keyed.op", "config", config(3))
+	require.Eventually(t, func() bool {
+		status, _ := two.request(t, "cold")
+		return status == http.StatusOK
+	}, 12*time.Second, 50*time.Millisecond)
+}
+
 // TestLogWriter guards against requests that block because the reader of the logs
 // has stopped, and against lines that are dropped without a message.
 func TestLogWriter(t *testing.T) {
--- a/entry/hosted/stores_test.go
+++ b/entry/hosted/stores_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -21,20 +22,46 @@
 	*httptest.Server
 	mu      sync.Mutex
 	records map[string][][]byte
+	era     int
 }
 
 func newStoreServer(t *testing.T) *storeServer {
 	t.Helper()
-	p := &storeServer{records: make(map[string][][]byte)}
+	p := &storeServer{records: make(map[string][][]byte), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/log-append", p.append)
 	mux.HandleFunc("GET /-/log-read", p.read)
 	mux.HandleFunc("GET /-/log-newest", p.newest)
-	p.Server = httptest.NewServer(mux)
+	p.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		w.Header().Set("Store-Era", strconv.Itoa(p.era))
+		p.mu.Unlock()
+		mux.ServeHTTP(w, r)
+	}))
 	t.Cleanup(p.Close)
 	return p
 }
 
+// copy returns the records of all topics.
+func (p *storeServer) copy() map[string][][]byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string][][]byte)
+	for topic, records := range p.records {
+		out[topic] = slices.Clone(records)
+	}
+	return out
+}
+
+// restore replaces the records by a copy and ends the calls that wait for records.
+func (p *storeServer) restore(older map[string][][]byte) {
+	p.mu.Lock()
+	p.records = older
+	p.era++
+	p.mu.Unlock()
+	p.CloseClientConnections()
+}
+
 // put appends a record in the format of operators and endpoints.
 func (p *storeServer) put(t *testing.T, topic, key string, value any) {
 	t.Helper()
@@ -71,6 +98,10 @@
 		p.mu.Lock()
 		all := p.records[q.Get("topic")]
 		p.mu.Unlock()
+		if len(all) < from {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(all) <= from && time.Now().Before(end) && r.Context().Err() == nil {
 			continue
 		}
--- a/fake/streams.go
+++ b/fake/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 var _ tamarackknot.Store = (*Streams)(nil)
@@ -17,21 +19,35 @@
 // lost.
 var ErrNoAnswer = errors.New("no answer")
 
+// storeAnswerTimeout is how long a client waits for a store that is silent.
+const storeAnswerTimeout = 700 * time.Millisecond
+
 // Streams is an in-memory store of keyed streams with fault injection.
 type Streams struct {
 	mu          sync.Mutex
-	records     map[tamarackknot.Stream][]tamarackknot.KeyedRecord
+	records     map[tamarackknot.Stream][]timedRecord
 	first       map[tamarackknot.Stream]int64 // earliest offset that Read serves
 	down        map[string]bool               // by client
-	loseAnswers int                           // remaining number of appends whose answer is lost
+	silent      bool
+	era         int64
+	loseAnswers int                         // remaining number of appends whose answer is lost
+	delayed     map[tamarackknot.Stream]int // remaining number of appends that are executed late
+	appendDelay time.Duration
+}
+
+// timedRecord is a record with the time of its append.
+type timedRecord struct {
+	tamarackknot.KeyedRecord
+	at time.Time
 }
 
 // NewStreams returns an empty store.
 func NewStreams() *Streams {
 	return &Streams{
-		records: make(map[tamarackknot.Stream][]tamarackknot.KeyedRecord),
+		records: make(map[tamarackknot.Stream][]timedRecord),
 		first:   make(map[tamarackknot.Stream]int64),
 		down:    make(map[string]bool),
+		delayed: make(map[tamarackknot.Stream]int),
 	}
 }
 
@@ -42,6 +58,50 @@
 	s.down[client] = down
 }
 
+// SetSilent sets whether the store leaves all calls unanswered. Appends that are
+// sent meanwhile have no effect.
+func (s *Streams) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// Restore replaces the contents by a copy of the given age: the records appended
+// since are lost, their offsets are assigned again and the era rises by one. It
+// returns the newest lost record of each key, by stream, so that the test can
+// write those of operators and endpoints again.
+func (s *Streams) Restore(age time.Duration) map[tamarackknot.Stream][]tamarackknot.KeyedRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	copiedAt := time.Now().Add(-age)
+	lost := make(map[tamarackknot.Stream][]tamarackknot.KeyedRecord)
+	for stream, records := range s.records {
+		kept := records
+		for len(kept) > 0 && kept[len(kept)-1].at.After(copiedAt) {
+			kept = kept[:len(kept)-1]
+		}
+		newest := make(map[string]tamarackknot.KeyedRecord)
+		for _, r := range records[len(kept):] {
+			newest[r.Key] = r.KeyedRecord
+		}
+		for _, key := range slices.Sorted(maps.Keys(newest)) {
+			lost[stream] = append(lost[stream], newest[key])
+		}
+		s.records[stream] = slices.Clip(kept)
+		s.first[stream] = min(s.first[stream], int64(len(kept)))
+	}
+	return lost
+}
+
+// DelayAppends makes the next n appends to a stream return ErrNoAnswer. They are
+// executed after the delay if their condition holds then.
+func (s *Streams) DelayAppends(stream tamarackknot.Stream, n int, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delayed[stream], s.appendDelay = n, delay
+}
+
 // LoseAnswers makes the next n appends take effect but return ErrNoAnswer.
 func (s *Streams) LoseAnswers(n int) {
 	s.mu.Lock()
@@ -66,37 +126,53 @@
 	name string
 }
 
-// checkDown returns ErrRefused if the store is down for a client. The caller holds
-// mu.
-func (s *Streams) checkDown(client string) error {
-	if s.down[client] {
-		return tamarackknot.ErrRefused
+// Era implements tamarackknot.Store.
+func (s *Streams) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// available returns ErrRefused if the store is down for a client. While the store
+// is silent it waits, and returns ErrNoAnswer at the client's timeout.
+func (s *Streams) available(ctx context.Context, client string) error {
+	for deadline := time.Now().Add(storeAnswerTimeout); ; {
+		s.mu.Lock()
+		down, silent := s.down[client], s.silent
+		s.mu.Unlock()
+		switch {
+		case down:
+			return tamarackknot.ErrRefused
+		case !silent:
+			return nil
+		case !time.Now().Before(deadline) || !wait.For(ctx, streamsPollInterval):
+			return ErrNoAnswer
+		}
 	}
-	return nil
 }
 
 // Newest implements tamarackknot.Store.
-func (s *Streams) Newest(_ context.Context, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
-	return s.newest("", stream)
+func (s *Streams) Newest(ctx context.Context, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
+	return s.newest(ctx, "", stream)
 }
 
 // Newest implements tamarackknot.Store.
-func (c *StreamsClient) Newest(_ context.Context, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
-	return c.newest(c.name, stream)
+func (c *StreamsClient) Newest(ctx context.Context, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
+	return c.newest(ctx, c.name, stream)
 }
 
-func (s *Streams) newest(client string, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.checkDown(client); err != nil {
+func (s *Streams) newest(ctx context.Context, client string, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
+	if err := s.available(ctx, client); err != nil {
 		return tamarackknot.StreamPage{}, err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	newestByKey := make(map[string]tamarackknot.KeyedRecord)
 	for _, r := range s.records[stream] {
-		newestByKey[r.Key] = r
+		newestByKey[r.Key] = r.KeyedRecord
 	}
-	end := int64(len(s.records[stream]))
-	page := tamarackknot.StreamPage{End: end, Next: end}
+	end := tamarackknot.Position{Era: s.era, Offset: int64(len(s.records[stream]))}
+	page := tamarackknot.StreamPage{End: end, Next: end, Full: true}
 	for _, r := range newestByKey {
 		if r.Value != nil {
 			page.Records = append(page.Records, r)
@@ -106,82 +182,114 @@
 }
 
 // Read implements tamarackknot.Store.
-func (s *Streams) Read(ctx context.Context, stream tamarackknot.Stream, from int64, deadline time.Time) (tamarackknot.StreamPage, error) {
+func (s *Streams) Read(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position, deadline time.Time) (tamarackknot.StreamPage, error) {
 	return s.read(ctx, "", stream, from, deadline)
 }
 
 // Read implements tamarackknot.Store.
-func (c *StreamsClient) Read(ctx context.Context, stream tamarackknot.Stream, from int64, deadline time.Time) (tamarackknot.StreamPage, error) {
+func (c *StreamsClient) Read(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position, deadline time.Time) (tamarackknot.StreamPage, error) {
 	return c.read(ctx, c.name, stream, from, deadline)
 }
 
 // streamsPollInterval is the interval at which a waiting read checks for records.
 const streamsPollInterval = 10 * time.Millisecond
 
-func (s *Streams) read(ctx context.Context, client string, stream tamarackknot.Stream, from int64, deadline time.Time) (tamarackknot.StreamPage, error) {
+func (s *Streams) read(ctx context.Context, client string, stream tamarackknot.Stream, from tamarackknot.Position, deadline time.Time) (tamarackknot.StreamPage, error) {
 	for {
-		s.mu.Lock()
-		if err := s.checkDown(client); err != nil {
-			s.mu.Unlock()
+		if err := s.available(ctx, client); err != nil {
 			return tamarackknot.StreamPage{}, err
 		}
-		if from < s.first[stream] {
-			s.mu.Unlock()
-			return tamarackknot.StreamPage{}, tamarackknot.ErrExpired
+		page, err := s.pageFrom(stream, from)
+		if err != nil || len(page.Records) > 0 || !time.Now().Before(deadline) {
+			return page, err
 		}
-		all := s.records[stream]
-		end := int64(len(all))
-		records := slices.Clone(all[min(from, end):])
-		s.mu.Unlock()
-		if len(records) > 0 || !time.Now().Before(deadline) {
-			return tamarackknot.StreamPage{Records: records, End: end, Next: from + int64(len(records))}, nil
-		}
-		poll := time.NewTimer(streamsPollInterval)
-		select {
-		case <-ctx.Done():
-			poll.Stop()
+		if !wait.For(ctx, streamsPollInterval) {
 			return tamarackknot.StreamPage{}, ctx.Err()
-		case <-poll.C:
 		}
 	}
 }
 
+// pageFrom returns the records from a position on.
+func (s *Streams) pageFrom(stream tamarackknot.Stream, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.records[stream]
+	if from.Era != s.era || from.Offset < s.first[stream] || from.Offset > int64(len(all)) {
+		return tamarackknot.StreamPage{}, tamarackknot.ErrExpired
+	}
+	page := tamarackknot.StreamPage{End: tamarackknot.Position{Era: s.era, Offset: int64(len(all))}}
+	page.Next = page.End
+	for _, r := range all[from.Offset:] {
+		page.Records = append(page.Records, r.KeyedRecord)
+	}
+	return page, nil
+}
+
+// anyEnd makes an append unconditional.
+const anyEnd = -1
+
 // Put implements tamarackknot.Store.
-func (s *Streams) Put(_ context.Context, stream tamarackknot.Stream, key string, value []byte) (int64, error) {
-	return s.put("", stream, key, value, -1)
+func (s *Streams) Put(ctx context.Context, stream tamarackknot.Stream, key string, value []byte) (tamarackknot.Position, error) {
+	return s.put(ctx, "", stream, tamarackknot.KeyedRecord{Key: key, Value: value}, anyEnd)
 }
 
 // PutAt implements tamarackknot.Store.
-func (s *Streams) PutAt(_ context.Context, stream tamarackknot.Stream, key string, value []byte, end int64) (int64, error) {
-	return s.put("", stream, key, value, end)
+func (s *Streams) PutAt(ctx context.Context, stream tamarackknot.Stream, key string, value []byte, end tamarackknot.Position) (tamarackknot.Position, error) {
+	at, err := s.put(ctx, "", stream, tamarackknot.KeyedRecord{Key: key, Value: value}, end.Offset)
+	return at, checkEra(at, end, err)
 }
 
 // Put implements tamarackknot.Store.
-func (c *StreamsClient) Put(_ context.Context, stream tamarackknot.Stream, key string, value []byte) (int64, error) {
-	return c.put(c.name, stream, key, value, -1)
+func (c *StreamsClient) Put(ctx context.Context, stream tamarackknot.Stream, key string, value []byte) (tamarackknot.Position, error) {
+	return c.put(ctx, c.name, stream, tamarackknot.KeyedRecord{Key: key, Value: value}, anyEnd)
 }
 
 // PutAt implements tamarackknot.Store.
-func (c *StreamsClient) PutAt(_ context.Context, stream tamarackknot.Stream, key string, value []byte, end int64) (int64, error) {
-	return c.put(c.name, stream, key, value, end)
+func (c *StreamsClient) PutAt(ctx context.Context, stream tamarackknot.Stream, key string, value []byte, end tamarackknot.Position) (tamarackknot.Position, error) {
+	at, err := c.put(ctx, c.name, stream, tamarackknot.KeyedRecord{Key: key, Value: value}, end.Offset)
+	return at, checkEra(at, end, err)
+}
+
+// checkEra returns ErrRestored if an append succeeded in another era than that
+// of its expected end.
+func checkEra(at, end tamarackknot.Position, err error) error {
+	if err == nil && at.Era != end.Era {
+		return tamarackknot.ErrRestored
+	}
+	return err
 }
 
-// put appends a record. With end >= 0 it returns ErrConflict if the stream does not
-// end there.
-func (s *Streams) put(client string, stream tamarackknot.Stream, key string, value []byte, end int64) (int64, error) {
+// put appends a record. Unless end is anyEnd, it returns ErrConflict if the stream
+// does not end there.
+func (s *Streams) put(ctx context.Context, client string, stream tamarackknot.Stream, r tamarackknot.KeyedRecord, end int64) (tamarackknot.Position, error) {
+	if err := s.available(ctx, client); err != nil {
+		return tamarackknot.Position{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.checkDown(client); err != nil {
-		return 0, err
-	}
-	offset := int64(len(s.records[stream]))
-	if end >= 0 && end != offset {
-		return 0, tamarackknot.ErrConflict
+	if s.delayed[stream] > 0 {
+		s.delayed[stream]--
+		time.AfterFunc(s.appendDelay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = s.append(stream, r, end) // nobody waits for the answer
+		})
+		return tamarackknot.Position{}, ErrNoAnswer
 	}
-	s.records[stream] = append(s.records[stream], tamarackknot.KeyedRecord{Key: key, Value: value, Offset: offset})
-	if s.loseAnswers > 0 {
+	at, err := s.append(stream, r, end)
+	if err == nil && s.loseAnswers > 0 {
 		s.loseAnswers--
-		return 0, ErrNoAnswer
+		return tamarackknot.Position{}, ErrNoAnswer
+	}
+	return at, err
+}
+
+// append adds a record to a stream. s.mu is held.
+func (s *Streams) append(stream tamarackknot.Stream, r tamarackknot.KeyedRecord, end int64) (tamarackknot.Position, error) {
+	r.Offset = int64(len(s.records[stream]))
+	if end != anyEnd && end != r.Offset {
+		return tamarackknot.Position{}, tamarackknot.ErrConflict
 	}
-	return offset, nil
+	s.records[stream] = append(s.records[stream], timedRecord{r, time.Now()})
+	return tamarackknot.Position{Era: s.era, Offset: r.Offset}, nil
 }
--- a/fake/weights.go
+++ b/fake/weights.go
@@ -21,6 +21,8 @@
 	Disk  map[string]bool     // models on disk
 	Cache []string            // models in host memory
 	Born  time.Time           // start of the process
+	// IgnoresFence says that the engine accepts outdated fencing tokens.
+	IgnoresFence bool
 
 	sequence  int64
 	fence     int64
@@ -192,7 +194,7 @@
 	e.completeOrder()
 	_, held := e.Held[o.Model]
 	switch {
-	case o.Fence < e.fence:
+	case o.Fence < e.fence && !e.IgnoresFence:
 		return tamarackknot.WeightFenced
 	case o.Sequence != e.sequence || e.complete != nil:
 		return tamarackknot.WeightConflict
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -39,7 +39,7 @@
 			unread := func() tamarackknot.StreamState { return tamarackknot.StreamState{} }
 			p := NewPublisher(PublisherConfig{
 				Self: tamarackknot.HostEntry{Name: "self"}, Peers: peers, Hosts: func() []tamarackknot.HostEntry { return entries },
-				Catalog: unread, Endpoints: unread, OnCatalogVersion: func(int64) {}, LeaseEnd: func() int64 { return 7 }, Logger: log.New(io.Discard),
+				Catalog: unread, Endpoints: unread, OnCatalogVersion: func(int64) {}, LeaseEnd: func() tamarackknot.Position { return tamarackknot.Position{Offset: 7} }, Logger: log.New(io.Discard),
 			})
 			v := tamarackknot.FleetView{Engines: make(map[string]tamarackknot.EngineView)}
 			for i := range size.engines {
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -46,6 +46,9 @@
 	// CatalogVersion returns the version of the configuration in force on this
 	// host.
 	CatalogVersion func() int64
+	// OnStoreEra is called with the era of the store that the planner knows, unless
+	// this host is the planner.
+	OnStoreEra func(era int64)
 	// OnStreamStates is called with the planner's positions in the platform's
 	// streams, unless this host is the planner.
 	OnStreamStates func(catalog, endpoints tamarackknot.StreamState)
@@ -72,8 +75,8 @@
 	hostsFence int64
 	// registered is the number of registered hosts, 0 while it is not known.
 	registered   int
-	leaseEnd     int64 // from the planner's last message
-	demandSynced bool  // the planner has received the full demand
+	leaseEnd     tamarackknot.Position // from the planner's last message
+	demandSynced bool                  // the planner has received the full demand
 	leaving      bool
 	// lastSequence is the sequence number of the planner's last message; behind
 	// is set when an earlier one is missing.
@@ -115,13 +118,13 @@
 	return c.planner
 }
 
-// ReportedLeaseEnd returns the end offset of the lease stream from the planner's
+// ReportedLeaseEnd returns the end of the lease stream from the planner's
 // last message and the age of that message. ok is false if there is none.
-func (c *Client) ReportedLeaseEnd() (end int64, age time.Duration, ok bool) {
+func (c *Client) ReportedLeaseEnd() (end tamarackknot.Position, age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.plannerSeenAt.IsZero() || c.leaseEnd == 0 {
-		return 0, 0, false
+	if c.plannerSeenAt.IsZero() || c.leaseEnd == (tamarackknot.Position{}) {
+		return tamarackknot.Position{}, 0, false
 	}
 	return c.leaseEnd, time.Since(c.plannerSeenAt), true
 }
@@ -199,7 +202,7 @@
 		clear(c.forecasts)
 	}
 	c.behind = !m.Full && !m.Leaving && (c.behind || m.Sequence != c.lastSequence+1)
-	c.lastSequence, c.leaseEnd = m.Sequence, m.LeaseEnd
+	c.lastSequence, c.leaseEnd = m.Sequence, tamarackknot.Position{Era: m.LeaseEra, Offset: m.LeaseEnd}
 	c.plannerSeenAt = now
 	if m.Leaving {
 		c.plannerSeenAt = time.Time{}
@@ -220,6 +223,7 @@
 	v.Planner, v.Fence = from, m.Fence
 	c.cfg.OnView(v)
 	if from != c.cfg.Self.Name {
+		c.cfg.OnStoreEra(m.LeaseEra)
 		c.cfg.OnStreamStates(decodeStream(m.Catalog, now), decodeStream(m.Endpoints, now))
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -65,7 +65,7 @@
 			},
 			Catalog:          func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
 			Endpoints:        func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
-			OnCatalogVersion: func(int64) {}, LeaseEnd: func() int64 { return 7 },
+			OnCatalogVersion: func(int64) {}, LeaseEnd: func() tamarackknot.Position { return tamarackknot.Position{Offset: 7} },
 		})
 		n.client = NewClient(ClientConfig{
 			Self: entry, Peers: host, Local: n.publisher, Logger: logger,
@@ -83,7 +83,7 @@
 				n.forecasts = v.Forecasts
 			},
 			CatalogVersion: func() int64 { return 1 },
-			OnStreamStates: func(_, _ tamarackknot.StreamState) {},
+			OnStreamStates: func(_, _ tamarackknot.StreamState) {}, OnStoreEra: func(int64) {},
 		})
 		n.publisher.Bind(n.client)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -253,7 +253,7 @@
 	unread := func() tamarackknot.StreamState { return tamarackknot.StreamState{} }
 	p := NewPublisher(PublisherConfig{
 		Self: tamarackknot.HostEntry{Name: "self"}, Peers: &countingPeers{}, Hosts: func() []tamarackknot.HostEntry { return entries },
-		Catalog: unread, Endpoints: unread, OnCatalogVersion: func(int64) {}, LeaseEnd: func() int64 { return 7 }, Logger: log.New(io.Discard),
+		Catalog: unread, Endpoints: unread, OnCatalogVersion: func(int64) {}, LeaseEnd: func() tamarackknot.Position { return tamarackknot.Position{Offset: 7} }, Logger: log.New(io.Discard),
 	})
 	v := tamarackknot.FleetView{Engines: make(map[string]tamarackknot.EngineView)}
 	for i := range engines {
@@ -302,7 +302,7 @@
 	unread := func() tamarackknot.StreamState { return tamarackknot.StreamState{} }
 	p := NewPublisher(PublisherConfig{
 		Peers: fake.NewPeers(fake.PeersConfig{}).Host("p"), Catalog: unread, Endpoints: unread, Logger: log.New(io.Discard),
-		LeaseEnd: func() int64 { return 7 },
+		LeaseEnd: func() tamarackknot.Position { return tamarackknot.Position{Offset: 7} },
 	})
 	publish := func(ids ...string) {
 		v := tamarackknot.FleetView{Engines: make(map[string]tamarackknot.EngineView)}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -56,8 +56,10 @@
 	// Hosts is the encoded []HostEntry of the hosts that callers may be sent to;
 	// omitted if it is unchanged since the last message.
 	Hosts json.RawMessage `json:"hosts,omitempty"`
-	// LeaseEnd is the end offset of the lease stream known to the planner.
+	// LeaseEnd is the end offset of the lease stream known to the planner, in the
+	// era LeaseEra of the store.
 	LeaseEnd int64 `json:"lease,omitempty"`
+	LeaseEra int64 `json:"leaseEra,omitempty"`
 	// Planner is the planner's own entry, only in full views.
 	Planner *tamarackknot.HostEntry `json:"planner,omitempty"`
 	// Registered is the number of registered hosts, alive or not; only in full
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -65,9 +65,8 @@
 	// LeaseHeld returns the fencing token and whether this host holds the
 	// planner lease.
 	LeaseHeld func() (fence int64, held bool)
-	// LeaseEnd returns the end offset of the lease stream while this host is the
-	// planner.
-	LeaseEnd func() int64
+	// LeaseEnd returns the end of the lease stream while this host is the planner.
+	LeaseEnd func() tamarackknot.Position
 	// Catalog and Endpoints return this host's positions in these streams.
 	Catalog   func() tamarackknot.StreamState
 	Endpoints func() tamarackknot.StreamState
@@ -133,6 +132,7 @@
 // round is the data shared by all messages of one publishing round.
 type round struct {
 	fence         int64
+	leaseEnd      tamarackknot.Position
 	now           time.Time
 	totals        []int // requests at each engine, by index
 	forecasts     map[modelKey]time.Time
@@ -364,7 +364,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := &round{
-		fence: fence, now: now, hostCount: len(registered), totals: p.requestTotals(now),
+		fence: fence, leaseEnd: p.cfg.LeaseEnd(), now: now, hostCount: len(registered), totals: p.requestTotals(now),
 		forecasts:     make(map[modelKey]time.Time),
 		fullViewsLeft: max(minFullViews, maxFullViewEngines/max(len(p.engines), 1)),
 	}
@@ -413,7 +413,7 @@
 	s := p.state(host)
 	s.sequence++
 	m := viewMessage{
-		Fence: r.fence, Sequence: s.sequence, LeaseEnd: p.cfg.LeaseEnd(),
+		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
 		Catalog: encodeStream(p.cfg.Catalog(), r.now), Endpoints: encodeStream(p.cfg.Endpoints(), r.now),
 	}
 	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,14 @@
 	readWait = 5 * time.Second
 	// retryPause is the pause after a failed call.
 	retryPause = 500 * time.Millisecond
+	// eraCheckInterval is the pause between two checks whether the store was
+	// restored.
+	eraCheckInterval = 250 * time.Millisecond
+	// unheardTimeout is how long no planner must be heard before a host registers
+	// again. It exceeds the time that another host takes to become planner.
+	unheardTimeout = 10 * time.Second
+	// registerSpread is the time over which hosts register again after a restore.
+	registerSpread = time.Second
 )
 
 // RegistryConfig configures a Registry.
@@ -29,7 +38,10 @@
 	// Follow reports whether this host needs the list, which only the planner
 	// does.
 	Follow func() bool
-	Logger *log.Logger
+	// PlannerHeard reports whether this host hears from a planner, which it does
+	// not if its entry is missing.
+	PlannerHeard func() bool
+	Logger       *log.Logger
 }
 
 // Registry registers this host in the platform's store and, on the planner,
@@ -39,11 +51,16 @@
 
 	mu    sync.Mutex
 	hosts map[string]tamarackknot.HostEntry
+	// departed holds the last incarnation of each host that deregistered.
+	departed map[string]string
+	left     bool // this host has deregistered
 }
 
 // NewRegistry returns a Registry that knows only this host.
 func NewRegistry(cfg RegistryConfig) *Registry {
-	return &Registry{cfg: cfg, hosts: map[string]tamarackknot.HostEntry{cfg.Self.Name: cfg.Self}}
+	return &Registry{
+		cfg: cfg, hosts: map[string]tamarackknot.HostEntry{cfg.Self.Name: cfg.Self}, departed: make(map[string]string),
+	}
 }
 
 // Hosts returns the registered hosts, ordered by name.
@@ -66,34 +83,63 @@
 	return h.PeerAddress, ok
 }
 
-// Run registers this host and follows the list while Follow returns true, until
-// ctx ends.
+// Run registers this host until ctx ends: at the start, after each restore of the
+// store, and when no planner is heard for long, since an earlier process of this
+// host may have removed the entry late.
 func (r *Registry) Run(ctx context.Context) {
-	registered := false
-	next := int64(-1)
+	registered, era, heardAt := false, int64(0), time.Now()
 	for ctx.Err() == nil {
-		pause := time.Duration(0)
+		newest := r.cfg.Store.Era()
+		if r.cfg.PlannerHeard() {
+			heardAt = time.Now()
+		}
 		switch {
 		case !registered:
-			registered = r.register(ctx)
-			if !registered {
-				pause = retryPause
-			}
-		case !r.cfg.Follow():
-			next, pause = -1, retryPause/2
-		default:
-			var err error
-			if next, err = r.follow(ctx, next); err != nil {
-				next, pause = -1, retryPause
-			}
+			era, registered = newest, r.register(ctx)
+		case newest > era:
+			// All hosts write at once after a restore.
+			wait.For(ctx, rand.N(registerSpread))
+			registered = false
+			r.cfg.Logger.Info("registering again after a restore of the store", "eraBefore", era, "era", newest)
+			continue
+		case time.Since(heardAt) > unheardTimeout:
+			r.cfg.Logger.Info("registering again because no planner is heard", "for", unheardTimeout)
+			r.register(ctx)
+			heardAt = time.Now()
 		}
-		if pause > 0 {
-			wait.For(ctx, pause)
+		pause := eraCheckInterval
+		if !registered {
+			pause = retryPause
 		}
+		wait.For(ctx, pause)
 	}
 }
 
+// RunFollow follows the list of hosts while Follow returns true, until ctx ends.
+func (r *Registry) RunFollow(ctx context.Context) {
+	var next *tamarackknot.Position // nil before the list is read
+	for ctx.Err() == nil {
+		if !r.cfg.Follow() {
+			next = nil
+			wait.For(ctx, retryPause/2)
+			continue
+		}
+		var err error
+		if next, err = r.follow(ctx, next); err != nil {
+			wait.For(ctx, retryPause)
+		}
+	}
+}
+
+// register writes the entry of this host and reports whether that succeeded or is
+// not wanted any more.
 func (r *Registry) register(ctx context.Context) bool {
+	r.mu.Lock()
+	left := r.left
+	r.mu.Unlock()
+	if left {
+		return true
+	}
 	value, err := json.Marshal(r.cfg.Self)
 	if err != nil {
 		panic(err)
@@ -107,33 +153,37 @@
 
 // Deregister removes this host's entry from the store.
 func (r *Registry) Deregister(ctx context.Context) {
+	r.mu.Lock()
+	r.left = true
+	r.mu.Unlock()
 	if _, err := r.cfg.Store.Put(ctx, tamarackknot.StreamHosts, r.cfg.Self.Name, nil); err != nil {
 		r.cfg.Logger.Warn("cannot deregister host", "error", err)
 	}
 }
 
-// follow reads the changes since offset next, or the whole list if next is
-// negative, and returns the offset of the next read.
-func (r *Registry) follow(ctx context.Context, next int64) (int64, error) {
-	if next < 0 {
-		page, err := r.cfg.Store.Newest(ctx, tamarackknot.StreamHosts)
-		if err != nil {
-			return -1, err
-		}
-		r.apply(page.Records)
-		return page.Next, nil
+// follow reads the changes since next, or the whole list if next is nil, and
+// returns the position of the next read, nil after an error.
+func (r *Registry) follow(ctx context.Context, next *tamarackknot.Position) (*tamarackknot.Position, error) {
+	var page tamarackknot.StreamPage
+	var err error
+	if next == nil {
+		page, err = r.cfg.Store.Newest(ctx, tamarackknot.StreamHosts)
+	} else {
+		page, err = r.cfg.Store.Read(ctx, tamarackknot.StreamHosts, *next, time.Now().Add(readWait))
 	}
-	page, err := r.cfg.Store.Read(ctx, tamarackknot.StreamHosts, next, time.Now().Add(readWait))
 	if err != nil {
 		if !errors.Is(err, tamarackknot.ErrExpired) {
 			r.cfg.Logger.Warn("cannot read host list", "error", err)
 		}
-		return -1, err
+		return nil, err
 	}
 	r.apply(page.Records)
-	return page.Next, nil
+	return &page.Next, nil
 }
 
+// apply merges records into the list. Hosts that are missing after a restore of
+// the store stay in it; a host that has left does not come back with its old
+// entry.
 func (r *Registry) apply(records []tamarackknot.KeyedRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -142,6 +192,9 @@
 			continue
 		}
 		if rec.Value == nil {
+			if h, known := r.hosts[rec.Key]; known {
+				r.departed[rec.Key] = h.Incarnation
+			}
 			delete(r.hosts, rec.Key)
 			continue
 		}
@@ -150,6 +203,9 @@
 			r.cfg.Logger.Warn("host entry rejected", "key", rec.Key, "error", err)
 			continue
 		}
+		if incarnation, left := r.departed[rec.Key]; left && incarnation == h.Incarnation {
+			continue
+		}
 		r.hosts[rec.Key] = h
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,8 +1,15 @@
 // Package lease elects the one host that may send orders to model engines. The
 // lease is a stream in the platform's store. A record is appended only if the
 // stream has not changed since it was read, so that of two hosts that take the
-// lease at the same time one fails. The offset of the record that takes the
-// lease, plus one, is the fencing token.
+// lease at the same time one fails. The position after the record that takes the
+// lease is the fencing token.
+//
+// When the store is restored from an older copy, the newest record may be older
+// than the last one that was acknowledged. Each record therefore names the era
+// of the store in which it was written. A record of an earlier era does not show
+// who held the lease last: the lease may be taken only once every holder of that
+// era has stopped. A holder whose own lease is still valid knows that it was the
+// last one, and takes the lease again at once.
 package lease
 
 import (
@@ -49,6 +56,13 @@
 	// timerMargin allows for late timers at a takeover.
 	timerMargin = 200 * time.Millisecond
 
+	// fenceEraBits is the number of bits by which the era is shifted in a fencing
+	// token. The sum of both parts stays below 2^53, which JSON carries exactly.
+	fenceEraBits = 32
+	// maxRestoreAge limits the age of the last restore that a holder writes into
+	// its records.
+	maxRestoreAge = 60 * time.Second
+
 	leaseKey = "planner"
 )
 
@@ -60,6 +74,9 @@
 	// OrderGap is the minimum time between the last order of one holder and the
 	// first of the next.
 	OrderGap time.Duration
+	// FirstStart says that the whole system starts for the first time, so that an
+	// empty stream means that nobody has held the lease.
+	FirstStart bool
 	// FencingEnforced says that engines reject orders with an outdated fencing
 	// token.
 	FencingEnforced bool
@@ -73,7 +90,7 @@
 	// HolderEnd returns the end of the lease's stream that the holder last
 	// sent, and the age of that message; ok is false without one. Nil means
 	// that holders do not send it.
-	HolderEnd func() (end int64, age time.Duration, ok bool)
+	HolderEnd func() (end tamarackknot.Position, age time.Duration, ok bool)
 	// Clock returns the time since boot, including the time of suspension. Nil
 	// means the system's clock.
 	Clock  func() time.Duration
@@ -86,8 +103,8 @@
 	// already send orders.
 	Held  bool
 	Fence int64
-	// End is the offset after the newest record that this holder knows.
-	End int64
+	// End is the position after the newest record that this holder knows.
+	End tamarackknot.Position
 }
 
 // record is an entry of the lease's stream.
@@ -99,6 +116,11 @@
 	// WaitMs is how long the holder must still wait before its first order, 0
 	// if it may send orders.
 	WaitMs int64 `json:"waitMs,omitempty"`
+	// Era is the era of the store that the writer knew.
+	Era int64 `json:"era,omitempty"`
+	// RestoredMs is the time since the writer learned that the store had been
+	// restored, 0 if it knows of no restore within maxRestoreAge.
+	RestoredMs int64 `json:"restoredMs,omitempty"`
 }
 
 // Elector takes, renews and releases the lease for this host.
@@ -108,22 +130,29 @@
 	mu          sync.Mutex
 	held        bool
 	fence       int64
-	end         int64         // offset after the newest record that this holder knows
-	validUntil  time.Duration // on Clock, as are the times below
+	end         tamarackknot.Position // position after the newest record that this holder knows
+	validUntil  time.Duration         // on Clock, as are the times below
 	ordersFrom  time.Duration
 	renewedAt   time.Duration
 	attemptedAt time.Duration // start of the last renewal
 	failing     bool          // renewals since renewedAt did not reach the store
 	raiseFence  bool          // the next renewal raises the fencing token
+	// watched says that the stream was read at least once, and era is the newest
+	// era in which it was read. restoredAt is when this host learned of the last
+	// restore of the store; wasRestored is false while it knows of none.
+	watched     bool
+	era         int64
+	wasRestored bool
+	restoredAt  time.Duration
 
 	yield chan struct{}
 
-	// yieldedAt is when this host last yielded the lease, seenOffset the end of
-	// the stream when it was last read, and seenAt since when that has been the
-	// end. Only Run uses them.
-	yieldedAt  time.Duration
-	seenOffset int64
-	seenAt     time.Duration
+	// yieldedAt is when this host last yielded the lease, seenEnd the end of the
+	// stream when it was last read, and seenAt since when that has been the end.
+	// Only Run uses them.
+	yieldedAt time.Duration
+	seenEnd   tamarackknot.Position
+	seenAt    time.Duration
 
 	released chan struct{} // closed when Run has returned
 	release  chan struct{} // closed by Release
@@ -134,9 +163,15 @@
 	if cfg.Clock == nil {
 		cfg.Clock = bootTime
 	}
-	return &Elector{cfg: cfg, seenOffset: -1, yieldedAt: -yieldBackoff, yield: make(chan struct{}, 1), release: make(chan struct{}), released: make(chan struct{})}
+	return &Elector{cfg: cfg, seenEnd: unseen(), yieldedAt: -yieldBackoff, yield: make(chan struct{}, 1), release: make(chan struct{}), released: make(chan struct{})}
 }
 
+// unseen is the position of a stream that was not read.
+func unseen() tamarackknot.Position { return tamarackknot.Position{Offset: -1} }
+
+// fenceAt returns the fencing token of a holder whose record ends at a position.
+func fenceAt(end tamarackknot.Position) int64 { return end.Era<<fenceEraBits + end.Offset }
+
 // bootTime returns the time since boot, including the time of suspension.
 func bootTime() time.Duration {
 	var ts unix.Timespec
@@ -153,6 +188,16 @@
 	return Status{Held: e.held && e.valid(), Fence: e.fence, End: e.end}
 }
 
+// RestoreAge returns how long ago the store was restored from an older copy, as
+// far as this host or the holder of the lease knows. restored is false if neither
+// knows of a recent restore, and known is false before the first read of the
+// lease.
+func (e *Elector) RestoreAge() (age time.Duration, restored, known bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.Clock() - e.restoredAt, e.wasRestored, e.watched
+}
+
 // MayOrder returns the fencing token and whether an order may be sent now.
 func (e *Elector) MayOrder() (fence int64, ok bool) {
 	e.mu.Lock()
@@ -264,13 +309,22 @@
 	e.cfg.Logger.Info("lease released", "fence", rec.Fence)
 }
 
-// put appends a record if the stream still ends at end, and returns its offset.
-func (e *Elector) put(ctx context.Context, rec record, end int64) (int64, error) {
+// put appends a record if the stream still ends at end, and returns the position
+// after it.
+func (e *Elector) put(ctx context.Context, rec record, end tamarackknot.Position) (tamarackknot.Position, error) {
+	rec.Era = end.Era
+	e.mu.Lock()
+	if age := e.cfg.Clock() - e.restoredAt; e.wasRestored && age < maxRestoreAge {
+		rec.RestoredMs = max(age.Milliseconds(), 1)
+	}
+	e.mu.Unlock()
 	value, err := json.Marshal(rec)
 	if err != nil {
-		return 0, err
+		return tamarackknot.Position{}, err
 	}
-	return e.cfg.Store.PutAt(ctx, tamarackknot.StreamLease, leaseKey, value, end)
+	at, err := e.cfg.Store.PutAt(ctx, tamarackknot.StreamLease, leaseKey, value, end)
+	at.Offset++
+	return at, err
 }
 
 // renew renews the lease and returns the pause before the next renewal.
@@ -283,13 +337,13 @@
 	rec.WaitMs = max(0, (e.ordersFrom - started).Milliseconds())
 	e.mu.Unlock()
 	callCtx, cancel := context.WithDeadline(ctx, time.Now().Add(renewTimeout))
-	offset, err := e.put(callCtx, rec, end)
+	after, err := e.put(callCtx, rec, end)
 	cancel()
 	if err == nil {
-		e.renewed(started, offset+1)
+		e.renewed(started, after)
 		return renewInterval
 	}
-	if !errors.Is(err, tamarackknot.ErrConflict) {
+	if !errors.Is(err, tamarackknot.ErrConflict) && !errors.Is(err, tamarackknot.ErrRestored) {
 		e.mu.Lock()
 		e.failing = true
 		e.mu.Unlock()
@@ -297,12 +351,12 @@
 		return renewRetryDelay
 	}
 	// The stream has a newer record, from another host or from an append of
-	// this host whose answer was lost.
+	// this host whose answer was lost, or the store was restored.
 	newest, end, err := e.newest(ctx)
-	switch {
-	case err != nil:
+	if err != nil {
 		return renewRetryDelay
-	case newest != nil && newest.Holder == e.cfg.Host && newest.Incarnation == e.cfg.Incarnation:
+	}
+	if e.mayContinue(newest, end.Era) {
 		e.mu.Lock()
 		e.end = end
 		e.mu.Unlock()
@@ -311,41 +365,84 @@
 	e.mu.Lock()
 	e.held = false
 	e.mu.Unlock()
-	e.seenOffset = -1
-	e.cfg.Logger.Warn("lease lost", "reason", "another host has taken it", "fence", rec.Fence)
+	e.seenEnd = unseen()
+	e.cfg.Logger.Warn("lease lost", "reason", "another host has or may have taken it", "fence", rec.Fence, "era", end.Era)
 	return watchInterval
 }
 
-// renewed records a renewal that started at the given time.
-func (e *Elector) renewed(started time.Duration, end int64) {
+// mayContinue reports whether this holder may renew the lease after the newest
+// record, read in the given era: the record is its own, or it is of an earlier
+// era and no other host can have taken the lease since, because this holder's
+// lease is still valid and other hosts wait longer than that after a restore.
+func (e *Elector) mayContinue(newest *record, era int64) bool {
+	if newest != nil && newest.Era == era {
+		return newest.Holder == e.cfg.Host && newest.Incarnation == e.cfg.Incarnation
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held && e.valid()
+}
+
+// renewed records a renewal that started at the given time. In a new era the
+// fencing token rises where engines check it: a holder of the earlier era that
+// nobody remembers may have had a higher one.
+func (e *Elector) renewed(started time.Duration, end tamarackknot.Position) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	newEra := end.Era > e.fence>>fenceEraBits
 	e.end, e.renewedAt, e.failing = end, started, false
-	if e.raiseFence {
-		e.raiseFence, e.fence = false, end
-		e.cfg.Logger.Info("fencing token raised", "fence", e.fence)
+	if e.raiseFence || newEra && e.cfg.FencingEnforced {
+		e.raiseFence, e.fence = false, fenceAt(end)
+		e.cfg.Logger.Info("fencing token raised", "fence", e.fence, "era", end.Era)
 	}
 	e.validUntil = started + leaseTTL
 }
 
 // newest returns the newest record, nil if there is none, and the end of the
 // stream.
-func (e *Elector) newest(ctx context.Context) (*record, int64, error) {
+func (e *Elector) newest(ctx context.Context) (*record, tamarackknot.Position, error) {
 	page, err := e.cfg.Store.Newest(ctx, tamarackknot.StreamLease)
 	if err != nil {
-		return nil, 0, err
+		return nil, page.End, err
 	}
+	var newest *record
 	for _, r := range page.Records {
 		if r.Key != leaseKey || r.Value == nil {
 			continue
 		}
 		var rec record
 		if err := json.Unmarshal(r.Value, &rec); err != nil {
-			return nil, 0, errors.Wrap(err, "decode lease record")
+			return nil, page.End, errors.Wrap(err, "decode lease record")
 		}
-		return &rec, page.End, nil
+		newest = &rec
+	}
+	e.observeEra(newest, page.End.Era)
+	return newest, page.End, nil
+}
+
+// observeEra updates when the store was restored, from the era in which the
+// stream was read and the newest record.
+func (e *Elector) observeEra(newest *record, era int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.cfg.Clock()
+	if e.watched && era > e.era || !e.watched && e.impliesRestore(newest, era) {
+		e.wasRestored, e.restoredAt = true, now
+		e.cfg.Logger.Info("lease read after a restore of the store", "eraBefore", e.era, "era", era)
+	} else if !e.watched && newest != nil && newest.RestoredMs > 0 {
+		e.wasRestored, e.restoredAt = true, now-time.Duration(newest.RestoredMs)*time.Millisecond
 	}
-	return nil, page.End, nil
+	e.watched, e.era = true, max(e.era, era)
+}
+
+// impliesRestore reports whether the newest record shows that the store was restored
+// and nobody has taken the lease since. A system that does not start for the
+// first time has had a holder.
+func (e *Elector) impliesRestore(newest *record, era int64) bool {
+	if newest == nil {
+		return era > 0 && !e.cfg.FirstStart
+	}
+	return newest.Era < era
 }
 
 // watch takes the lease once it has been released or has expired, and returns
@@ -354,8 +451,8 @@
 	// The jitter keeps hosts that start together from reading and appending at
 	// once.
 	jitter := rand.N(watchInterval / 4)
-	if e.cfg.HolderReachable() {
-		e.seenOffset = -1
+	if _, _, known := e.RestoreAge(); known && e.cfg.HolderReachable() {
+		e.seenEnd = unseen()
 		return watchInterval/2 + jitter
 	}
 	newest, end, err := e.newest(ctx)
@@ -366,10 +463,10 @@
 	if now-e.yieldedAt < yieldBackoff {
 		return watchInterval + jitter
 	}
-	if end != e.seenOffset {
-		e.seenOffset, e.seenAt = end, e.unchangedSince(end, now)
+	if end != e.seenEnd {
+		e.seenEnd, e.seenAt = end, e.unchangedSince(end, now)
 	}
-	freeAt, gap := e.takeoverTime(newest)
+	freeAt, gap := e.takeoverTime(newest, end.Era)
 	if e.cfg.TakeoverDelay != nil {
 		freeAt += e.cfg.TakeoverDelay()
 	}
@@ -377,18 +474,18 @@
 		return watchInterval + jitter
 	}
 	rec := record{Holder: e.cfg.Host, Incarnation: e.cfg.Incarnation, WaitMs: gap.Milliseconds()}
-	offset, err := e.put(ctx, rec, end)
+	after, err := e.put(ctx, rec, end)
 	if err != nil {
 		// If only the answer was lost, the next check finds a record of this host.
 		return jitter
 	}
-	e.acquired(now, offset, gap)
+	e.acquired(now, after, gap)
 	return renewInterval
 }
 
 // unchangedSince returns since when the stream has ended at end. The holder's
 // last message shows that this was so when the message arrived.
-func (e *Elector) unchangedSince(end int64, now time.Duration) time.Duration {
+func (e *Elector) unchangedSince(end tamarackknot.Position, now time.Duration) time.Duration {
 	if e.cfg.HolderEnd == nil {
 		return now
 	}
@@ -399,11 +496,17 @@
 }
 
 // takeoverTime returns when the lease may be taken, and how long the new holder
-// must then wait before its first order.
-func (e *Elector) takeoverTime(newest *record) (freeAt, gap time.Duration) {
+// must then wait before its first order. The newest record was read in the given
+// era.
+func (e *Elector) takeoverTime(newest *record, era int64) (freeAt, gap time.Duration) {
+	_, restored, _ := e.RestoreAge()
 	switch {
-	case newest == nil:
+	case newest == nil && !restored:
 		return e.seenAt, 0
+	case newest == nil || newest.Era < era:
+		// The last holder is not known. It may have renewed the lease until just
+		// before the restore.
+		return e.seenAt + expiryTime, e.firstOrderGap(leaseTTL - expiryTime)
 	case newest.Holder == e.cfg.Host:
 		// No gap is needed between the orders of one host.
 		if newest.Released {
@@ -429,12 +532,11 @@
 	return e.cfg.OrderGap + remaining + timerMargin
 }
 
-// acquired records that this host took the lease with the record at offset.
-func (e *Elector) acquired(now time.Duration, offset int64, gap time.Duration) {
+// acquired records that this host took the lease with the record before end.
+func (e *Elector) acquired(now time.Duration, end tamarackknot.Position, gap time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	// The first offset is 0, which would mean no token.
-	e.held, e.fence, e.end = true, offset+1, offset+1
+	e.held, e.fence, e.end = true, fenceAt(end), end
 	e.renewedAt, e.attemptedAt, e.validUntil, e.failing = now, now, now+leaseTTL, false
 	e.ordersFrom = now + gap
 	e.cfg.Logger.Info("lease taken", "fence", e.fence, "ordersIn", gap)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
+	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/fake"
 )
 
@@ -202,7 +203,7 @@
 				second := h.elector("b", "1")
 				end, lastHeard := first.Status().End, time.Now()
 				second.cfg.HolderReachable = func() bool { return time.Since(lastHeard) < reachableTimeout }
-				second.cfg.HolderEnd = func() (int64, time.Duration, bool) { return end, time.Since(lastHeard), true }
+				second.cfg.HolderEnd = func() (tamarackknot.Position, time.Duration, bool) { return end, time.Since(lastHeard), true }
 				defer h.run(t, second)()
 				if alive {
 					time.Sleep(10 * time.Second)
@@ -324,3 +325,166 @@
 		require.Greater(t, second.Status().Fence, raised)
 	})
 }
+
+// TestFenceOverRestore guards against a fencing token that two holders share, or
+// that a later holder has lower, because the store gives out its offsets again.
+func TestFenceOverRestore(t *testing.T) {
+	for name, fenced := range map[string]bool{"engines that check fencing tokens": true, "engines that ignore fencing tokens": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(fenced)
+				earlier := h.elector("c", "1")
+				stop := h.run(t, earlier)
+				time.Sleep(6 * time.Second)
+				stop()
+				first := h.elector("a", "1")
+				stop = h.run(t, first)
+				time.Sleep(6 * time.Second)
+				before := first.Status().Fence
+				h.store.Restore(11 * time.Second)
+				stop()
+				second := h.elector("b", "1")
+				defer h.run(t, second)()
+				time.Sleep(8 * time.Second)
+				require.True(t, mayOrder(second))
+				require.Greater(t, second.Status().Fence, before)
+				require.Less(t, second.Status().Fence, int64(1)<<53)
+			})
+		})
+	}
+}
+
+// TestHolderKeepsLeaseOverRestore guards against a pause in which nobody orders
+// although the holder is alive and nobody else can have taken the lease.
+func TestHolderKeepsLeaseOverRestore(t *testing.T) {
+	for name, silent := range map[string]time.Duration{"at once": 0, "after half a second": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(false)
+				first, second := h.elector("a", "1"), h.elector("b", "1")
+				defer h.run(t, first)()
+				time.Sleep(time.Second)
+				defer h.run(t, second)()
+				time.Sleep(4 * time.Second)
+				h.store.SetSilent(true)
+				time.Sleep(silent)
+				h.store.Restore(3*time.Second + silent)
+				h.store.SetSilent(false)
+				for range 100 {
+					time.Sleep(50 * time.Millisecond)
+					require.True(t, mayOrder(first))
+					require.False(t, second.Status().Held)
+				}
+			})
+		})
+	}
+}
+
+// TestTakeoverAfterRestore guards against a host that takes the lease from an
+// older copy, in which it is free or held by itself, before the last holder of
+// the earlier era has stopped and the gap after its last order is over.
+func TestTakeoverAfterRestore(t *testing.T) {
+	cases := map[string]struct {
+		age     time.Duration // of the copy
+		restart bool          // the host that takes the lease has seen no earlier era
+	}{
+		"the copy names the last holder":         {age: time.Second},
+		"the copy names an earlier holder":       {age: 7 * time.Second},
+		"the copy says that the lease is free":   {age: 5 * time.Second},
+		"the copy has no record":                 {age: 30 * time.Second},
+		"a restarted host finds a free lease":    {age: 5 * time.Second, restart: true},
+		"a restarted host finds no record":       {age: 30 * time.Second, restart: true},
+		"a restarted host finds its own renewal": {age: 7 * time.Second, restart: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(false)
+				b := h.elector("b", "1")
+				stop := h.run(t, b)
+				time.Sleep(8 * time.Second)
+				b.Release(t.Context()) // 5 s before the restore
+				stop()
+				a := h.elector("a", "1")
+				stopA := h.run(t, a)
+				time.Sleep(5 * time.Second)
+				require.True(t, mayOrder(a))
+				if !c.restart {
+					b = h.elector("b", "2")
+					defer h.run(t, b)()
+					time.Sleep(500 * time.Millisecond)
+				}
+				lastOrder := time.Now()
+				stopA() // a could have ordered until its lease expires
+				h.store.Restore(c.age)
+				if c.restart {
+					b = h.elector("b", "3")
+					defer h.run(t, b)()
+				}
+				for !mayOrder(b) {
+					time.Sleep(10 * time.Millisecond)
+					require.Less(t, time.Since(lastOrder), 10*time.Second)
+				}
+				require.GreaterOrEqual(t, time.Since(lastOrder), leaseTTL+3*time.Second)
+			})
+		})
+	}
+}
+
+// TestLateRenewalAfterRestore guards against a renewal of the earlier era that the
+// store carries out late, since the offset matches again: the holder of the new
+// era is replaced in the stream by a record that says nothing about it.
+func TestLateRenewalAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(false)
+		a := h.elector("a", "1")
+		stop := h.run(t, a)
+		time.Sleep(6 * time.Second)
+		end := a.Status().End
+		stop()
+		h.store.Restore(4 * time.Second)
+		b, c := h.elector("b", "1"), h.elector("c", "1")
+		stopB := h.run(t, b)
+		time.Sleep(time.Second)
+		defer h.run(t, c)()
+		for !mayOrder(b) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		late := []byte(`{"holder":"a","incarnation":"1","fence":1}`)
+		for b.Status().End.Offset < end.Offset {
+			time.Sleep(10 * time.Millisecond)
+		}
+		_, err := h.store.PutAt(t.Context(), tamarackknot.StreamLease, leaseKey, late, b.Status().End)
+		require.NoError(t, err)
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			require.True(t, mayOrder(b), "the holder renews after the late record")
+			require.False(t, c.Status().Held)
+		}
+		// If the holder ends with such a record in the stream, its validity and the
+		// gap are waited out.
+		_, err = h.store.PutAt(t.Context(), tamarackknot.StreamLease, leaseKey, late, b.Status().End)
+		require.NoError(t, err)
+		lastOrder := time.Now()
+		stopB()
+		for !mayOrder(c) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, time.Since(lastOrder), leaseTTL+3*time.Second)
+	})
+}
+
+// TestFirstStart guards against a gap before the first order of a whole system
+// that starts for the first time on a store that names its era.
+func TestFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(false)
+		h.store.Restore(0)
+		first, later := h.elector("a", "1"), h.elector("b", "1")
+		first.cfg.FirstStart = true
+		defer h.run(t, later)()
+		defer h.run(t, first)()
+		time.Sleep(500 * time.Millisecond)
+		require.True(t, mayOrder(first))
+	})
+}
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -136,6 +136,8 @@
 	// active says that this host plans. It is written only by Run's goroutine.
 	active  bool
 	savedAt time.Time
+	// savedEra is the era of the store in which the history was last written.
+	savedEra int64
 }
 
 // modelKey identifies a model of a service.
@@ -209,11 +211,12 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	if !c.active {
-		c.active, c.savedAt = true, now
+		c.active, c.savedAt, c.savedEra = true, now, c.cfg.Store.Era()
 		c.cfg.Logger.Info("planning started", "endpoints", len(c.cfg.Endpoints()))
 	}
-	if now.Sub(c.savedAt) >= saveInterval {
-		c.savedAt = now
+	// After a restore the store has lost the last history that was written.
+	if era := c.cfg.Store.Era(); now.Sub(c.savedAt) >= saveInterval || era > c.savedEra {
+		c.savedAt, c.savedEra = now, era
 		c.wg.Go(func() { c.saveHistory(ctx) })
 	}
 	c.syncEngines(ctx, catalog, now)
--- a/planner/controller_test.go
+++ b/planner/controller_test.go
@@ -326,6 +326,26 @@
 	})
 }
 
+// TestHistoryOverRestore guards against a demand history that is missing from the
+// store until its next routine write after a restore.
+func TestHistoryOverRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.setDemand(waitingDemand("m10"))
+		_, stop := h.start()
+		defer stop()
+		time.Sleep(saveInterval + time.Second)
+		h.store.Restore(saveInterval + time.Second)
+		page, err := h.store.Newest(t.Context(), tamarackknot.StreamHistory)
+		require.NoError(t, err)
+		require.Empty(t, page.Records)
+		time.Sleep(time.Second)
+		page, err = h.store.Newest(t.Context(), tamarackknot.StreamHistory)
+		require.NoError(t, err)
+		require.Len(t, page.Records, 1)
+	})
+}
+
 // TestColdLimit guards against more concurrent loads from the weight store than
 // run at full speed, and against fewer.
 func TestColdLimit(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,25 +54,35 @@
 
 	mu      sync.Mutex
 	mirrors map[tamarackknot.Stream]*mirror
+	// announcedEra is the newest era that another host has announced.
+	announcedEra int64
 }
 
-// mirror holds the newest known record of each key of a stream, deletions
-// included.
+// mirror holds the newest known record of each key of a stream, of one era of the
+// store.
 type mirror struct {
 	records map[string]tamarackknot.KeyedRecord
-	next    int64
+	next    tamarackknot.Position
+	// listed is the end of the last listing. Deletions before it are not known,
+	// deletions after it are among the records.
+	listed  int64
 	readAt  time.Time // last read of the platform's store, by this host or a peer; zero: never
 	relayed bool      // the last page came from another host
 }
 
+// recordsParams asks for the records from offset From of an era on.
 type recordsParams struct {
 	Stream tamarackknot.Stream `json:"stream"`
 	From   int64               `json:"from"`
+	Era    int64               `json:"era,omitempty"`
 }
 
 type recordsResult struct {
 	Records []tamarackknot.KeyedRecord `json:"records,omitempty"`
 	Next    int64                      `json:"next"`
+	Era     int64                      `json:"era,omitempty"`
+	// Full says that Records holds the newest record of each key.
+	Full bool `json:"full,omitempty"`
 	// AgeMs is the time since the platform's store was last read; -1 means never.
 	AgeMs int64 `json:"ageMs"`
 }
@@ -87,6 +97,20 @@
 	return s
 }
 
+// Era implements tamarackknot.Store. It includes what other hosts have announced.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.announcedEra, s.Store.Era())
+}
+
+// AnnounceEra records an era of the store that another host has learned of.
+func (s *Store) AnnounceEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announcedEra = max(s.announcedEra, era)
+}
+
 // Newest implements tamarackknot.Store.
 func (s *Store) Newest(ctx context.Context, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
 	page, err := s.Store.Newest(ctx, stream)
@@ -94,17 +118,29 @@
 	if m == nil {
 		return page, err
 	}
+	if err == nil && !s.mergeListing(m, page) {
+		err = errors.Wrap(tamarackknot.ErrExpired, "the listing belongs to an earlier era of the store")
+	}
 	if err != nil {
-		return s.readPeers(ctx, stream, 0, err)
+		return s.readPeers(ctx, stream, tamarackknot.Position{}, err)
 	}
+	return page, nil
+}
+
+// mergeListing merges a listing of the platform's store into a mirror, unless
+// the mirror already belongs to a later era.
+func (s *Store) mergeListing(m *mirror, page tamarackknot.StreamPage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m.replaceAll(page)
-	return page, nil
+	if page.Next.Era < m.next.Era {
+		return false
+	}
+	m.merge(page)
+	return true
 }
 
 // Read implements tamarackknot.Store.
-func (s *Store) Read(ctx context.Context, stream tamarackknot.Stream, from int64, deadline time.Time) (tamarackknot.StreamPage, error) {
+func (s *Store) Read(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position, deadline time.Time) (tamarackknot.StreamPage, error) {
 	if s.mirrors[stream] == nil {
 		return s.Store.Read(ctx, stream, from, deadline)
 	}
@@ -138,7 +174,7 @@
 type pendingRead struct {
 	store  *Store
 	stream tamarackknot.Stream
-	from   int64
+	from   tamarackknot.Position
 	wait   time.Time
 	done   chan readResult
 }
@@ -150,7 +186,7 @@
 
 // finishRead merges a page of the platform's store into the mirror, or reads
 // through other hosts if the read failed.
-func (s *Store) finishRead(ctx context.Context, stream tamarackknot.Stream, from int64, res readResult) (tamarackknot.StreamPage, error) {
+func (s *Store) finishRead(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position, res readResult) (tamarackknot.StreamPage, error) {
 	if errors.Is(res.err, tamarackknot.ErrExpired) {
 		return res.page, res.err
 	}
@@ -165,18 +201,18 @@
 
 // ReadPeers returns the records of a stream from an offset on that another host
 // has mirrored.
-func (s *Store) ReadPeers(ctx context.Context, stream tamarackknot.Stream, from int64) (tamarackknot.StreamPage, error) {
+func (s *Store) ReadPeers(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
 	return s.readPeers(ctx, stream, from, errStorePending)
 }
 
 // ReadPeer is ReadPeers with a given host.
-func (s *Store) ReadPeer(ctx context.Context, host string, stream tamarackknot.Stream, from int64) (tamarackknot.StreamPage, error) {
+func (s *Store) ReadPeer(ctx context.Context, host string, stream tamarackknot.Stream, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
 	return s.readHosts(ctx, []string{host}, stream, from, errStorePending)
 }
 
 // readPeers reads a stream through up to maxPeers randomly chosen hosts. If none
 // has newer or fresh enough data, it returns cause.
-func (s *Store) readPeers(ctx context.Context, stream tamarackknot.Stream, from int64, cause error) (tamarackknot.StreamPage, error) {
+func (s *Store) readPeers(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position, cause error) (tamarackknot.StreamPage, error) {
 	hosts := s.cfg.Hosts()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return s.readHosts(ctx, hosts[:min(len(hosts), maxPeers)], stream, from, cause)
@@ -184,21 +220,26 @@
 
 // readHosts tries the hosts in order and merges the first usable answer into the
 // mirror.
-func (s *Store) readHosts(ctx context.Context, hosts []string, stream tamarackknot.Stream, from int64, cause error) (tamarackknot.StreamPage, error) {
+func (s *Store) readHosts(ctx context.Context, hosts []string, stream tamarackknot.Stream, from tamarackknot.Position, cause error) (tamarackknot.StreamPage, error) {
 	for _, host := range hosts {
 		var r recordsResult
 		callCtx, cancel := context.WithDeadline(ctx, time.Now().Add(peerTimeout))
-		err := s.cfg.Peers.Call(callCtx, host, methodRecords, recordsParams{stream, from}, &r)
+		err := s.cfg.Peers.Call(callCtx, host, methodRecords, recordsParams{Stream: stream, From: from.Offset, Era: from.Era}, &r)
 		cancel()
 		if err != nil {
 			s.cfg.Logger.Debug("cannot read stream through host", "host", host, "stream", stream, "error", err)
 			continue
 		}
 		age := time.Duration(r.AgeMs) * time.Millisecond
-		if r.AgeMs < 0 || r.Next < from || r.Next == from && age > maxPeerAge {
+		next := tamarackknot.Position{Era: r.Era, Offset: r.Next}
+		if order := next.Compare(from); r.AgeMs < 0 || order < 0 || order == 0 && age > maxPeerAge {
+			continue
+		}
+		if next.Era != from.Era && !r.Full {
+			s.cfg.Logger.Warn("relayed page rejected: it lacks the records of its era", "host", host, "stream", stream, "era", next.Era, "expected", from.Era)
 			continue
 		}
-		page := tamarackknot.StreamPage{Records: r.Records, End: r.Next, Next: r.Next, Relayed: true}
+		page := tamarackknot.StreamPage{Records: r.Records, End: next, Next: next, Full: r.Full, Relayed: true}
 		s.mu.Lock()
 		m := s.mirrors[stream]
 		m.merge(page)
@@ -224,35 +265,35 @@
 	if m == nil || m.readAt.IsZero() {
 		return recordsResult{AgeMs: -1}, nil
 	}
-	r := recordsResult{Next: m.next, AgeMs: time.Since(m.readAt).Milliseconds()}
+	r := recordsResult{
+		Next: m.next.Offset, Era: m.next.Era, AgeMs: time.Since(m.readAt).Milliseconds(),
+		Full: p.From < m.listed || m.next.Era != p.Era,
+	}
 	for _, rec := range m.records {
-		if rec.Offset >= p.From {
+		if r.Full || rec.Offset >= p.From {
 			r.Records = append(r.Records, rec)
 		}
 	}
 	return r, nil
 }
 
-// replaceAll applies a full listing. Keys missing from it are marked as deleted.
-func (m *mirror) replaceAll(page tamarackknot.StreamPage) {
-	listed := make(map[string]bool, len(page.Records))
-	for _, rec := range page.Records {
-		listed[rec.Key] = true
+// merge applies a page. A full page replaces all records unless it is older than
+// them. Pages of an earlier era are ignored.
+func (m *mirror) merge(page tamarackknot.StreamPage) {
+	if page.Next.Era < m.next.Era {
+		return
 	}
-	for key, rec := range m.records {
-		if !listed[key] && rec.Value != nil {
-			m.records[key] = tamarackknot.KeyedRecord{Key: key, Offset: max(page.Next-1, 0)}
-		}
+	if page.Full && page.Next.Compare(m.next) >= 0 {
+		clear(m.records)
+		m.listed = page.Next.Offset
 	}
-	m.merge(page)
-}
-
-// merge adds the records of a page that are not older than the known ones.
-func (m *mirror) merge(page tamarackknot.StreamPage) {
 	for _, rec := range page.Records {
 		if old, ok := m.records[rec.Key]; !ok || old.Offset <= rec.Offset {
 			m.records[rec.Key] = rec
 		}
 	}
-	m.next, m.readAt, m.relayed = max(m.next, page.Next), time.Now(), false
+	if page.Next.Compare(m.next) > 0 {
+		m.next = page.Next
+	}
+	m.readAt, m.relayed = time.Now(), false
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,8 @@
 
 const stream = tamarackknot.StreamEndpoints
 
+func at(offset int64) tamarackknot.Position { return tamarackknot.Position{Offset: offset} }
+
 // harness is a fake store and a fake network for several hosts.
 type harness struct {
 	streams *fake.Streams
@@ -58,17 +60,29 @@
 		page, err = disconnected.Read(t.Context(), stream, page.Next, time.Now())
 		require.NoError(t, err)
 		require.True(t, page.Relayed)
-		require.Equal(t, int64(4), page.Next)
+		require.Equal(t, at(4), page.Next)
+		require.True(t, page.Full, "the connected host has listed the stream since: what is not in the page is deleted")
 		require.Len(t, page.Records, 2)
 		for _, r := range page.Records {
-			require.Equal(t, map[string]string{"k1": "", "k3": "v3"}[r.Key], string(r.Value))
+			require.Equal(t, map[string]string{"k2": "v2", "k3": "v3"}[r.Key], string(r.Value))
 		}
+		// A deletion after the listing is passed on as a record.
+		h.put(t, "k2", "")
+		_, err = connected.Read(t.Context(), stream, page.Next, time.Now())
+		require.NoError(t, err)
+		page, err = disconnected.Read(t.Context(), stream, page.Next, time.Now())
+		require.NoError(t, err)
+		require.False(t, page.Full)
+		require.Equal(t, at(5), page.Next)
+		require.Len(t, page.Records, 1)
+		require.Equal(t, "k2", page.Records[0].Key)
+		require.Nil(t, page.Records[0].Value)
 		// Nothing is new and the other host's last read is recent: no error.
-		_, err = disconnected.Read(t.Context(), stream, 4, time.Now())
+		_, err = disconnected.Read(t.Context(), stream, at(5), time.Now())
 		require.NoError(t, err)
 		// The other host's last read is too old: the store's error is returned.
 		time.Sleep(2 * maxPeerAge)
-		_, err = disconnected.Read(t.Context(), stream, 4, time.Now())
+		_, err = disconnected.Read(t.Context(), stream, at(5), time.Now())
 		require.ErrorIs(t, err, tamarackknot.ErrRefused)
 	})
 }
@@ -89,10 +103,48 @@
 		failed := false
 		for range 10 {
 			time.Sleep(maxPeerAge / 2)
-			_, err1 := one.Read(t.Context(), stream, 1, time.Now())
-			_, err2 := two.Read(t.Context(), stream, 1, time.Now())
+			_, err1 := one.Read(t.Context(), stream, at(1), time.Now())
+			_, err2 := two.Read(t.Context(), stream, at(1), time.Now())
 			failed = err1 != nil && err2 != nil
 		}
 		require.True(t, failed)
 	})
 }
+
+// TestRelayOverRestore guards against pages of two eras that are joined: records
+// of an earlier era that reach a host of a later one, and a host that continues
+// at its old offset in a restored stream.
+func TestRelayOverRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := harness{fake.NewStreams(), fake.NewPeers(fake.PeersConfig{})}
+		behind, ahead := h.host("behind", "ahead"), h.host("ahead", "behind")
+		h.put(t, "k1", "v1")
+		time.Sleep(2 * time.Second)
+		h.put(t, "k2", "v2")
+		before, err := behind.Newest(t.Context(), stream)
+		require.NoError(t, err)
+		_, err = ahead.Newest(t.Context(), stream)
+		require.NoError(t, err)
+		h.streams.SetDown("behind", true)
+		h.streams.Restore(time.Second)
+		h.put(t, "k3", "v3") // at the offset that k2 had
+		after, err := ahead.Newest(t.Context(), stream)
+		require.NoError(t, err)
+		require.Equal(t, before.Next.Offset, after.Next.Offset)
+
+		// The host that is ahead gets nothing from one of an earlier era.
+		h.streams.SetDown("ahead", true)
+		_, err = ahead.Read(t.Context(), stream, after.Next, time.Now())
+		require.ErrorIs(t, err, tamarackknot.ErrRefused)
+		// The host that is behind gets all records of the later era at once.
+		page, err := behind.Read(t.Context(), stream, before.Next, time.Now())
+		require.NoError(t, err)
+		require.True(t, page.Full)
+		require.Equal(t, after.Next, page.Next)
+		require.Len(t, page.Records, 2)
+		h.streams.SetDown("ahead", false)
+		require.EqualValues(t, 1, ahead.Era())
+		ahead.AnnounceEra(3)
+		require.EqualValues(t, 3, ahead.Era())
+	})
+}
--- a/store.go
+++ b/store.go
@@ -1,6 +1,7 @@
 package tamarackknot
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -14,11 +15,30 @@
 	// ErrConflict says that the stream does not end at the offset that the
 	// append expected.
 	ErrConflict = errors.New("the stream does not end at the expected offset")
-	// ErrExpired says that the requested records have expired.
+	// ErrExpired says that a position cannot be read from any more: its records
+	// have expired, or the store has been restored from an older copy since.
 	ErrExpired = errors.New("the requested records have expired")
+	// ErrRestored says that an append took effect in a later era of the store
+	// than its expected end belongs to, so it may follow unknown records.
+	ErrRestored = errors.New("the store has been restored from an older copy")
 )
 
-// KeyedRecord is a record of a keyed stream. A nil Value deletes the key.
+// Position is a place in a stream of the platform's store. When the store is
+// restored from an older copy, its era rises and it assigns offsets again, so
+// offsets are comparable within an era only. Era is 0 while it is not known.
+type Position struct {
+	Era    int64 `json:"era,omitempty"`
+	Offset int64 `json:"offset"`
+}
+
+// Compare returns a negative number if p precedes q, 0 if they are equal and a
+// positive number otherwise. All positions of an era precede those of the next.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Offset, q.Offset))
+}
+
+// KeyedRecord is a record of a keyed stream. A nil Value deletes the key. Offset
+// belongs to the era of the page that the record was read with.
 type KeyedRecord struct {
 	Key    string `json:"key"`
 	Value  []byte `json:"value,omitempty"`
@@ -28,10 +48,13 @@
 // StreamPage is the result of a read of a stream.
 type StreamPage struct {
 	Records []KeyedRecord
-	// End is the offset of the next record to be appended.
-	End int64
-	// Next is the offset at which to continue reading.
-	Next int64
+	// End is the position of the next record to be appended.
+	End Position
+	// Next is the position at which to continue reading.
+	Next Position
+	// Full says that the page holds the newest record of each key instead of the
+	// records from a position on.
+	Full bool
 	// Relayed says that the page comes from the copy of another host, not from
 	// the store.
 	Relayed bool
@@ -51,18 +74,23 @@
 
 // Store is the platform's store, which consists of keyed append-only streams.
 type Store interface {
+	// Era returns the newest era that this host has learned of, 0 while none is
+	// known.
+	Era() int64
 	// Newest returns the newest record of each key and the end of the stream
 	// before the first page was read.
 	Newest(ctx context.Context, s Stream) (StreamPage, error)
-	// Read returns the records, starting at an offset. If there is none, it
+	// Read returns the records, starting at a position. If there is none, it
 	// waits for a record until the deadline.
-	Read(ctx context.Context, s Stream, from int64, deadline time.Time) (StreamPage, error)
-	// Put appends a record. After an error that is neither ErrRefused nor
-	// ErrConflict, the record may have been appended or may still be.
-	Put(ctx context.Context, s Stream, key string, value []byte) (offset int64, err error)
-	// PutAt appends a record if the stream ends at the offset end, and returns
-	// ErrConflict otherwise.
-	PutAt(ctx context.Context, s Stream, key string, value []byte, end int64) (offset int64, err error)
+	Read(ctx context.Context, s Stream, from Position, deadline time.Time) (StreamPage, error)
+	// Put appends a record and returns its position. After an error that is
+	// neither ErrRefused nor ErrConflict, the record may have been appended or
+	// may still be.
+	Put(ctx context.Context, s Stream, key string, value []byte) (Position, error)
+	// PutAt appends a record if the stream ends at end, and returns ErrConflict
+	// otherwise. The store compares offsets only; ErrRestored says that the
+	// record was appended in a later era than that of end.
+	PutAt(ctx context.Context, s Stream, key string, value []byte, end Position) (Position, error)
 }
 
 // WeightControl sends orders to model engines and reads their reports.
