--- a/entry/hosted/hosted_test.go
+++ b/entry/hosted/hosted_test.go
@@ -35,7 +35,7 @@
 	t.Helper()
 	h := &host{done: make(chan error, 1), settings: platform.SiteSettings{
 		FirstStart: true,
-		Host: name, FailureDomain: "z1", IP: "127.0.0.1",
+		Host:       name, FailureDomain: "z1", IP: "127.0.0.1",
 		CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t), DirectoryAddress: freeAddress(t), PeerAddress: freeAddress(t),
 		StoreAddress: p.Listener.Addr().String(), Grace: 6 * time.Second, OrderGap: 3 * time.Second,
 		RecoveryTime: 3 * time.Second, EnginesEnforceFencing: true, RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second,
