Explain from the logs why requests were not answered in time

Cause: nobody knew the shares of what load at its worst loses. The log line of a request had the time that it waited, but not for what, and no route objective to compare with; lines of the hosted daemon had no time.

Change: dispatch adds up what a request waits for: a model, an adapter or a slot.

Measured: nothing is decided otherwise.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -62,6 +62,7 @@
 	Reason string
 	// RetryAt is zero if a retry does not help.
 	RetryAt time.Time
+	Waits   Waits
 }
 
 // Result is the outcome of an attempt at an endpoint.
@@ -88,12 +89,11 @@
 // release it.
 type Grant struct {
 	Endpoint tamarackknot.EndpointEntry
-	// Waited is how long the request was queued.
-	Waited  time.Duration
-	d       *Dispatcher
-	req     *Request
-	started bool // the answer has begun
-	once    sync.Once
+	Waits    Waits
+	d        *Dispatcher
+	req      *Request
+	started  bool // the answer has begun
+	once     sync.Once
 }
 
 // Config configures a Dispatcher.
@@ -146,6 +146,10 @@
 	tight   bool
 	granted chan *Grant
 	refused chan *Refusal
+	waits   Waits
+	// lack is what the request has waited for since checkedAt.
+	lack      lack
+	checkedAt time.Time
 }
 
 // New returns a Dispatcher without endpoints.
@@ -189,7 +193,8 @@
 	now := time.Now()
 	d.mu.Lock()
 	tight := d.recordRequest(req, now)
-	if g := d.tryGrant(req, now); g != nil {
+	g, lack := d.tryGrant(req, now)
+	if g != nil {
 		d.mu.Unlock()
 		return g, nil
 	}
@@ -197,7 +202,7 @@
 		d.mu.Unlock()
 		return nil, r
 	}
-	w := &waiter{req: req, tight: tight, granted: make(chan *Grant, 1), refused: make(chan *Refusal, 1)}
+	w := &waiter{req: req, tight: tight, granted: make(chan *Grant, 1), refused: make(chan *Refusal, 1), lack: lack, checkedAt: now}
 	d.enqueue(w)
 	d.mu.Unlock()
 	if req.Model != "" && d.cfg.OnModelWait != nil {
@@ -205,13 +210,11 @@
 	}
 	select {
 	case g := <-w.granted:
-		g.Waited = time.Since(now)
 		return g, nil
 	case r := <-w.refused:
 		return nil, r
 	case <-ctx.Done():
-		d.abandon(w)
-		return nil, &Refusal{Reason: "the caller left"}
+		return nil, &Refusal{Reason: "the caller left", Waits: d.abandon(w)}
 	}
 }
 
@@ -264,19 +267,23 @@
 	d.changed[target{w.req.Service, w.req.Model}] = true
 }
 
-func (d *Dispatcher) abandon(w *waiter) {
+// abandon ends the wait of a request whose caller has left, and returns what it
+// has waited for.
+func (d *Dispatcher) abandon(w *waiter) Waits {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if i := slices.Index(d.waiting, w); i >= 0 {
 		d.waiting = slices.Delete(d.waiting, i, i+1)
 		d.changed[target{w.req.Service, w.req.Model}] = true
-		return
+		w.recordWait(w.lack, time.Now())
+		return w.waits
 	}
 	select {
 	case g := <-w.granted:
 		g.finish(ResultDisconnected)
 	default:
 	}
+	return w.waits
 }
 
 // serveWaiting grants or refuses waiting requests where it can. The caller holds
@@ -284,9 +291,13 @@
 func (d *Dispatcher) serveWaiting(now time.Time) {
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
-		if g := d.tryGrant(w.req, now); g != nil {
+		g, lack := d.tryGrant(w.req, now)
+		w.recordWait(lack, now)
+		if g != nil {
+			g.Waits = w.waits
 			w.granted <- g
 		} else if r := d.unmeetable(w.req, now); r != nil {
+			r.Waits = w.waits
 			w.refused <- r
 		} else {
 			kept = append(kept, w)
@@ -335,14 +346,20 @@
 }
 
 // best returns the endpoint with the lowest score for the request and that
-// score; the endpoint is nil if none can take the request.
-func (d *Dispatcher) best(req *Request, now time.Time) (*endpoint, float64) {
+// score; the endpoint is nil if none can take the request, for lack of what the
+// last result says.
+func (d *Dispatcher) best(req *Request, now time.Time) (*endpoint, float64, lack) {
 	var best *endpoint
 	bestScore := 0.0
+	missing := lackModel
+	if req.Model == "" {
+		missing = lackSlot
+	}
 	affinity := d.affinityEndpoint(req)
 	preferred := d.preferredReplica(req)
 	for _, e := range d.byService[req.Service] {
 		if !e.accepts(req, now) {
+			missing = min(missing, e.lacks(req))
 			continue
 		}
 		score := e.score(req, d.cfg.FailureDomain, now)
@@ -356,15 +373,15 @@
 			best, bestScore = e, score
 		}
 	}
-	return best, bestScore
+	return best, bestScore, missing
 }
 
-// tryGrant assigns the request to the best endpoint; it returns nil if none can
-// take it.
-func (d *Dispatcher) tryGrant(req *Request, now time.Time) *Grant {
-	best, bestScore := d.best(req, now)
+// tryGrant assigns the request to the best endpoint. If none can take it, it
+// returns nil and what is lacking.
+func (d *Dispatcher) tryGrant(req *Request, now time.Time) (*Grant, lack) {
+	best, bestScore, missing := d.best(req, now)
 	if best == nil {
-		return nil
+		return nil, missing
 	}
 	best.own++
 	best.prefilling++
@@ -372,7 +389,7 @@
 	d.recordAffinity(req, best.entry.ID)
 	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", bestScore,
 		"own", best.own, "others", best.others)
-	return &Grant{Endpoint: best.entry, d: d, req: req}
+	return &Grant{Endpoint: best.entry, d: d, req: req}, 0
 }
 
 // preferredReplica returns the engine that this host prefers for a model, nil if
--- a/entry/commands/commands.go
+++ b/entry/commands/commands.go
@@ -22,6 +22,9 @@
 	exitUsage  = 2
 )
 
+// timeFormat is the time in a log line, RFC 3339 with milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Run parses the arguments, runs the daemon until SIGTERM or SIGINT and returns
 // the exit code of the process.
 func Run(args []string, stdout, stderr io.Writer) int {
@@ -42,7 +45,7 @@
 		Level:           level,
 		Formatter:       log.LogfmtFormatter,
 		ReportTimestamp: true,
-		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
+		TimeFormat:      timeFormat,
 		Fields:          []any{"host", s.Name},
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/entry/commands/hosted.go
+++ b/entry/commands/hosted.go
@@ -74,7 +74,9 @@
 	go w.Run(logCtx)
 	defer w.Wait()
 	defer stopLog()
-	logger := log.NewWithOptions(w, log.Options{Level: level, Formatter: log.LogfmtFormatter, Fields: []any{"host", s.Host}})
+	logger := log.NewWithOptions(w, log.Options{
+		Level: level, Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: timeFormat, Fields: []any{"host", s.Host},
+	})
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go reloader{signals: reload, logger: logger, settings: s}.run()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -118,6 +118,7 @@
 	// the first event; for other requests it equals deadline.
 	firstEventDeadline time.Time
 	request            dispatch.Request
+	waits              dispatch.Waits
 	possibleRuns       int // attempts in which the request may have run
 	sent               int // attempts that may have reached an endpoint
 	lastErr            string
@@ -134,6 +135,8 @@
 func (x *exchange) selectRoute() bool {
 	view := x.server.cfg.Catalog()
 	if view == nil {
+		// For the log only: without a configuration nothing else is read.
+		x.caller, _ = x.server.cfg.Dialect.Request(x.r.Header)
 		x.refuse("no configuration is known yet", x.arrived.Add(noConfigRetryDelay))
 		return false
 	}
@@ -275,17 +278,31 @@
 
 // log writes a log line with the state of the request.
 func (x *exchange) log(event string, kv ...any) {
-	route := ""
+	route, objective, gapObjective := "", time.Duration(0), time.Duration(0)
 	if x.route != nil {
-		route = x.route.Name
+		route, objective, gapObjective = x.route.Name, x.route.Objective, x.route.GapObjective
 	}
 	all := append([]any{
 		"request", x.caller.ID, "route", route, "version", x.version, "model", x.caller.Model, "adapter", x.caller.Adapter,
-		"endpoint", x.endpoint, "sent", x.sent, "ran", x.possibleRuns, "ms", time.Since(x.arrived).Milliseconds(),
+		"prompt", lastPart(x.caller.Parts), "endpoint", x.endpoint, "sent", x.sent, "ran", x.possibleRuns,
+		"ms", time.Since(x.arrived).Milliseconds(), "objectiveMs", objective.Milliseconds(), "gapObjectiveMs", gapObjective.Milliseconds(),
 	}, kv...)
+	if w := x.waits; w.Total() >= time.Millisecond {
+		all = append(all, "waitedMs", w.Total().Milliseconds(), "modelMs", w.Model.Milliseconds(),
+			"adapterMs", w.Adapter.Milliseconds(), "slotMs", w.Slot.Milliseconds())
+	}
 	x.server.cfg.Logger.Info(event, all...)
 }
 
+// lastPart returns the part of a prompt that belongs to the request itself, by
+// which a caller that returns is recognised.
+func lastPart(parts []string) string {
+	if len(parts) == 0 {
+		return ""
+	}
+	return parts[len(parts)-1]
+}
+
 func (x *exchange) bodyReader() io.ReadCloser {
 	if len(x.body) == 0 {
 		return http.NoBody
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -52,7 +52,7 @@
 		case outcomeDone:
 			x.server.counters.answered.Inc(1)
 			x.log("answered", "status", http.StatusOK, "firstMs", x.firstEventAt.Sub(x.arrived).Milliseconds(),
-				"waitedMs", g.Waited.Milliseconds(), "gapMs", x.longestGap.Milliseconds())
+				"gapMs", x.longestGap.Milliseconds())
 			return
 		case outcomeCallerGone:
 			x.abortCallerGone()
