--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -48,6 +48,9 @@
 	started  time.Time
 	ctx      context.Context
 	wg       sync.WaitGroup
+	// configTurn orders the writes of the configuration. A mutex would stop the
+	// clock of the bubble while a write waits for the store.
+	configTurn chan struct{}
 
 	mu         sync.Mutex
 	hosts      map[string]*clusterHost
@@ -158,15 +161,11 @@
 	<-h.done
 }
 
-// leave shuts a host down as the daemon does at SIGTERM.
-func (h *clusterHost) leave() {
+// shutDown ends a host as the daemon does at SIGTERM.
+func (h *clusterHost) shutDown() {
 	ctx, cancel := context.WithDeadline(h.c.ctx, time.Now().Add(2*time.Second))
 	defer cancel()
-	h.dispatch.Drain(time.Now())
-	h.publisher.Leave(ctx)
-	h.fleet.Leave()
-	h.lease.Release(ctx)
-	h.hosts.Deregister(ctx)
+	h.leave(ctx, time.Now())
 	h.stop()
 }
 
@@ -380,13 +379,28 @@
 func (c *cluster) configure() {
 	c.mu.Lock()
 	c.version += 2
-	version := c.version
 	c.mu.Unlock()
-	c.writeConfig(version)
+	c.writeConfig()
 }
 
-// writeConfig writes a version until the store has accepted it.
-func (c *cluster) writeConfig(version int64) {
+// writeConfig writes the newest version until the store has accepted it.
+func (c *cluster) writeConfig() {
+	for c.ctx.Err() == nil {
+		c.configTurn <- struct{}{}
+		c.mu.Lock()
+		version := c.version
+		c.mu.Unlock()
+		_, err := c.store.Put(c.ctx, tamarackknot.StreamCatalog, "config", configRecord(version))
+		<-c.configTurn
+		if err == nil {
+			return
+		}
+		wait.For(c.ctx, 100*time.Millisecond)
+	}
+}
+
+// configRecord returns a version of the configuration in the platform's format.
+func configRecord(version int64) []byte {
 	models := make([]map[string]any, 0, clusterModels)
 	for i := range clusterModels {
 		models = append(models, map[string]any{"name": modelName(i), "weightsMb": 70000, "loadS": 1.5, "warmS": 0.2, "diskS": 0.6})
@@ -401,7 +415,7 @@
 	if err != nil {
 		panic(err)
 	}
-	c.put(tamarackknot.StreamCatalog, "config", data)
+	return data
 }
 
 // put appends a record until the store has accepted it.
@@ -523,10 +537,7 @@
 	returned := time.Now()
 	c.wg.Go(func() {
 		wait.For(c.ctx, 400*time.Millisecond)
-		c.mu.Lock()
-		version := c.version
-		c.mu.Unlock()
-		c.writeConfig(version)
+		c.writeConfig()
 	})
 	c.wg.Go(func() {
 		wait.For(c.ctx, expiryHeartbeats*heartbeat)
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -100,6 +100,20 @@
 	}
 }
 
+// leave makes the other hosts go on without this one: requests that still wait at
+// drainBy are refused, and the lease is released before the others are told, so
+// that one of them can take it at once.
+func (c *components) leave(ctx context.Context, drainBy time.Time) {
+	c.dispatch.Drain(drainBy)
+	fence, planner := c.publisher.StepDown()
+	c.fleet.Leave()
+	c.lease.Release(ctx)
+	if planner {
+		c.publisher.AnnounceLeave(ctx, fence)
+	}
+	c.hosts.Deregister(ctx)
+}
+
 // buildStreamWatchers builds the components that follow the platform's streams, and
 // the dispatcher that they update.
 func (c *components) buildStreamWatchers() {
@@ -142,11 +156,12 @@
 		Store: store, Host: s.Host, Incarnation: c.self.Incarnation, OrderGap: s.OrderGap, FencingEnforced: s.EnginesEnforceFencing,
 		HolderReachable: func() bool { return c.fleet.PlannerAlive() }, TakeoverDelay: c.takeoverDelay, Logger: logger,
 		FirstStart: s.FirstStart, Clock: c.cfg.clock,
-		HolderEnd: func() (tamarackknot.Position, time.Duration, bool) { return c.fleet.ReportedLeaseEnd() },
+		Registration: func() tamarackknot.Registration { return c.hosts.Registration() },
+		HolderEnd:    func() (tamarackknot.Position, time.Duration, bool) { return c.fleet.ReportedLeaseEnd() },
 	})
 	held := func() bool { return c.lease.Status().Held }
 	c.hosts = fleet.NewRegistry(fleet.RegistryConfig{
-		Store: store, Self: c.self, Follow: held, PlannerHeard: func() bool { return c.fleet.PlannerAlive() }, Logger: logger,
+		Store: store, Self: c.self, Follow: held, Clock: c.cfg.clock, PlannerHeard: func() bool { return c.fleet.PlannerAlive() }, Logger: logger,
 	})
 	c.publisher = fleet.NewPublisher(fleet.PublisherConfig{
 		Self: c.self, Peers: c.cfg.peers, Hosts: c.hosts.Hosts, Logger: logger,
@@ -155,13 +170,18 @@
 			return st.Fence, st.Held
 		},
 		LeaseEnd: func() tamarackknot.Position { return c.lease.Status().End },
-		Catalog:  c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
+		Clock:    c.cfg.clock,
+		OnAcknowledged: func(sentAt time.Duration) {
+			c.lease.Extend(sentAt, c.hosts.Registration().ReadAt)
+		},
+		Catalog: c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
 		OnDemand: func() { c.planner.Replan() },
 	})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
 		Demand: c.dispatch.Demand, OnView: c.dispatch.SetView,
 		CatalogVersion: c.catalogVersion, OnStreamStates: c.updatePlannerStreams, OnStoreEra: store.AnnounceEra,
+		Promise: c.lease.Promise, OnPlannerLeft: c.lease.Wake, Clock: c.cfg.clock,
 	})
 	c.publisher.Bind(c.fleet)
 	c.planner = planner.New(planner.Config{
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -300,11 +300,7 @@
 	d.cfg.Logger.Info("draining", "until", end.Format(time.RFC3339Nano))
 	d.leaving.Store(true)
 	d.callers.Drain()
-	d.dispatch.Drain(started.Add(drainAcceptTime))
-	d.publisher.Leave(ctx)
-	d.fleet.Leave()
-	d.lease.Release(ctx)
-	d.hosts.Deregister(ctx)
+	d.leave(ctx, started.Add(drainAcceptTime))
 	t := time.NewTimer(min(time.Until(started.Add(drainAcceptTime)), time.Until(end)))
 	defer t.Stop()
 	<-t.C
--- a/entry/hosted/restore_test.go
+++ b/entry/hosted/restore_test.go
@@ -85,20 +85,8 @@
 	t.Helper()
 	var violations []string
 	synctest.Test(t, func(*testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{
-			store: fake.NewStreams(), peers: fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond}),
-			engines: fake.NewWeightEngines(100 * time.Millisecond), enforced: enforced, output: output,
-			started: time.Now(), ctx: ctx, hosts: make(map[string]*clusterHost), replicas: make(map[string]*replica),
-			lastOrder: make(map[string]sentOrder), tokens: make(map[int64]string),
-		}
-		c.configure()
-		for i := range clusterEngines {
-			c.startReplica(fmt.Sprintf("e%d", i))
-		}
-		for i := range clusterHosts {
-			c.start(hostName(i), true)
-		}
+		c, cancel := startCluster(enforced, output)
+		ctx := c.ctx
 		wait.For(ctx, 8*time.Second)
 		for _, f := range faults {
 			wait.For(ctx, time.Duration(f.pauseMs)*time.Millisecond)
@@ -113,6 +101,25 @@
 	return violations
 }
 
+// startCluster starts the endpoints and hosts of a cluster for the first time.
+func startCluster(enforced bool, output io.Writer) (*cluster, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{
+		store: fake.NewStreams(), peers: fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond}),
+		engines: fake.NewWeightEngines(100 * time.Millisecond), enforced: enforced, output: output,
+		started: time.Now(), ctx: ctx, hosts: make(map[string]*clusterHost), replicas: make(map[string]*replica),
+		configTurn: make(chan struct{}, 1), lastOrder: make(map[string]sentOrder), tokens: make(map[int64]string),
+	}
+	c.configure()
+	for i := range clusterEngines {
+		c.startReplica(fmt.Sprintf("e%d", i))
+	}
+	for i := range clusterHosts {
+		c.start(hostName(i), true)
+	}
+	return c, cancel
+}
+
 func hostName(i int) string { return fmt.Sprintf("h%d", i) }
 
 // begin starts a fault, which ends by itself.
@@ -161,7 +168,7 @@
 	case "kill":
 		c.replace(h, h.stop, lasts/2)
 	case "handover":
-		c.replace(h, h.leave, lasts/2)
+		c.replace(h, h.shutDown, lasts/2)
 	case "restartHolder":
 		c.mu.Lock()
 		for _, other := range c.hosts {
--- a/fleet.go
+++ b/fleet.go
@@ -52,6 +52,29 @@
 	Hosts []HostEntry
 }
 
+// Registration says how an entry host is registered in the platform's store and
+// what it has read of the registered hosts. Times count from boot, including
+// suspension.
+type Registration struct {
+	// Registered says that the store has accepted the host's entry, at At.
+	Registered bool
+	At         time.Duration
+	// Previous is the position of the entry of an earlier process of the host;
+	// HadPrevious is false if there was none.
+	Previous    Position
+	HadPrevious bool
+	// ReadAt is the start of the last read of the registered hosts, ReadEnd the
+	// position up to which they are read.
+	ReadAt  time.Duration
+	ReadEnd Position
+}
+
+// KnownAt reports whether the registered hosts read up to a position include an
+// earlier process of this host.
+func (r Registration) KnownAt(end Position) bool {
+	return r.HadPrevious && r.Previous.Era == end.Era && r.Previous.Offset < end.Offset
+}
+
 // StreamState says how current a host's copy of a stream of the platform's
 // store is.
 type StreamState struct {
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -46,6 +47,16 @@
 	// CatalogVersion returns the version of the configuration in force on this
 	// host.
 	CatalogVersion func() int64
+	// Promise reports whether this host may acknowledge a message of the planner
+	// that it received at a time on Clock, and records that it does. Nil means that
+	// it never does.
+	Promise func(receivedAt time.Duration) bool
+	// Clock returns the time since boot, including the time of suspension. Nil
+	// means the system's clock.
+	Clock func() time.Duration
+	// OnPlannerLeft is called when the planner announces that it steps down. It may
+	// be nil.
+	OnPlannerLeft func()
 	// OnStoreEra is called with the era of the store that the planner knows, unless
 	// this host is the planner.
 	OnStoreEra func(era int64)
@@ -80,8 +91,9 @@
 	leaving      bool
 	// lastSequence is the sequence number of the planner's last message; behind
 	// is set when an earlier one is missing.
-	lastSequence int64
-	behind       bool
+	lastSequence   int64
+	lastSequenceAt time.Duration // receipt of that message, on Clock
+	behind         bool
 	// held and forecasts accumulate the planner's messages since its last full
 	// view; held is keyed by endpoint id.
 	held      map[string][]tamarackknot.HeldModel
@@ -90,6 +102,9 @@
 
 // NewClient returns a Client and registers its handler with cfg.Peers.
 func NewClient(cfg ClientConfig) *Client {
+	if cfg.Clock == nil {
+		cfg.Clock = times.SinceBoot
+	}
 	c := &Client{
 		cfg: cfg, sendNow: make(chan struct{}, 1),
 		held: make(map[string][]tamarackknot.HeldModel), forecasts: make(map[modelKey]time.Time),
@@ -188,7 +203,7 @@
 // applyView merges a message of the planner. A message with an older fencing
 // token is dropped: its sender has lost the lease.
 func (c *Client) applyView(from string, m viewMessage) {
-	now := time.Now()
+	now, receivedAt := time.Now(), c.cfg.Clock()
 	c.mu.Lock()
 	if m.Fence < c.fence {
 		c.mu.Unlock()
@@ -203,7 +218,7 @@
 	}
 	c.behind = !m.Full && !m.Leaving && (c.behind || m.Sequence != c.lastSequence+1)
 	c.lastSequence, c.leaseEnd = m.Sequence, tamarackknot.Position{Era: m.LeaseEra, Offset: m.LeaseEnd}
-	c.plannerSeenAt = now
+	c.plannerSeenAt, c.lastSequenceAt = now, receivedAt
 	if m.Leaving {
 		c.plannerSeenAt = time.Time{}
 	}
@@ -220,6 +235,9 @@
 	if missing {
 		c.SendNow()
 	}
+	if m.Leaving && c.cfg.OnPlannerLeft != nil {
+		c.cfg.OnPlannerLeft()
+	}
 	v.Planner, v.Fence = from, m.Fence
 	c.cfg.OnView(v)
 	if from != c.cfg.Self.Name {
@@ -292,6 +310,7 @@
 		}
 		c.mu.Lock()
 		planner, all, leaving, behind := c.planner, !c.demandSynced, c.leaving, c.behind
+		fence, sequence, receivedAt := c.fence, c.lastSequence, c.lastSequenceAt
 		alive := c.plannerAlive()
 		c.mu.Unlock()
 		if planner == "" || !alive {
@@ -304,7 +323,11 @@
 		if !urgent && !due && !all && !behind && len(d.Models) == 0 && maps.Equal(running, last) {
 			continue
 		}
-		if c.send(ctx, planner, encodeDemand(d, all, behind, c.cfg.CatalogVersion(), time.Now())) {
+		m := encodeDemand(d, all, behind, c.cfg.CatalogVersion(), time.Now())
+		if planner != c.cfg.Self.Name && c.cfg.Promise != nil && c.cfg.Promise(receivedAt) {
+			m.Acknowledged, m.Fence = sequence, fence
+		}
+		if c.send(ctx, planner, m) {
 			c.mu.Lock()
 			c.demandSynced = c.demandSynced || all && c.planner == planner
 			c.mu.Unlock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,9 @@
 
 	forecasts []tamarackknot.ModelForecast
 	cancels   []context.CancelFunc
+
+	acknowledgedAt time.Duration // the latest that OnAcknowledged was called with
+	keepsSilent    atomic.Bool   // the node promises nothing
 }
 
 func (n *node) setLease(fence int64, held bool) {
@@ -47,7 +51,7 @@
 func start(t *testing.T, count int) (*fake.Peers, []*node) {
 	t.Helper()
 	peers := fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond})
-	logger := log.New(io.Discard)
+	logger, started := log.New(io.Discard), time.Now()
 	var entries []tamarackknot.HostEntry
 	for i := range count {
 		entries = append(entries, tamarackknot.HostEntry{Name: fmt.Sprintf("h%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), PeerAddress: "x"})
@@ -63,6 +67,12 @@
 				defer n.mu.Unlock()
 				return n.fence, n.held
 			},
+			OnAcknowledged: func(sentAt time.Duration) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.acknowledgedAt = max(n.acknowledgedAt, sentAt)
+			},
+			Clock:            func() time.Duration { return time.Since(started) + time.Hour },
 			Catalog:          func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
 			Endpoints:        func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
 			OnCatalogVersion: func(int64) {}, LeaseEnd: func() tamarackknot.Position { return tamarackknot.Position{Offset: 7} },
@@ -83,6 +93,7 @@
 				n.forecasts = v.Forecasts
 			},
 			CatalogVersion: func() int64 { return 1 },
+			Promise:        func(time.Duration) bool { return !n.keepsSilent.Load() },
 			OnStreamStates: func(_, _ tamarackknot.StreamState) {}, OnStoreEra: func(int64) {},
 		})
 		n.publisher.Bind(n.client)
@@ -136,7 +147,8 @@
 		nodes[1].setLease(9, true)
 		time.Sleep(3 * time.Second)
 		require.Equal(t, "h1", nodes[2].client.Planner())
-		nodes[1].publisher.Leave(t.Context())
+		fence, _ := nodes[1].publisher.StepDown()
+		nodes[1].publisher.AnnounceLeave(t.Context(), fence)
 		time.Sleep(100 * time.Millisecond)
 		require.False(t, nodes[2].client.PlannerAlive())
 		require.Equal(t, "h1", nodes[2].client.Planner())
@@ -317,3 +329,37 @@
 	require.Len(t, p.buildView("h", r).Engines, 1)
 	require.Len(t, p.buildView("h", p.newRound(1, nil, time.Now())).Engines, 1, "the new engine follows in the next round")
 }
+
+// TestAcknowledged guards against a planner that counts on the promise of a host
+// that promises nothing, cannot be reached, or has only acknowledged an earlier
+// planner.
+func TestAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers, nodes := start(t, 4)
+		defer stop(nodes)
+		started := time.Now()
+		age := func() time.Duration {
+			nodes[0].mu.Lock()
+			defer nodes[0].mu.Unlock()
+			return time.Since(started) + time.Hour - nodes[0].acknowledgedAt
+		}
+		nodes[0].setLease(5, true)
+		time.Sleep(2 * time.Second)
+		for range 50 {
+			time.Sleep(50 * time.Millisecond)
+			require.Less(t, age(), maxDemandInterval+2*publishInterval)
+		}
+		nodes[1].keepsSilent.Store(true)
+		time.Sleep(2 * time.Second)
+		require.Greater(t, age(), 1500*time.Millisecond)
+		nodes[1].keepsSilent.Store(false)
+		time.Sleep(time.Second)
+		require.Less(t, age(), time.Second)
+		peers.Cut("h2", "h0", true)
+		time.Sleep(2 * time.Second)
+		require.Greater(t, age(), 1500*time.Millisecond)
+		peers.Cut("h2", "h0", false)
+		time.Sleep(time.Second)
+		require.Less(t, age(), time.Second)
+	})
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -22,6 +22,10 @@
 	Models  []modelDemandMessage    `json:"wants,omitempty"`
 	// Catalog is the version of the configuration in force on the host.
 	Catalog int64 `json:"catalog,omitempty"`
+	// Acknowledged is the sequence of the last message of the planner, with its
+	// Fence; 0 if the host promises nothing.
+	Acknowledged int64 `json:"seen,omitempty"`
+	Fence        int64 `json:"fence,omitempty"`
 	// Behind is set when the host missed a message and needs a full view.
 	Behind bool `json:"behind,omitempty"`
 }
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -70,6 +71,12 @@
 	// Catalog and Endpoints return this host's positions in these streams.
 	Catalog   func() tamarackknot.StreamState
 	Endpoints func() tamarackknot.StreamState
+	// Clock returns the time since boot, including the time of suspension. Nil
+	// means the system's clock.
+	Clock func() time.Duration
+	// OnAcknowledged is called with the time on Clock at or after which the newest
+	// acknowledged message of each other registered host was sent. It may be nil.
+	OnAcknowledged func(sentAt time.Duration)
 	// OnCatalogVersion is called with the version that another host has in force.
 	OnCatalogVersion func(version int64)
 	// OnDemand is called when a host reports waiting requests. It may be nil.
@@ -117,6 +124,28 @@
 	sequence        int64
 	hostListVersion int64
 	fence           int64
+	// sends holds the newest messages whose acknowledgement is outstanding, oldest
+	// first, and acknowledgedAt when the newest acknowledged one was sent; zero
+	// means none under this fencing token.
+	sends          []sentMessage
+	acknowledgedAt time.Duration
+}
+
+// sentMessage is a message to a host and when it was sent.
+type sentMessage struct {
+	sequence int64
+	at       time.Duration
+}
+
+// maxSends limits the messages to a host that may still be acknowledged.
+const maxSends = 32
+
+// acknowledge records that the host has received all messages up to a sequence.
+func (s *hostState) acknowledge(sequence int64) {
+	for len(s.sends) > 0 && s.sends[0].sequence <= sequence {
+		s.acknowledgedAt = s.sends[0].at
+		s.sends = s.sends[1:]
+	}
 }
 
 // alive reports whether the host sent a message within hostTimeout.
@@ -152,6 +181,9 @@
 
 // NewPublisher returns a Publisher and registers its handler with cfg.Peers.
 func NewPublisher(cfg PublisherConfig) *Publisher {
+	if cfg.Clock == nil {
+		cfg.Clock = times.SinceBoot
+	}
 	p := &Publisher{cfg: cfg, publishNow: make(chan struct{}, 1), hosts: make(map[string]*hostState), engines: make(map[string]*engineState)}
 	cfg.Peers.Handle(methodDemand, p.handleDemand)
 	return p
@@ -182,6 +214,9 @@
 	if behind {
 		s.fullViewAt = time.Time{}
 	}
+	if m.Acknowledged > 0 && m.Fence == s.fence {
+		s.acknowledge(m.Acknowledged)
+	}
 	waiting := false
 	for _, w := range m.Models {
 		s.demands[[2]string{w.Service, w.Model}] = decodeModelDemand(w, now)
@@ -191,12 +226,39 @@
 	if behind {
 		p.wakePublisher()
 	}
+	if m.Acknowledged > 0 {
+		p.reportAcknowledged(m.Fence)
+	}
 	p.cfg.OnCatalogVersion(m.Catalog)
 	if waiting && p.cfg.OnDemand != nil {
 		p.cfg.OnDemand()
 	}
 }
 
+// reportAcknowledged calls OnAcknowledged if all other registered hosts have
+// acknowledged a message under the fencing token.
+func (p *Publisher) reportAcknowledged(fence int64) {
+	if p.cfg.OnAcknowledged == nil {
+		return
+	}
+	registered := p.cfg.Hosts()
+	earliest := p.cfg.Clock()
+	p.mu.Lock()
+	for _, host := range registered {
+		if host.Name == p.cfg.Self.Name {
+			continue
+		}
+		s := p.hosts[host.Name]
+		if s == nil || s.fence != fence || s.acknowledgedAt == 0 {
+			p.mu.Unlock()
+			return
+		}
+		earliest = min(earliest, s.acknowledgedAt)
+	}
+	p.mu.Unlock()
+	p.cfg.OnAcknowledged(earliest)
+}
+
 // state returns the state of a host and creates it if needed. p.mu is held.
 func (p *Publisher) state(name string) *hostState {
 	s := p.hosts[name]
@@ -292,16 +354,19 @@
 	return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 }
 
-// Leave notifies the hosts that this host is no longer the planner and stops
-// publishing.
-func (p *Publisher) Leave(ctx context.Context) {
-	fence, held := p.cfg.LeaseHeld()
-	if !held {
-		return
-	}
+// StepDown stops publishing. It returns the fencing token and whether this host is
+// the planner, for AnnounceLeave.
+func (p *Publisher) StepDown() (fence int64, held bool) {
+	fence, held = p.cfg.LeaseHeld()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.steppedDown = true
-	p.mu.Unlock()
+	return fence, held
+}
+
+// AnnounceLeave tells the hosts that this host, which planned under the fencing
+// token, has released the lease.
+func (p *Publisher) AnnounceLeave(ctx context.Context, fence int64) {
 	for _, host := range p.cfg.Hosts() {
 		if host.Name != p.cfg.Self.Name {
 			p.send(ctx, host.Name, viewMessage{Fence: fence, Leaving: true})
@@ -361,10 +426,11 @@
 // newRound collects the data shared by the messages of a round. Of several
 // forecasts for a model the earliest counts.
 func (p *Publisher) newRound(fence int64, registered []tamarackknot.HostEntry, now time.Time) *round {
+	leaseEnd := p.cfg.LeaseEnd()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := &round{
-		fence: fence, leaseEnd: p.cfg.LeaseEnd(), now: now, hostCount: len(registered), totals: p.requestTotals(now),
+		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), totals: p.requestTotals(now),
 		forecasts:     make(map[modelKey]time.Time),
 		fullViewsLeft: max(minFullViews, maxFullViewEngines/max(len(p.engines), 1)),
 	}
@@ -412,6 +478,10 @@
 	defer p.mu.Unlock()
 	s := p.state(host)
 	s.sequence++
+	if s.fence != r.fence {
+		s.sends, s.acknowledgedAt = nil, 0
+	}
+	s.sends = append(s.sends[max(len(s.sends)-maxSends+1, 0):], sentMessage{s.sequence, p.cfg.Clock()})
 	m := viewMessage{
 		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
 		Catalog: encodeStream(p.cfg.Catalog(), r.now), Endpoints: encodeStream(p.cfg.Endpoints(), r.now),
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -13,12 +13,15 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 const (
-	// readWait is the long-poll time of one read of the registered hosts.
-	readWait = 5 * time.Second
+	// readWait is the long-poll time of one read of the registered hosts. A holder
+	// of the lease that cannot reach the store relies on the last read for a few
+	// seconds only.
+	readWait = 1500 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 500 * time.Millisecond
 	// eraCheckInterval is the pause between two checks whether the store was
@@ -35,6 +38,9 @@
 type RegistryConfig struct {
 	Store tamarackknot.Store
 	Self  tamarackknot.HostEntry
+	// Clock returns the time since boot, including the time of suspension. Nil
+	// means the system's clock.
+	Clock func() time.Duration
 	// Follow reports whether this host needs the list, which only the planner
 	// does.
 	Follow func() bool
@@ -54,10 +60,14 @@
 	// departed holds the last incarnation of each host that deregistered.
 	departed map[string]string
 	left     bool // this host has deregistered
+	state    tamarackknot.Registration
 }
 
 // NewRegistry returns a Registry that knows only this host.
 func NewRegistry(cfg RegistryConfig) *Registry {
+	if cfg.Clock == nil {
+		cfg.Clock = times.SinceBoot
+	}
 	return &Registry{
 		cfg: cfg, hosts: map[string]tamarackknot.HostEntry{cfg.Self.Name: cfg.Self}, departed: make(map[string]string),
 	}
@@ -83,6 +93,13 @@
 	return h.PeerAddress, ok
 }
 
+// Registration returns how this host is registered and what it has read.
+func (r *Registry) Registration() tamarackknot.Registration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
 // Run registers this host until ctx ends: at the start, after each restore of the
 // store, and when no planner is heard for long, since an earlier process of this
 // host may have removed the entry late.
@@ -135,7 +152,7 @@
 // not wanted any more.
 func (r *Registry) register(ctx context.Context) bool {
 	r.mu.Lock()
-	left := r.left
+	left, first := r.left, !r.state.Registered
 	r.mu.Unlock()
 	if left {
 		return true
@@ -144,13 +161,41 @@
 	if err != nil {
 		panic(err)
 	}
-	if _, err := r.cfg.Store.Put(ctx, tamarackknot.StreamHosts, r.cfg.Self.Name, value); err != nil {
+	if first {
+		err = r.findPrevious(ctx)
+	}
+	if err == nil {
+		_, err = r.cfg.Store.Put(ctx, tamarackknot.StreamHosts, r.cfg.Self.Name, value)
+	}
+	if err != nil {
 		r.cfg.Logger.Warn("cannot register host", "error", err, "retryIn", retryPause)
 		return false
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if first {
+		r.state.Registered, r.state.At = true, r.cfg.Clock()
+	}
 	return true
 }
 
+// findPrevious looks for the entry of an earlier process of this host.
+func (r *Registry) findPrevious(ctx context.Context) error {
+	page, err := r.cfg.Store.Newest(ctx, tamarackknot.StreamHosts)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range page.Records {
+		var h tamarackknot.HostEntry
+		if rec.Key == r.cfg.Self.Name && json.Unmarshal(rec.Value, &h) == nil && h.Incarnation != r.cfg.Self.Incarnation {
+			r.state.Previous, r.state.HadPrevious = tamarackknot.Position{Era: page.End.Era, Offset: rec.Offset}, true
+		}
+	}
+	return nil
+}
+
 // Deregister removes this host's entry from the store.
 func (r *Registry) Deregister(ctx context.Context) {
 	r.mu.Lock()
@@ -166,6 +211,7 @@
 func (r *Registry) follow(ctx context.Context, next *tamarackknot.Position) (*tamarackknot.Position, error) {
 	var page tamarackknot.StreamPage
 	var err error
+	started := r.cfg.Clock()
 	if next == nil {
 		page, err = r.cfg.Store.Newest(ctx, tamarackknot.StreamHosts)
 	} else {
@@ -178,6 +224,9 @@
 		return nil, err
 	}
 	r.apply(page.Records)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.ReadAt, r.state.ReadEnd = started, page.Next
 	return &page.Next, nil
 }
 
--- a/internal/times/times.go
+++ b/internal/times/times.go
@@ -1,7 +1,21 @@
-// Package times compares points in time.
+// Package times compares points in time and reads the clock that counts
+// suspension.
 package times
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// SinceBoot returns the time since boot, including the time of suspension.
+func SinceBoot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err)
+	}
+	return time.Duration(ts.Nano())
+}
 
 // Later returns the later of two times.
 func Later(a, b time.Time) time.Time {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -10,6 +10,12 @@
 // who held the lease last: the lease may be taken only once every holder of that
 // era has stopped. A holder whose own lease is still valid knows that it was the
 // last one, and takes the lease again at once.
+//
+// Where engines do not check fencing tokens, a holder that cannot reach the store
+// goes on while all other registered hosts keep promising that they send no
+// orders. A host promises by acknowledging a message of the holder, and for
+// promiseTime after its last promise it neither counts on the holder's end nor
+// orders itself. See Promise, Extend and firstOrder.
 package lease
 
 import (
@@ -21,9 +27,9 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -59,6 +65,16 @@
 	// fenceEraBits is the number of bits by which the era is shifted in a fencing
 	// token. The sum of both parts stays below 2^53, which JSON carries exactly.
 	fenceEraBits = 32
+	// promiseTime is how long an acknowledged message of the holder keeps its lease
+	// valid without the store. It is that of a renewal.
+	promiseTime = leaseTTL
+	// maxPromised is how long after its last read of the registered hosts a holder
+	// may rely on promises: a host that registered later has promised nothing.
+	maxPromised = 6 * time.Second
+	// firstStartTime is how long after its start a process relies on FirstStart.
+	firstStartTime = 5 * time.Second
+	// wakeJitter spreads the reads of the hosts that see the holder leave.
+	wakeJitter = 50 * time.Millisecond
 	// maxRestoreAge limits the age of the last restore that a holder writes into
 	// its records.
 	maxRestoreAge = 60 * time.Second
@@ -91,6 +107,9 @@
 	// sent, and the age of that message; ok is false without one. Nil means
 	// that holders do not send it.
 	HolderEnd func() (end tamarackknot.Position, age time.Duration, ok bool)
+	// Registration returns how this host is registered. Nil means that holders do
+	// not rely on promises.
+	Registration func() tamarackknot.Registration
 	// Clock returns the time since boot, including the time of suspension. Nil
 	// means the system's clock.
 	Clock  func() time.Duration
@@ -118,6 +137,13 @@
 	WaitMs int64 `json:"waitMs,omitempty"`
 	// Era is the era of the store that the writer knew.
 	Era int64 `json:"era,omitempty"`
+	// HostsEra and HostsEnd are the position up to which the holder has read the
+	// registered hosts.
+	HostsEra int64 `json:"hostsEra,omitempty"`
+	HostsEnd int64 `json:"hostsEnd,omitempty"`
+	// IdleMs is, in a record that releases the lease, the time since the holder's
+	// last order.
+	IdleMs int64 `json:"idleMs,omitempty"`
 	// RestoredMs is the time since the writer learned that the store had been
 	// restored, 0 if it knows of no restore within maxRestoreAge.
 	RestoredMs int64 `json:"restoredMs,omitempty"`
@@ -145,14 +171,29 @@
 	wasRestored bool
 	restoredAt  time.Duration
 
-	yield chan struct{}
+	// promisedAt is when this host last promised another holder not to order, and
+	// promised says that it ever did. acknowledgedAt and hostsReadAt are what the
+	// extension of this holder's lease rests on.
+	promised       bool
+	promisedAt     time.Duration
+	acknowledgedAt time.Duration
+	hostsReadAt    time.Duration
+	// lastOrderAt is when the last order ended, and ordersInFlight the number of
+	// those that have not.
+	lastOrderAt    time.Duration
+	ordersInFlight int
+
+	startedAt time.Duration
+	yield     chan struct{}
+	wake      chan struct{}
 
 	// yieldedAt is when this host last yielded the lease, seenEnd the end of the
 	// stream when it was last read, and seenAt since when that has been the end.
 	// Only Run uses them.
-	yieldedAt time.Duration
-	seenEnd   tamarackknot.Position
-	seenAt    time.Duration
+	yieldedAt  time.Duration
+	seenEnd    tamarackknot.Position
+	seenAt     time.Duration
+	readFailed bool // the last read of the lease failed
 
 	released chan struct{} // closed when Run has returned
 	release  chan struct{} // closed by Release
@@ -161,9 +202,12 @@
 // New returns an Elector that does not hold the lease.
 func New(cfg Config) *Elector {
 	if cfg.Clock == nil {
-		cfg.Clock = bootTime
+		cfg.Clock = times.SinceBoot
+	}
+	return &Elector{
+		cfg: cfg, startedAt: cfg.Clock(), seenEnd: unseen(), yieldedAt: -yieldBackoff,
+		yield: make(chan struct{}, 1), wake: make(chan struct{}, 1), release: make(chan struct{}), released: make(chan struct{}),
 	}
-	return &Elector{cfg: cfg, seenEnd: unseen(), yieldedAt: -yieldBackoff, yield: make(chan struct{}, 1), release: make(chan struct{}), released: make(chan struct{})}
 }
 
 // unseen is the position of a stream that was not read.
@@ -172,15 +216,6 @@
 // fenceAt returns the fencing token of a holder whose record ends at a position.
 func fenceAt(end tamarackknot.Position) int64 { return end.Era<<fenceEraBits + end.Offset }
 
-// bootTime returns the time since boot, including the time of suspension.
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(err)
-	}
-	return time.Duration(ts.Nano())
-}
-
 // Status returns the state of the lease at this host.
 func (e *Elector) Status() Status {
 	e.mu.Lock()
@@ -202,21 +237,79 @@
 func (e *Elector) MayOrder() (fence int64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fence, e.held && e.valid() && e.cfg.Clock() >= e.ordersFrom
+	return e.fence, e.mayOrder()
+}
+
+// mayOrder is MayOrder with e.mu held.
+func (e *Elector) mayOrder() bool {
+	return e.held && e.valid() && e.cfg.Clock() >= e.ordersFrom
 }
 
 // valid reports whether the lease has not expired. Where engines reject
 // outdated fencing tokens, a holder that cannot reach the store stays valid for
 // a while: nobody can take the lease while the store is down, and a host that
-// does reach it gets a higher token.
+// does reach it gets a higher token. Elsewhere it stays valid by promises.
 func (e *Elector) valid() bool {
 	now := e.cfg.Clock()
 	if now < e.validUntil {
 		return true
 	}
-	return e.cfg.FencingEnforced && e.failing && now-e.attemptedAt < maxAttemptAge && now-e.renewedAt < maxExtension
+	if e.cfg.FencingEnforced {
+		return e.failing && now-e.attemptedAt < maxAttemptAge && now-e.renewedAt < maxExtension
+	}
+	return now < min(e.acknowledgedAt+promiseTime, e.hostsReadAt+maxPromised)
+}
+
+// Extend records that all other registered hosts have acknowledged messages that
+// this holder sent at or after acknowledgedAt, and that the list of these hosts
+// was read at hostsReadAt, both on Clock.
+func (e *Elector) Extend(acknowledgedAt, hostsReadAt time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held {
+		e.acknowledgedAt, e.hostsReadAt = acknowledgedAt, hostsReadAt
+	}
+}
+
+// Promise reports whether this host may acknowledge a message of another holder
+// that it received at a time on Clock. If so, it sends no orders until the
+// holder's lease, as far as it rests on the message, and the gap have passed.
+func (e *Elector) Promise(receivedAt time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held && e.valid() {
+		return false
+	}
+	e.promised, e.promisedAt = true, max(e.promisedAt, receivedAt)
+	if e.held {
+		e.ordersFrom = max(e.ordersFrom, e.promisedAt+promiseTime+e.firstOrderGap(0))
+	}
+	return true
+}
+
+// BeginOrder returns the fencing token and whether an order may be sent now. If
+// so, ended must be called when the order has ended.
+func (e *Elector) BeginOrder() (fence int64, ended func(), ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.mayOrder() {
+		return e.fence, nil, false
+	}
+	e.ordersInFlight++
+	return e.fence, e.endOrder, true
 }
 
+func (e *Elector) endOrder() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ordersInFlight--
+	e.lastOrderAt = e.cfg.Clock()
+}
+
+// Wake makes a host that does not hold the lease read it soon, because the holder
+// leaves.
+func (e *Elector) Wake() { wait.Wake(e.wake) }
+
 // HandleFenced records that an engine has seen a higher fencing token, which
 // means that another host holds the lease.
 func (e *Elector) HandleFenced(fence int64) {
@@ -261,6 +354,8 @@
 		case <-ctx.Done():
 		case <-e.release:
 		case <-t.C:
+		case <-e.wake:
+			wait.For(ctx, rand.N(wakeJitter))
 		}
 		t.Stop()
 	}
@@ -297,6 +392,9 @@
 	e.mu.Lock()
 	held, end := e.held && e.valid(), e.end
 	rec := record{Holder: e.cfg.Host, Incarnation: e.cfg.Incarnation, Fence: e.fence, Released: true}
+	if e.ordersInFlight == 0 {
+		rec.IdleMs = (e.cfg.Clock() - e.lastOrderAt).Milliseconds()
+	}
 	e.held = false
 	e.mu.Unlock()
 	if !held {
@@ -313,6 +411,10 @@
 // after it.
 func (e *Elector) put(ctx context.Context, rec record, end tamarackknot.Position) (tamarackknot.Position, error) {
 	rec.Era = end.Era
+	if e.cfg.Registration != nil {
+		read := e.cfg.Registration().ReadEnd
+		rec.HostsEra, rec.HostsEnd = read.Era, read.Offset
+	}
 	e.mu.Lock()
 	if age := e.cfg.Clock() - e.restoredAt; e.wasRestored && age < maxRestoreAge {
 		rec.RestoredMs = max(age.Milliseconds(), 1)
@@ -440,7 +542,7 @@
 // first time has had a holder.
 func (e *Elector) impliesRestore(newest *record, era int64) bool {
 	if newest == nil {
-		return era > 0 && !e.cfg.FirstStart
+		return era > 0 && (!e.cfg.FirstStart || e.cfg.Clock()-e.startedAt > firstStartTime)
 	}
 	return newest.Era < era
 }
@@ -457,6 +559,8 @@
 	}
 	newest, end, err := e.newest(ctx)
 	if err != nil {
+		// The holder could not renew either. After an outage it comes first.
+		e.seenEnd, e.readFailed = unseen(), true
 		return watchInterval + jitter
 	}
 	now := e.cfg.Clock()
@@ -464,14 +568,22 @@
 		return watchInterval + jitter
 	}
 	if end != e.seenEnd {
-		e.seenEnd, e.seenAt = end, e.unchangedSince(end, now)
+		e.seenEnd, e.seenAt = end, now
+		if !e.readFailed {
+			e.seenAt = e.unchangedSince(end, now)
+		}
+		e.readFailed = false
 	}
 	freeAt, gap := e.takeoverTime(newest, end.Era)
 	if e.cfg.TakeoverDelay != nil {
 		freeAt += e.cfg.TakeoverDelay()
 	}
 	if now < freeAt {
-		return watchInterval + jitter
+		return min(watchInterval, freeAt-now) + jitter
+	}
+	holderMayOrder := e.holderMayOrder(newest, end.Era)
+	if holderMayOrder {
+		gap = max(gap, e.promiseGap(newest, now))
 	}
 	rec := record{Holder: e.cfg.Host, Incarnation: e.cfg.Incarnation, WaitMs: gap.Milliseconds()}
 	after, err := e.put(ctx, rec, end)
@@ -479,7 +591,7 @@
 		// If only the answer was lost, the next check finds a record of this host.
 		return jitter
 	}
-	e.acquired(now, after, gap)
+	e.acquired(now, after, gap, holderMayOrder)
 	return renewInterval
 }
 
@@ -514,7 +626,7 @@
 		}
 		return e.seenAt, time.Duration(newest.WaitMs) * time.Millisecond
 	case newest.Released:
-		return e.seenAt, e.firstOrderGap(0)
+		return e.seenAt, max(e.firstOrderGap(0)-time.Duration(newest.IdleMs)*time.Millisecond, 0)
 	default:
 		return e.seenAt + expiryTime, e.firstOrderGap(leaseTTL - expiryTime)
 	}
@@ -532,12 +644,57 @@
 	return e.cfg.OrderGap + remaining + timerMargin
 }
 
-// acquired records that this host took the lease with the record before end.
-func (e *Elector) acquired(now time.Duration, end tamarackknot.Position, gap time.Duration) {
+// holderMayOrder reports whether an earlier holder may still order because it
+// relies on promises. One that has released the lease or ran on this host has
+// stopped, unless the record was read in a later era and may not be the last one.
+func (e *Elector) holderMayOrder(newest *record, era int64) bool {
+	_, restored, _ := e.RestoreAge()
+	switch {
+	case e.cfg.FencingEnforced || e.cfg.Registration == nil:
+		return false
+	case newest == nil:
+		return restored
+	case newest.Era < era:
+		return true
+	default:
+		return !newest.Released && newest.Holder != e.cfg.Host
+	}
+}
+
+// promiseGap returns how long after now the holder of the newest record may still
+// order because it relies on promises, plus the gap: promises that this host gave,
+// those of an earlier process of it, or none if the holder does not know this
+// host.
+func (e *Elector) promiseGap(newest *record, now time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	registration := e.cfg.Registration()
+	until := e.startedAt + promiseTime
+	if e.promised {
+		until = max(until, e.promisedAt+promiseTime)
+	}
+	if newest == nil || !registration.KnownAt(tamarackknot.Position{Era: newest.HostsEra, Offset: newest.HostsEnd}) {
+		registeredAt := now
+		if registration.Registered {
+			registeredAt = registration.At
+		}
+		until = max(until, registeredAt+maxPromised)
+	}
+	return until + e.firstOrderGap(0) - now
+}
+
+// acquired records that this host took the lease with the record before end, and
+// may order after the gap. holderMayOrder is as that of the earlier holder.
+func (e *Elector) acquired(now time.Duration, end tamarackknot.Position, gap time.Duration, holderMayOrder bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.held, e.fence, e.end = true, fenceAt(end), end
 	e.renewedAt, e.attemptedAt, e.validUntil, e.failing = now, now, now+leaseTTL, false
+	e.acknowledgedAt, e.hostsReadAt, e.lastOrderAt = -maxPromised, -maxPromised, -e.cfg.OrderGap
 	e.ordersFrom = now + gap
+	if e.promised && holderMayOrder {
+		// A promise may have been given while the record was on its way.
+		e.ordersFrom = max(e.ordersFrom, e.promisedAt+promiseTime+e.firstOrderGap(0))
+	}
 	e.cfg.Logger.Info("lease taken", "fence", e.fence, "ordersIn", gap)
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -153,11 +153,13 @@
 	cases := map[string]struct {
 		fenced  bool
 		release bool
+		idle    bool // the first holder has sent no order for the gap
 		atLeast time.Duration
 		atMost  time.Duration
 	}{
 		"released, tokens checked":     {fenced: true, release: true, atMost: time.Second},
 		"released, tokens not checked": {fenced: false, release: true, atLeast: 3 * time.Second, atMost: 5 * time.Second},
+		"released after no orders":     {fenced: false, release: true, idle: true, atMost: time.Second},
 		"ended, tokens checked":        {fenced: true, atMost: 4 * time.Second},
 		"ended, tokens not checked":    {fenced: false, atLeast: 3 * time.Second, atMost: 8 * time.Second},
 	}
@@ -172,6 +174,12 @@
 				defer h.run(t, second)()
 				time.Sleep(time.Second)
 				require.False(t, second.Status().Held)
+				_, orderEnded, ok := first.BeginOrder()
+				require.True(t, ok)
+				orderEnded()
+				if c.idle {
+					time.Sleep(4 * time.Second)
+				}
 				if c.release {
 					first.Release(context.Background())
 				}
@@ -488,3 +496,155 @@
 		require.True(t, mayOrder(first))
 	})
 }
+
+// registered returns a Registration of a host that registered at a time on the
+// harness's clock.
+func (h *harness) registered(at time.Duration) func() tamarackknot.Registration {
+	return func() tamarackknot.Registration {
+		return tamarackknot.Registration{Registered: true, At: at}
+	}
+}
+
+// now returns the clock of a host.
+func (h *harness) now(host string) time.Duration {
+	return time.Since(h.started) + time.Hour + h.clockOffset[host]
+}
+
+// TestExtend guards against a holder without the store that orders although not
+// all hosts keep promising, and against one that stops although they do.
+func TestExtend(t *testing.T) {
+	cases := map[string]struct {
+		acknowledged time.Duration // how long the acknowledged messages lie back; 0 means none
+		hostsRead    time.Duration // how long the read of the hosts lies back at the outage
+		fenced       bool
+		suspended    bool
+		lasts        time.Duration
+	}{
+		"no promises":                    {hostsRead: time.Second, lasts: leaseTTL},
+		"promises":                       {acknowledged: 600 * time.Millisecond, lasts: maxPromised},
+		"promises of an old list":        {acknowledged: 600 * time.Millisecond, hostsRead: 3 * time.Second, lasts: maxPromised - 3*time.Second},
+		"promises that are too old":      {acknowledged: 2 * time.Second, lasts: leaseTTL},
+		"a suspension with old promises": {acknowledged: 600 * time.Millisecond, suspended: true, lasts: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(c.fenced)
+				e := h.elector("a", "1")
+				e.cfg.Registration = h.registered(0)
+				defer h.run(t, e)()
+				time.Sleep(2 * time.Second)
+				require.True(t, mayOrder(e))
+				h.store.SetDown("a", true)
+				read := h.now("a") - c.hostsRead
+				extend := func() {
+					if c.acknowledged > 0 {
+						e.Extend(h.now("a")-c.acknowledged, read)
+					}
+				}
+				extend()
+				if c.suspended {
+					h.clockOffset["a"] += 5 * time.Second
+					require.False(t, mayOrder(e))
+					return
+				}
+				started := time.Now()
+				for mayOrder(e) && time.Since(started) < 10*time.Second {
+					time.Sleep(20 * time.Millisecond)
+					extend()
+				}
+				require.InDelta(t, c.lasts.Seconds(), time.Since(started).Seconds(), 0.75, "the last renewal lies back up to 0.7 s")
+			})
+		})
+	}
+}
+
+// TestPromise guards against a host that promises a holder not to order and then
+// does, and against a holder that promises another.
+func TestPromise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(false)
+		a, b := h.elector("a", "1"), h.elector("b", "1")
+		b.cfg.Registration = h.registered(0)
+		stop := h.run(t, a)
+		time.Sleep(time.Second)
+		require.False(t, a.Promise(h.now("a")))
+		defer h.run(t, b)()
+		time.Sleep(9 * time.Second)
+		stop()
+		var promisedAt time.Time
+		for !b.Status().Held {
+			// The last message of a comes after its last renewal.
+			require.True(t, b.Promise(h.now("b")))
+			promisedAt = time.Now()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for !mayOrder(b) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, time.Since(promisedAt), promiseTime+3*time.Second)
+	})
+}
+
+// TestUnknownToHolder guards against a new host that the holder does not know, so
+// that the holder goes on without its promise while the new host orders.
+func TestUnknownToHolder(t *testing.T) {
+	cases := map[string]struct {
+		previous tamarackknot.Position
+		had      bool
+		atLeast  time.Duration
+		atMost   time.Duration
+	}{
+		"a new host":                      {atLeast: maxPromised + 3*time.Second, atMost: 10 * time.Second},
+		"an earlier process is known":     {had: true, previous: tamarackknot.Position{Offset: 4}, atLeast: promiseTime + 3*time.Second, atMost: 6 * time.Second},
+		"an earlier process is not known": {had: true, previous: tamarackknot.Position{Offset: 5}, atLeast: maxPromised + 3*time.Second, atMost: 10 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(false)
+				a, b := h.elector("a", "1"), h.elector("b", "1")
+				a.cfg.Registration = func() tamarackknot.Registration {
+					return tamarackknot.Registration{ReadEnd: tamarackknot.Position{Offset: 5}}
+				}
+				stop := h.run(t, a)
+				time.Sleep(5 * time.Second)
+				stop()
+				at := h.now("b")
+				b.cfg.Registration = func() tamarackknot.Registration {
+					return tamarackknot.Registration{Registered: true, At: at, Previous: c.previous, HadPrevious: c.had}
+				}
+				b.startedAt = at
+				registered := time.Now()
+				defer h.run(t, b)()
+				for !mayOrder(b) {
+					time.Sleep(10 * time.Millisecond)
+					require.Less(t, time.Since(registered), c.atMost)
+				}
+				require.GreaterOrEqual(t, time.Since(registered), c.atLeast)
+			})
+		})
+	}
+}
+
+// TestHolderFirstAfterOutage guards against a host that takes the lease as soon as
+// the store is back, before the holder could renew it.
+func TestHolderFirstAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(true)
+		a, b := h.elector("a", "1"), h.elector("b", "1")
+		defer h.run(t, a)()
+		time.Sleep(time.Second)
+		defer h.run(t, b)()
+		time.Sleep(5 * time.Second)
+		for range 10 {
+			h.store.SetSilent(true)
+			time.Sleep(4 * time.Second)
+			h.store.SetSilent(false)
+			for range 30 {
+				time.Sleep(100 * time.Millisecond)
+				require.False(t, b.Status().Held)
+			}
+		}
+	})
+}
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -76,6 +76,9 @@
 	// MayOrder returns the fencing token for orders, and whether any may be
 	// sent now.
 	MayOrder() (fence int64, ok bool)
+	// BeginOrder is MayOrder for an order that is sent at once. If it may be sent,
+	// ended must be called when it has ended.
+	BeginOrder() (fence int64, ended func(), ok bool)
 	// HandleFenced records that an engine has seen a higher fencing token.
 	HandleFenced(fence int64)
 	// RaiseFence requests a higher fencing token; the next renewal of the lease
--- a/planner/controller_test.go
+++ b/planner/controller_test.go
@@ -68,6 +68,12 @@
 	return h.fence, h.held
 }
 
+// BeginOrder implements Lease.
+func (h *harness) BeginOrder() (fence int64, ended func(), ok bool) {
+	fence, ok = h.MayOrder()
+	return fence, func() {}, ok
+}
+
 // RaiseFence implements Lease.
 func (h *harness) RaiseFence() {
 	time.AfterFunc(500*time.Millisecond, func() {
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -253,18 +253,23 @@
 	outcome := tamarackknot.WeightUnknown
 	unanswered, busy := 0, 0
 	for unanswered < maxOrderAttempts {
-		fence, ok := c.cfg.Lease.MayOrder()
+		fence, ended, ok := c.cfg.Lease.BeginOrder()
+		if !ok {
+			return tamarackknot.WeightUnknown
+		}
 		c.mu.Lock()
 		// After a restart the engine has a new entry in c.engines.
-		ok = ok && c.engines[e.id] == e && e.reported && fence >= e.minFence
+		ok = c.engines[e.id] == e && e.reported && fence >= e.minFence
 		o.Sequence, o.Owner, o.Fence, o.Endpoint = e.sequence, c.cfg.Host, fence, e.id
 		address := e.address
 		e.lastOrderAt = time.Now()
 		c.mu.Unlock()
 		if !ok {
+			ended()
 			return tamarackknot.WeightUnknown
 		}
 		outcome = c.cfg.Control.Order(ctx, address, o)
+		ended()
 		c.cfg.Logger.Debug("order", "endpoint", o.Endpoint, "kind", o.Kind, "model", o.Model, "adapter", o.Adapter,
 			"sequence", o.Sequence, "fence", fence, "outcome", outcome)
 		c.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,5 +1,6 @@
 // Package relay reads the streams of the platform's store through other entry
-// hosts while the store cannot be reached from this host.
+// hosts, and makes calls through them, while the store cannot be reached from this
+// host.
 package relay
 
 import (
@@ -46,8 +47,7 @@
 
 var _ tamarackknot.Store = (*Store)(nil)
 
-// Store wraps the platform's store and reads its streams through other hosts
-// while it does not answer. Appends go to the platform's store only.
+// Store wraps the platform's store and uses other hosts while it does not answer.
 type Store struct {
 	tamarackknot.Store
 	cfg Config
@@ -94,6 +94,7 @@
 		s.mirrors[stream] = &mirror{records: make(map[string]tamarackknot.KeyedRecord)}
 	}
 	cfg.Peers.Handle(methodRecords, s.handleRecords)
+	cfg.Peers.Handle(methodForward, s.handleForward)
 	return s
 }
 
@@ -113,11 +114,11 @@
 
 // Newest implements tamarackknot.Store.
 func (s *Store) Newest(ctx context.Context, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
-	page, err := s.Store.Newest(ctx, stream)
 	m := s.mirrors[stream]
 	if m == nil {
-		return page, err
+		return s.list(ctx, stream)
 	}
+	page, err := s.Store.Newest(ctx, stream)
 	if err == nil && !s.mergeListing(m, page) {
 		err = errors.Wrap(tamarackknot.ErrExpired, "the listing belongs to an earlier era of the store")
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -40,6 +40,13 @@
 	require.NoError(t, err)
 }
 
+// putTo appends a record to a stream that is not mirrored.
+func (h harness) putTo(t *testing.T, s tamarackknot.Stream, key string) {
+	t.Helper()
+	_, err := h.streams.Put(t.Context(), s, key, []byte("v"))
+	require.NoError(t, err)
+}
+
 // TestReadThroughPeer guards against a host that cannot reach the store and misses
 // changes, deletions included, that other hosts have read.
 func TestReadThroughPeer(t *testing.T) {
@@ -148,3 +155,45 @@
 		require.EqualValues(t, 3, ahead.Era())
 	})
 }
+
+// TestForward guards against a host that the store turns away and that cannot
+// renew its lease or register although other hosts reach the store, and against
+// an append that takes effect twice.
+func TestForward(t *testing.T) {
+	const lease = tamarackknot.StreamLease
+	cases := map[string]struct {
+		set     func(h harness)
+		want    error
+		records int
+	}{
+		"the store refuses this host":              {set: func(h harness) { h.streams.SetDown("cut", true) }, records: 2},
+		"the answer to this host is lost":          {set: func(h harness) { h.streams.LoseAnswers(1) }, want: tamarackknot.ErrConflict, records: 2},
+		"the store refuses this host and another":  {set: func(h harness) { h.streams.SetDown("cut", true); h.streams.SetDown("well", true) }, want: tamarackknot.ErrRefused, records: 1},
+		"another host has appended":                {set: func(h harness) { h.put(t, "x", "y"); h.streams.SetDown("cut", true); h.putTo(t, lease, "other") }, want: tamarackknot.ErrConflict, records: 2},
+		"the store was restored and refuses hosts": {set: func(h harness) { h.streams.Restore(0); h.streams.SetDown("cut", true) }, want: tamarackknot.ErrRestored, records: 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := harness{fake.NewStreams(), fake.NewPeers(fake.PeersConfig{})}
+				disconnected := h.host("cut", "well")
+				h.host("well", "cut")
+				h.putTo(t, lease, "first")
+				page, err := disconnected.Newest(t.Context(), lease)
+				require.NoError(t, err)
+				c.set(h)
+				started := time.Now()
+				_, err = disconnected.PutAt(t.Context(), lease, "k", []byte("v"), page.End)
+				if c.want == nil {
+					require.NoError(t, err)
+				} else {
+					require.ErrorIs(t, err, c.want)
+				}
+				require.Less(t, time.Since(started), 600*time.Millisecond)
+				page, err = h.streams.Newest(t.Context(), lease)
+				require.NoError(t, err)
+				require.EqualValues(t, c.records, page.End.Offset)
+			})
+		})
+	}
+}
