Keep the gap when a holder is shut down before its first order

Cause: a release names the time since the holder's last order, from which the next holder counts its gap. A holder that was itself still in its gap had sent none and named a very long time, so the next one ordered at once, within the gap after the holder before. Found by reading the change again.

Change: a new holder counts the last order of an earlier one, which its own gap implies, as its own; a promise to another holder counts likewise.

--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -131,23 +131,6 @@
 	acknowledgedAt time.Duration
 }
 
-// sentMessage is a message to a host and when it was sent.
-type sentMessage struct {
-	sequence int64
-	at       time.Duration
-}
-
-// maxSends limits the messages to a host that may still be acknowledged.
-const maxSends = 32
-
-// acknowledge records that the host has received all messages up to a sequence.
-func (s *hostState) acknowledge(sequence int64) {
-	for len(s.sends) > 0 && s.sends[0].sequence <= sequence {
-		s.acknowledgedAt = s.sends[0].at
-		s.sends = s.sends[1:]
-	}
-}
-
 // alive reports whether the host sent a message within hostTimeout.
 func (s *hostState) alive(now time.Time) bool { return now.Sub(s.lastSeen) < hostTimeout }
 
@@ -235,30 +218,6 @@
 	}
 }
 
-// reportAcknowledged calls OnAcknowledged if all other registered hosts have
-// acknowledged a message under the fencing token.
-func (p *Publisher) reportAcknowledged(fence int64) {
-	if p.cfg.OnAcknowledged == nil {
-		return
-	}
-	registered := p.cfg.Hosts()
-	earliest := p.cfg.Clock()
-	p.mu.Lock()
-	for _, host := range registered {
-		if host.Name == p.cfg.Self.Name {
-			continue
-		}
-		s := p.hosts[host.Name]
-		if s == nil || s.fence != fence || s.acknowledgedAt == 0 {
-			p.mu.Unlock()
-			return
-		}
-		earliest = min(earliest, s.acknowledgedAt)
-	}
-	p.mu.Unlock()
-	p.cfg.OnAcknowledged(earliest)
-}
-
 // state returns the state of a host and creates it if needed. p.mu is held.
 func (p *Publisher) state(name string) *hostState {
 	s := p.hosts[name]
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -178,8 +178,8 @@
 	promisedAt     time.Duration
 	acknowledgedAt time.Duration
 	hostsReadAt    time.Duration
-	// lastOrderAt is when the last order ended, and ordersInFlight the number of
-	// those that have not.
+	// lastOrderAt is when the last order ended, of this holder or an earlier one,
+	// and ordersInFlight the number of own orders that have not.
 	lastOrderAt    time.Duration
 	ordersInFlight int
 
@@ -213,9 +213,6 @@
 // unseen is the position of a stream that was not read.
 func unseen() tamarackknot.Position { return tamarackknot.Position{Offset: -1} }
 
-// fenceAt returns the fencing token of a holder whose record ends at a position.
-func fenceAt(end tamarackknot.Position) int64 { return end.Era<<fenceEraBits + end.Offset }
-
 // Status returns the state of the lease at this host.
 func (e *Elector) Status() Status {
 	e.mu.Lock()
@@ -223,16 +220,6 @@
 	return Status{Held: e.held && e.valid(), Fence: e.fence, End: e.end}
 }
 
-// RestoreAge returns how long ago the store was restored from an older copy, as
-// far as this host or the holder of the lease knows. restored is false if neither
-// knows of a recent restore, and known is false before the first read of the
-// lease.
-func (e *Elector) RestoreAge() (age time.Duration, restored, known bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.cfg.Clock() - e.restoredAt, e.wasRestored, e.watched
-}
-
 // MayOrder returns the fencing token and whether an order may be sent now.
 func (e *Elector) MayOrder() (fence int64, ok bool) {
 	e.mu.Lock()
@@ -260,33 +247,6 @@
 	return now < min(e.acknowledgedAt+promiseTime, e.hostsReadAt+maxPromised)
 }
 
-// Extend records that all other registered hosts have acknowledged messages that
-// this holder sent at or after acknowledgedAt, and that the list of these hosts
-// was read at hostsReadAt, both on Clock.
-func (e *Elector) Extend(acknowledgedAt, hostsReadAt time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.held {
-		e.acknowledgedAt, e.hostsReadAt = acknowledgedAt, hostsReadAt
-	}
-}
-
-// Promise reports whether this host may acknowledge a message of another holder
-// that it received at a time on Clock. If so, it sends no orders until the
-// holder's lease, as far as it rests on the message, and the gap have passed.
-func (e *Elector) Promise(receivedAt time.Duration) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.held && e.valid() {
-		return false
-	}
-	e.promised, e.promisedAt = true, max(e.promisedAt, receivedAt)
-	if e.held {
-		e.ordersFrom = max(e.ordersFrom, e.promisedAt+promiseTime+e.firstOrderGap(0))
-	}
-	return true
-}
-
 // BeginOrder returns the fencing token and whether an order may be sent now. If
 // so, ended must be called when the order has ended.
 func (e *Elector) BeginOrder() (fence int64, ended func(), ok bool) {
@@ -472,19 +432,6 @@
 	return watchInterval
 }
 
-// mayContinue reports whether this holder may renew the lease after the newest
-// record, read in the given era: the record is its own, or it is of an earlier
-// era and no other host can have taken the lease since, because this holder's
-// lease is still valid and other hosts wait longer than that after a restore.
-func (e *Elector) mayContinue(newest *record, era int64) bool {
-	if newest != nil && newest.Era == era {
-		return newest.Holder == e.cfg.Host && newest.Incarnation == e.cfg.Incarnation
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.held && e.valid()
-}
-
 // renewed records a renewal that started at the given time. In a new era the
 // fencing token rises where engines check it: a holder of the earlier era that
 // nobody remembers may have had a higher one.
@@ -522,31 +469,6 @@
 	return newest, page.End, nil
 }
 
-// observeEra updates when the store was restored, from the era in which the
-// stream was read and the newest record.
-func (e *Elector) observeEra(newest *record, era int64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.cfg.Clock()
-	if e.watched && era > e.era || !e.watched && e.impliesRestore(newest, era) {
-		e.wasRestored, e.restoredAt = true, now
-		e.cfg.Logger.Info("lease read after a restore of the store", "eraBefore", e.era, "era", era)
-	} else if !e.watched && newest != nil && newest.RestoredMs > 0 {
-		e.wasRestored, e.restoredAt = true, now-time.Duration(newest.RestoredMs)*time.Millisecond
-	}
-	e.watched, e.era = true, max(e.era, era)
-}
-
-// impliesRestore reports whether the newest record shows that the store was restored
-// and nobody has taken the lease since. A system that does not start for the
-// first time has had a holder.
-func (e *Elector) impliesRestore(newest *record, era int64) bool {
-	if newest == nil {
-		return era > 0 && (!e.cfg.FirstStart || e.cfg.Clock()-e.startedAt > firstStartTime)
-	}
-	return newest.Era < era
-}
-
 // watch takes the lease once it has been released or has expired, and returns
 // the pause before the next check.
 func (e *Elector) watch(ctx context.Context) time.Duration {
@@ -644,45 +566,6 @@
 	return e.cfg.OrderGap + remaining + timerMargin
 }
 
-// holderMayOrder reports whether an earlier holder may still order because it
-// relies on promises. One that has released the lease or ran on this host has
-// stopped, unless the record was read in a later era and may not be the last one.
-func (e *Elector) holderMayOrder(newest *record, era int64) bool {
-	_, restored, _ := e.RestoreAge()
-	switch {
-	case e.cfg.FencingEnforced || e.cfg.Registration == nil:
-		return false
-	case newest == nil:
-		return restored
-	case newest.Era < era:
-		return true
-	default:
-		return !newest.Released && newest.Holder != e.cfg.Host
-	}
-}
-
-// promiseGap returns how long after now the holder of the newest record may still
-// order because it relies on promises, plus the gap: promises that this host gave,
-// those of an earlier process of it, or none if the holder does not know this
-// host.
-func (e *Elector) promiseGap(newest *record, now time.Duration) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	registration := e.cfg.Registration()
-	until := e.startedAt + promiseTime
-	if e.promised {
-		until = max(until, e.promisedAt+promiseTime)
-	}
-	if newest == nil || !registration.KnownAt(tamarackknot.Position{Era: newest.HostsEra, Offset: newest.HostsEnd}) {
-		registeredAt := now
-		if registration.Registered {
-			registeredAt = registration.At
-		}
-		until = max(until, registeredAt+maxPromised)
-	}
-	return until + e.firstOrderGap(0) - now
-}
-
 // acquired records that this host took the lease with the record before end, and
 // may order after the gap. holderMayOrder is as that of the earlier holder.
 func (e *Elector) acquired(now time.Duration, end tamarackknot.Position, gap time.Duration, holderMayOrder bool) {
@@ -690,11 +573,12 @@
 	defer e.mu.Unlock()
 	e.held, e.fence, e.end = true, fenceAt(end), end
 	e.renewedAt, e.attemptedAt, e.validUntil, e.failing = now, now, now+leaseTTL, false
-	e.acknowledgedAt, e.hostsReadAt, e.lastOrderAt = -maxPromised, -maxPromised, -e.cfg.OrderGap
+	e.acknowledgedAt, e.hostsReadAt = -maxPromised, -maxPromised
 	e.ordersFrom = now + gap
 	if e.promised && holderMayOrder {
 		// A promise may have been given while the record was on its way.
 		e.ordersFrom = max(e.ordersFrom, e.promisedAt+promiseTime+e.firstOrderGap(0))
 	}
+	e.lastOrderAt = e.ordersFrom - e.firstOrderGap(0)
 	e.cfg.Logger.Info("lease taken", "fence", e.fence, "ordersIn", gap)
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -196,6 +196,35 @@
 	}
 }
 
+// TestReleaseDuringGap guards against a host that orders within the gap because the
+// holder before it, which had not ordered yet, says that it was idle.
+func TestReleaseDuringGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(false)
+		a, b, c := h.elector("a", "1"), h.elector("b", "1"), h.elector("c", "1")
+		stop := h.run(t, a)
+		time.Sleep(2 * time.Second)
+		_, orderEnded, ok := a.BeginOrder()
+		require.True(t, ok)
+		orderEnded()
+		lastOrder := time.Now()
+		a.Release(t.Context())
+		stop()
+		stop = h.run(t, b)
+		for !b.Status().Held {
+			time.Sleep(10 * time.Millisecond)
+		}
+		b.Release(t.Context())
+		stop()
+		defer h.run(t, c)()
+		for !mayOrder(c) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, time.Since(lastOrder), 3*time.Second)
+		require.Less(t, time.Since(lastOrder), 5*time.Second)
+	})
+}
+
 // TestTakeoverAfterLostHolder guards against a late takeover after the holder
 // was lost without a release, and against a takeover while the holder cannot be
 // heard but still renews the lease.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -52,9 +52,9 @@
 	}
 }
 
-// definite reports whether an outcome tells what the store has done.
+// definite reports whether an error tells what the store has done.
 func definite(err error) bool {
-	return err == nil || errors.Is(err, tamarackknot.ErrConflict) || errors.Is(err, tamarackknot.ErrRestored) || errors.Is(err, tamarackknot.ErrExpired)
+	return errors.Is(err, tamarackknot.ErrConflict) || errors.Is(err, tamarackknot.ErrRestored) || errors.Is(err, tamarackknot.ErrExpired)
 }
 
 // Put implements tamarackknot.Store.
@@ -76,61 +76,55 @@
 	return tamarackknot.StreamPage{Records: r.Records, End: r.Position, Next: r.Position, Full: true}, err
 }
 
-// outcome is the result of one way to make a call.
-type outcome struct {
+// callOutcome is the result of one way to make a call.
+type callOutcome struct {
 	result forwardResult
 	err    error
 }
 
-// callOrForward makes a call at the store and, if that fails or takes too long,
-// through other hosts. The first definite outcome counts, a success before others.
+// pendingCall makes a call in its own goroutine.
+type pendingCall struct {
+	call   func(context.Context, forwardParams) (forwardResult, error)
+	params forwardParams
+	done   chan<- callOutcome
+}
+
+func (c pendingCall) run(ctx context.Context) {
+	r, err := c.call(ctx, c.params)
+	c.done <- callOutcome{r, err}
+}
+
+// callOrForward makes a call at the store and, if that fails or takes longer than
+// forwardDelay, also through other hosts. A success counts before another definite
+// outcome, and that before an error of the direct call.
 func (s *Store) callOrForward(ctx context.Context, p forwardParams) (forwardResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	direct, forwarded := make(chan outcome, 1), make(chan outcome, 1)
-	go func() {
-		r, err := s.call(ctx, p)
-		direct <- outcome{r, err}
-	}()
-	timer := time.NewTimer(forwardDelay)
-	defer timer.Stop()
-	var first outcome
-	pending := true
-	select {
-	case first = <-direct:
-		if definite(first.err) || ctx.Err() != nil {
-			return first.result, first.err
+	done := make(chan callOutcome, 2)
+	go pendingCall{s.call, p, done}.run(ctx)
+	delay := time.NewTimer(forwardDelay)
+	defer delay.Stop()
+	var outcome callOutcome
+	forwarded := false
+	for pending := 1; pending > 0; {
+		select {
+		case o := <-done:
+			pending--
+			if o.err == nil {
+				return o.result, nil
+			}
+			if outcome.err == nil || definite(o.err) {
+				outcome = o
+			}
+		case <-delay.C:
 		}
-		pending = false
-	case <-timer.C:
-	}
-	go func() {
-		r, err := s.forward(ctx, p)
-		forwarded <- outcome{r, err}
-	}()
-	if !pending {
-		if second := <-forwarded; definite(second.err) {
-			return second.result, second.err
+		if !forwarded && !definite(outcome.err) && ctx.Err() == nil {
+			forwarded = true
+			pending++
+			go pendingCall{s.forward, p, done}.run(ctx)
 		}
-		return first.result, first.err
-	}
-	var second outcome
-	select {
-	case first = <-direct:
-		if first.err == nil {
-			return first.result, nil
-		}
-		second = <-forwarded
-	case second = <-forwarded:
-		if second.err == nil {
-			return second.result, nil
-		}
-		first = <-direct
-	}
-	if first.err != nil && (second.err == nil || !definite(first.err) && definite(second.err)) {
-		return second.result, second.err
 	}
-	return first.result, first.err
+	return outcome.result, outcome.err
 }
 
 // call makes a call at the store from this host.
