--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -102,22 +102,10 @@
 
 // holds reports whether the model and the adapter of the request are loaded.
 func (e *endpoint) holds(req *Request, now time.Time) bool {
-	adapters, ok := e.held[req.Model]
-	if !ok {
-		return false
-	}
 	if until, missing := e.missingUntil[modelAdapter{req.Model, req.Adapter}]; missing && now.Before(until) {
 		return false
 	}
-	if req.Adapter == "" {
-		return true
-	}
-	for _, a := range adapters {
-		if a == req.Adapter {
-			return true
-		}
-	}
-	return false
+	return e.lacks(req) == lackSlot
 }
 
 // score rates the endpoint for the request as a fraction of its slots; lower is
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -36,7 +36,13 @@
 	w.lack, w.checkedAt = now, at
 }
 
-// lacks returns what the endpoint lacks for a request that it does not accept.
+// Add returns the sums of the times.
+func (w Waits) Add(o Waits) Waits {
+	return Waits{Model: w.Model + o.Model, Adapter: w.Adapter + o.Adapter, Slot: w.Slot + o.Slot}
+}
+
+// lacks returns what the endpoint lacks for a request, lackSlot if it has model
+// and adapter.
 func (e *endpoint) lacks(req *Request) lack {
 	if req.Model == "" {
 		return lackSlot
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -57,22 +57,15 @@
 func (x *exchange) acquire() (*dispatch.Grant, *dispatch.Refusal) {
 	g, refusal := x.server.cfg.Dispatch.Acquire(x.r.Context(), &x.request)
 	if g == nil {
-		x.recordWaits(refusal.Waits)
+		x.waits = x.waits.Add(refusal.Waits)
 		return nil, refusal
 	}
 	x.endpoint = g.Endpoint.ID
-	x.recordWaits(g.Waits)
+	x.waits = x.waits.Add(g.Waits)
 	x.server.counters.waited.Update(g.Waits.Total().Milliseconds())
 	return g, nil
 }
 
-// recordWaits adds the times that an attempt waited for an endpoint.
-func (x *exchange) recordWaits(w dispatch.Waits) {
-	x.waits.Model += w.Model
-	x.waits.Adapter += w.Adapter
-	x.waits.Slot += w.Slot
-}
-
 // attemptDeadline returns the deadline of the next attempt. It leaves time for
 // another one if the route allows a retry.
 func (x *exchange) attemptDeadline() time.Time {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -575,10 +575,10 @@
 	e.renewedAt, e.attemptedAt, e.validUntil, e.failing = now, now, now+leaseTTL, false
 	e.acknowledgedAt, e.hostsReadAt = -maxPromised, -maxPromised
 	e.ordersFrom = now + gap
+	e.lastOrderAt = e.ordersFrom - e.firstOrderGap(0)
 	if e.promised && holderMayOrder {
 		// A promise may have been given while the record was on its way.
-		e.ordersFrom = max(e.ordersFrom, e.promisedAt+promiseTime+e.firstOrderGap(0))
+		e.keepPromise()
 	}
-	e.lastOrderAt = e.ordersFrom - e.firstOrderGap(0)
 	e.cfg.Logger.Info("lease taken", "fence", e.fence, "ordersIn", gap)
 }
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -28,12 +28,19 @@
 	}
 	e.promised, e.promisedAt = true, max(e.promisedAt, receivedAt)
 	if e.held {
-		e.lastOrderAt = max(e.lastOrderAt, e.promisedAt+promiseTime)
-		e.ordersFrom = max(e.ordersFrom, e.promisedAt+promiseTime+e.firstOrderGap(0))
+		e.keepPromise()
 	}
 	return true
 }
 
+// keepPromise makes this holder wait until an earlier one can have sent its last
+// order because of the last promise, and for the gap. e.mu is held.
+func (e *Elector) keepPromise() {
+	until := e.promisedAt + promiseTime
+	e.lastOrderAt = max(e.lastOrderAt, until)
+	e.ordersFrom = max(e.ordersFrom, until+e.firstOrderGap(0))
+}
+
 // holderMayOrder reports whether an earlier holder may still order because it
 // relies on promises. One that has released the lease or ran on this host has
 // stopped, unless the record was read in a later era and may not be the last one.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -147,15 +146,10 @@
 // forward makes a call through other hosts, one after the other until the outcome
 // is definite.
 func (s *Store) forward(ctx context.Context, p forwardParams) (forwardResult, error) {
-	hosts := s.cfg.Hosts()
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	err := errNoHost
-	for _, host := range hosts[:min(len(hosts), maxForwards)] {
+	for _, host := range s.randomHosts(maxForwards) {
 		var r forwardResult
-		callCtx, cancel := context.WithDeadline(ctx, time.Now().Add(peerTimeout))
-		err = s.cfg.Peers.Call(callCtx, host, methodForward, p, &r)
-		cancel()
-		if err == nil {
+		if err = s.callHost(ctx, host, methodForward, p, &r); err == nil {
 			s.cfg.Logger.Info("call made through another host", "stream", p.Stream, "via", host, "list", p.List, "conflict", r.Conflict)
 			return r, r.err()
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -214,9 +214,21 @@
 // readPeers reads a stream through up to maxPeers randomly chosen hosts. If none
 // has newer or fresh enough data, it returns cause.
 func (s *Store) readPeers(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position, cause error) (tamarackknot.StreamPage, error) {
+	return s.readHosts(ctx, s.randomHosts(maxPeers), stream, from, cause)
+}
+
+// randomHosts returns up to n other hosts in random order.
+func (s *Store) randomHosts(n int) []string {
 	hosts := s.cfg.Hosts()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return s.readHosts(ctx, hosts[:min(len(hosts), maxPeers)], stream, from, cause)
+	return hosts[:min(len(hosts), n)]
+}
+
+// callHost calls a method of another host with peerTimeout.
+func (s *Store) callHost(ctx context.Context, host, method string, params, result any) error {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(peerTimeout))
+	defer cancel()
+	return s.cfg.Peers.Call(ctx, host, method, params, result)
 }
 
 // readHosts tries the hosts in order and merges the first usable answer into the
@@ -224,10 +236,7 @@
 func (s *Store) readHosts(ctx context.Context, hosts []string, stream tamarackknot.Stream, from tamarackknot.Position, cause error) (tamarackknot.StreamPage, error) {
 	for _, host := range hosts {
 		var r recordsResult
-		callCtx, cancel := context.WithDeadline(ctx, time.Now().Add(peerTimeout))
-		err := s.cfg.Peers.Call(callCtx, host, methodRecords, recordsParams{Stream: stream, From: from.Offset, Era: from.Era}, &r)
-		cancel()
-		if err != nil {
+		if err := s.callHost(ctx, host, methodRecords, recordsParams{Stream: stream, From: from.Offset, Era: from.Era}, &r); err != nil {
 			s.cfg.Logger.Debug("cannot read stream through host", "host", host, "stream", stream, "error", err)
 			continue
 		}
