Log what a host knows when it retries a request

Callers saw retries of fitmodel beyond what all hosts together may send; the logs could not tell whether hosts count too few hosts, start with a new share or send retries long after they were counted.

Change: the retry lines name the service, the used and the allowed retries and the number of hosts; denied retries and the sending of a retry get lines of their own, and requests.retryDenied counts the former. No decision changes.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -43,10 +43,18 @@
 	w.requests[w.bucket%storedBuckets]++
 }
 
-// AllowRetry reports whether a request may be retried and, if so, counts the retry.
+// RetryDecision says whether a request may be retried, how many retries this host
+// had counted within the window before, and how many it may count.
+type RetryDecision struct {
+	Allowed   bool
+	Used      int
+	Allowance float64
+}
+
+// AllowRetry decides whether a request may be retried and, if so, counts the retry.
 // hosts is the number of hosts that share Slack; if it is 0, which means unknown,
 // this host gets none of it.
-func (b *RetryBudget) AllowRetry(service string, hosts int, now time.Time) bool {
+func (b *RetryBudget) AllowRetry(service string, hosts int, now time.Time) RetryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
@@ -62,11 +70,11 @@
 	if hosts > 0 {
 		allowed += b.Slack / float64(hosts)
 	}
-	if float64(retries+1) > allowed {
-		return false
+	d := RetryDecision{Allowed: float64(retries+1) <= allowed, Used: retries, Allowance: allowed}
+	if d.Allowed {
+		w.retries[w.bucket%storedBuckets]++
 	}
-	w.retries[w.bucket%storedBuckets]++
-	return true
+	return d
 }
 
 // window returns the counters of a service, with buckets up to now; those that
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -242,16 +242,16 @@
 		}
 		allowed := 0
 		for range 100 {
-			if b.AllowRetry("s", 4, time.Now()) {
+			if b.AllowRetry("s", 4, time.Now()).Allowed {
 				allowed++
 			}
 		}
 		require.Equal(t, 25, allowed)
-		require.False(t, b.AllowRetry("s", 4, time.Now()))
+		require.False(t, b.AllowRetry("s", 4, time.Now()).Allowed)
 		// A host that does not know the number of hosts gets none of the slack.
-		require.False(t, b.AllowRetry("new", 0, time.Now()))
+		require.False(t, b.AllowRetry("new", 0, time.Now()).Allowed)
 		time.Sleep(11 * time.Second)
-		require.True(t, b.AllowRetry("s", 4, time.Now()))
+		require.True(t, b.AllowRetry("s", 4, time.Now()).Allowed)
 	})
 }
 
@@ -264,7 +264,7 @@
 		var retries []time.Time
 		for range 4000 {
 			time.Sleep(13 * time.Millisecond)
-			if b.AllowRetry("s", 1, time.Now()) {
+			if b.AllowRetry("s", 1, time.Now()).Allowed {
 				retries = append(retries, time.Now())
 			}
 		}
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -5,8 +5,8 @@
 // counters holds the numbers of requests by outcome and histograms of latencies
 // in ms.
 type counters struct {
-	answered, refused, failed, callerLeft, repeated metrics.Counter
-	firstByte, waited                               metrics.Histogram
+	answered, refused, failed, callerLeft, repeated, retryDenied metrics.Counter
+	firstByte, waited                                            metrics.Histogram
 }
 
 // sampleSize and sampleAlpha are the usual parameters of an exponentially
@@ -24,12 +24,13 @@
 		return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return counters{
-		answered:   metrics.NewRegisteredCounter("requests.answered", r),
-		refused:    metrics.NewRegisteredCounter("requests.refused", r),
-		failed:     metrics.NewRegisteredCounter("requests.failed", r),
-		callerLeft: metrics.NewRegisteredCounter("requests.callerLeft", r),
-		repeated:   metrics.NewRegisteredCounter("requests.repeated", r),
-		firstByte:  histogram("requests.firstByteMs"),
-		waited:     histogram("requests.waitedMs"),
+		answered:    metrics.NewRegisteredCounter("requests.answered", r),
+		refused:     metrics.NewRegisteredCounter("requests.refused", r),
+		failed:      metrics.NewRegisteredCounter("requests.failed", r),
+		callerLeft:  metrics.NewRegisteredCounter("requests.callerLeft", r),
+		repeated:    metrics.NewRegisteredCounter("requests.repeated", r),
+		retryDenied: metrics.NewRegisteredCounter("requests.retryDenied", r),
+		firstByte:   histogram("requests.firstByteMs"),
+		waited:      histogram("requests.waitedMs"),
 	}
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -63,6 +63,11 @@
 	x.endpoint = g.Endpoint.ID
 	x.waits = x.waits.Add(g.Waits)
 	x.server.counters.waited.Update(g.Waits.Total().Milliseconds())
+	if !x.retryDecidedAt.IsZero() {
+		x.server.cfg.Logger.Info("sending retry", "request", x.caller.ID, "service", x.service, "endpoint", g.Endpoint.ID,
+			"delayMs", time.Since(x.retryDecidedAt).Milliseconds())
+		x.retryDecidedAt = time.Time{}
+	}
 	return g, nil
 }
 
@@ -96,13 +101,19 @@
 		// No endpoint has received the request, so this is not a retry.
 		return true
 	}
-	if !x.server.cfg.Budget.AllowRetry(x.service, x.server.cfg.HostCount(), now) {
-		return false
+	hosts := x.server.cfg.HostCount()
+	d := x.server.cfg.Budget.AllowRetry(x.service, hosts, now)
+	event := "retrying request"
+	if !d.Allowed {
+		event = "retry denied"
+		x.server.counters.retryDenied.Inc(1)
+	} else {
+		x.server.counters.repeated.Inc(1)
+		x.retryDecidedAt = now
 	}
-	x.server.counters.repeated.Inc(1)
-	x.server.cfg.Logger.Info("retrying request", "request", x.caller.ID, "endpoint", g.Endpoint.ID, "reason", x.lastErr,
-		"sent", x.sent, "ran", x.possibleRuns, "started", x.headerSent)
-	return true
+	x.server.cfg.Logger.Info(event, "request", x.caller.ID, "service", x.service, "endpoint", g.Endpoint.ID, "reason", x.lastErr,
+		"sent", x.sent, "ran", x.possibleRuns, "started", x.headerSent, "used", d.Used, "allowance", d.Allowance, "hosts", hosts)
+	return d.Allowed
 }
 
 // repeatable reports whether a request that may have run may run again.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -121,6 +121,7 @@
 	waits              dispatch.Waits
 	possibleRuns       int // attempts in which the request may have run
 	sent               int // attempts that may have reached an endpoint
+	retryDecidedAt     time.Time // zero unless a retry is allowed and not sent yet
 	lastErr            string
 	headerSent         bool // the response headers of a stream have been sent
 	firstEventAt       time.Time
