--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -52,6 +52,7 @@
 	// configTurn orders the writes of the configuration. A mutex would stop the
 	// clock of the bubble while a write waits for the store.
 	configTurn chan struct{}
+	loops      []func(context.Context, *clusterHost) // further loops of each process
 
 	mu         sync.Mutex
 	hosts      map[string]*clusterHost
@@ -146,6 +147,9 @@
 	for _, loop := range append(h.loops(), h.observe, h.request) {
 		loops.Go(func() { loop(ctx) })
 	}
+	for _, loop := range c.loops {
+		loops.Go(func() { loop(ctx, h) })
+	}
 	c.wg.Go(func() {
 		loops.Wait()
 		close(h.done)
--- a/entry/hosted/restore_test.go
+++ b/entry/hosted/restore_test.go
@@ -101,14 +101,15 @@
 	return violations
 }
 
-// startCluster starts the endpoints and hosts of a cluster for the first time.
-func startCluster(enforced bool, output io.Writer) (*cluster, context.CancelFunc) {
+// startCluster starts the endpoints and hosts of a cluster for the first time. Each
+// process of a host also runs the loops.
+func startCluster(enforced bool, output io.Writer, loops ...func(context.Context, *clusterHost)) (*cluster, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{
 		store: fake.NewStreams(), peers: fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond}),
 		engines: fake.NewWeightEngines(100 * time.Millisecond), enforced: enforced, output: output,
 		started: time.Now(), ctx: ctx, hosts: make(map[string]*clusterHost), replicas: make(map[string]*replica),
-		configTurn: make(chan struct{}, 1), lastOrder: make(map[string]sentOrder), tokens: make(map[int64]string),
+		configTurn: make(chan struct{}, 1), lastOrder: make(map[string]sentOrder), tokens: make(map[int64]string), loops: loops,
 	}
 	c.configure()
 	for i := range clusterEngines {
@@ -193,6 +194,8 @@
 		id := fmt.Sprintf("e%d", len(c.replicas))
 		c.mu.Unlock()
 		c.startReplica(id)
+	case "addHost":
+		c.addHosts(1)
 	case "restartReplica":
 		r.mu.Lock()
 		left := !r.goneAt.IsZero()
