Divide the retry budget's slack among hosts that know of each other

Cause: each process took its share of the slack on what it knew by itself. A process that starts began with a full share although an earlier process of the host had spent it in the same window; a planner that has just taken the lease counted itself only, and used the whole slack; a host that was added or had left was in use but not in everybody's number; a number that was heard once counted for ever.

Change: package share. The planner sends the names of the registered hosts with the age of its read and an echo of the host's last report, so that a delayed message is known to be old. A host uses a share only while it hears lists and after it has heard them for the window and the time that others need to learn of it; it divides by the longest list that it remembers. docs/platform.md proves the sum.

Ruled out: shares leased by the planner (each change of the planner costs a window without shares), counting retries at the planner (late, lost with it).

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -17,6 +17,7 @@
 	"tamarackknot.example/tamarackknot/planner"
 	"tamarackknot.example/tamarackknot/platform"
 	"tamarackknot.example/tamarackknot/relay"
+	"tamarackknot.example/tamarackknot/share"
 )
 
 const (
@@ -68,6 +69,7 @@
 	discovery      *discovery.Watcher
 	lease          *lease.Elector
 	hosts          *fleet.Registry
+	shares         *share.Hosts
 	publisher      *fleet.Publisher
 	fleet          *fleet.Client
 	planner        *planner.Controller
@@ -169,18 +171,20 @@
 			st := c.lease.Status()
 			return st.Fence, st.Held
 		},
-		LeaseEnd: func() tamarackknot.Position { return c.lease.Status().End },
-		Clock:    c.cfg.clock,
+		LeaseEnd:    func() tamarackknot.Position { return c.lease.Status().End },
+		HostsReadAt: func() time.Duration { return c.hosts.Registration().ReadAt },
+		Clock:       c.cfg.clock,
 		OnAcknowledged: func(sentAt time.Duration) {
 			c.lease.Extend(sentAt, c.hosts.Registration().ReadAt)
 		},
 		Catalog: c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
 		OnDemand: func() { c.planner.Replan() },
 	})
+	c.shares = share.New(share.Config{Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
 		Demand: c.dispatch.Demand, OnView: c.dispatch.SetView,
-		CatalogVersion: c.catalogVersion, OnStreamStates: c.updatePlannerStreams, OnStoreEra: store.AnnounceEra,
+		CatalogVersion: c.catalogVersion, OnMembers: c.shares.Observe, OnStreamStates: c.updatePlannerStreams, OnStoreEra: store.AnnounceEra,
 		Promise: c.lease.Promise, OnPlannerLeft: c.lease.Wake, Clock: c.cfg.clock,
 	})
 	c.publisher.Bind(c.fleet)
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -57,6 +57,9 @@
 	// OnPlannerLeft is called when the planner announces that it steps down. It may
 	// be nil.
 	OnPlannerLeft func()
+	// OnMembers is called for each message of the planner that says which hosts are
+	// registered, with the age of its last read of them. It may be nil.
+	OnMembers func(names []string, age time.Duration)
 	// OnStoreEra is called with the era of the store that the planner knows, unless
 	// this host is the planner.
 	OnStoreEra func(era int64)
@@ -84,8 +87,11 @@
 	hostsUpdatedAt time.Time
 	// hostsFence is the fencing token of the planner that sent hosts.
 	hostsFence int64
-	// registered is the number of registered hosts, 0 while it is not known.
-	registered   int
+	// members are the names of the registered hosts from the planner with the
+	// fencing token membersFence.
+	members      []string
+	membersFence int64
+	startedAt    time.Duration         // on Clock
 	leaseEnd     tamarackknot.Position // from the planner's last message
 	demandSynced bool                  // the planner has received the full demand
 	leaving      bool
@@ -108,6 +114,7 @@
 	c := &Client{
 		cfg: cfg, sendNow: make(chan struct{}, 1),
 		held: make(map[string][]tamarackknot.HeldModel), forecasts: make(map[modelKey]time.Time),
+		startedAt: cfg.Clock(),
 	}
 	cfg.Peers.Handle(methodView, c.handleView)
 	return c
@@ -170,14 +177,6 @@
 	return "", false
 }
 
-// Registered returns the number of registered hosts, alive or not; 0 means
-// unknown.
-func (c *Client) Registered() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.registered
-}
-
 // SendNow triggers an immediate demand message. It does not block.
 func (c *Client) SendNow() {
 	wait.Wake(c.sendNow)
@@ -225,9 +224,7 @@
 	if m.Planner != nil {
 		c.address = m.Planner.PeerAddress
 	}
-	if m.Registered > 0 {
-		c.registered = m.Registered
-	}
+	members, membersAge := c.applyMembers(m, receivedAt)
 	c.applyHosts(m.Hosts, now)
 	missing := !c.demandSynced || c.behind
 	v := c.merge(m, now)
@@ -238,6 +235,9 @@
 	if m.Leaving && c.cfg.OnPlannerLeft != nil {
 		c.cfg.OnPlannerLeft()
 	}
+	if members != nil && c.cfg.OnMembers != nil {
+		c.cfg.OnMembers(members, membersAge)
+	}
 	v.Planner, v.Fence = from, m.Fence
 	c.cfg.OnView(v)
 	if from != c.cfg.Self.Name {
@@ -246,6 +246,21 @@
 	}
 }
 
+// applyMembers returns the names of the registered hosts as of a message and the
+// greatest time since the planner read them. The names are nil if the planner has not
+// read them, if a message in between is missing, or if it is unknown how long the
+// message was on its way. c.mu is held.
+func (c *Client) applyMembers(m viewMessage, receivedAt time.Duration) ([]string, time.Duration) {
+	if len(m.Members) > 0 {
+		c.members, c.membersFence = m.Members, c.fence
+	}
+	echo := time.Duration(m.EchoMs) * time.Millisecond
+	if m.MembersAgeMs < 0 || c.membersFence != c.fence || c.behind || m.Leaving || echo < c.startedAt || echo > receivedAt {
+		return nil, 0
+	}
+	return c.members, receivedAt - echo + time.Duration(m.MembersAgeMs)*time.Millisecond
+}
+
 // applyHosts replaces the host list. A message without a list confirms the
 // previous one, unless a message in between is missing. c.mu is held.
 func (c *Client) applyHosts(list json.RawMessage, now time.Time) {
@@ -324,6 +339,7 @@
 			continue
 		}
 		m := encodeDemand(d, all, behind, c.cfg.CatalogVersion(), time.Now())
+		m.SentMs = c.cfg.Clock().Milliseconds() + 1 // rounded up, so that it is not before the start
 		if planner != c.cfg.Self.Name && c.cfg.Promise != nil && c.cfg.Promise(receivedAt) {
 			m.Acknowledged, m.Fence = sequence, fence
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -363,3 +363,33 @@
 		require.Less(t, age(), time.Second)
 	})
 }
+
+// TestMembersOfDelayedMessage guards against a list of hosts that counts as new
+// although its message was on the way for long, as after a suspension of the host.
+func TestMembersOfDelayedMessage(t *testing.T) {
+	const second = int64(1000)
+	cases := map[string]struct {
+		echoMs, ageMs int64
+		expect        time.Duration // -1 if the list does not count
+	}{
+		"the planner answers a report of 200 ms ago": {10*second - 200, 100, 300 * time.Millisecond},
+		"the message was on its way for 5 s":         {5 * second, 100, 5100 * time.Millisecond},
+		"the planner has no report of this process":  {second, 100, -1},
+		"the planner has no report at all":           {0, 100, -1},
+		"the planner has not read the list":          {10*second - 200, -1, -1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			now, got := 2*time.Second, time.Duration(-1)
+			c := NewClient(ClientConfig{
+				Self: tamarackknot.HostEntry{Name: "a"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("a"), Logger: log.New(io.Discard),
+				Clock: func() time.Duration { return now }, OnView: func(tamarackknot.FleetView) {},
+				OnStreamStates: func(_, _ tamarackknot.StreamState) {}, OnStoreEra: func(int64) {},
+				OnMembers: func(_ []string, age time.Duration) { got = age },
+			})
+			now = 10 * time.Second
+			c.applyView("p", viewMessage{Fence: 1, Sequence: 1, Full: true, Members: []string{"a", "p"}, MembersAgeMs: tc.ageMs, EchoMs: tc.echoMs})
+			require.Equal(t, tc.expect, got)
+		})
+	}
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -26,6 +26,8 @@
 	// Fence; 0 if the host promises nothing.
 	Acknowledged int64 `json:"seen,omitempty"`
 	Fence        int64 `json:"fence,omitempty"`
+	// SentMs is the time since boot on the host, in ms; 0 is not a time.
+	SentMs int64 `json:"sentMs"`
 	// Behind is set when the host missed a message and needs a full view.
 	Behind bool `json:"behind,omitempty"`
 }
@@ -66,9 +68,14 @@
 	LeaseEra int64 `json:"leaseEra,omitempty"`
 	// Planner is the planner's own entry, only in full views.
 	Planner *tamarackknot.HostEntry `json:"planner,omitempty"`
-	// Registered is the number of registered hosts, alive or not; only in full
-	// views.
-	Registered int `json:"registered,omitempty"`
+	// Members are the names of the registered hosts, alive or not; omitted if they
+	// are unchanged since the last message. MembersAgeMs is the age of the planner's
+	// last read of them, -1 if it has not read them.
+	Members      []string `json:"members,omitempty"`
+	MembersAgeMs int64    `json:"membersAgeMs"`
+	// EchoMs is SentMs of the last message from the host, 0 if there is none. It
+	// tells the host how old this message is at most.
+	EchoMs int64 `json:"echoMs,omitempty"`
 	// Catalog and Endpoints are the planner's positions in these streams.
 	Catalog   streamMessage `json:"catalog"`
 	Endpoints streamMessage `json:"endpoints"`
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -63,6 +63,9 @@
 	Peers tamarackknot.Peers
 	// Hosts returns the registered entry hosts.
 	Hosts func() []tamarackknot.HostEntry
+	// HostsReadAt returns when the registered hosts were last read, on Clock; 0 means
+	// never. Nil means that it is not known.
+	HostsReadAt func() time.Duration
 	// LeaseHeld returns the fencing token and whether this host holds the
 	// planner lease.
 	LeaseHeld func() (fence int64, held bool)
@@ -107,6 +110,10 @@
 	hostList        json.RawMessage
 	hostListVersion int64
 	hostListAt      time.Time
+	// members are the names of the registered hosts, and membersVersion counts their
+	// changes.
+	members        []string
+	membersVersion int64
 }
 
 // hostState is the last demand of a host and the state that was last sent to it.
@@ -123,12 +130,14 @@
 	fullViewAt      time.Time
 	sequence        int64
 	hostListVersion int64
+	membersVersion  int64
 	fence           int64
 	// sends holds the newest messages whose acknowledgement is outstanding, oldest
 	// first, and acknowledgedAt when the newest acknowledged one was sent; zero
 	// means none under this fencing token.
 	sends          []sentMessage
 	acknowledgedAt time.Duration
+	echoMs         int64 // SentMs of the last message from the host
 }
 
 // alive reports whether the host sent a message within hostTimeout.
@@ -149,6 +158,7 @@
 	totals        []int // requests at each engine, by index
 	forecasts     map[modelKey]time.Time
 	hostCount     int
+	membersAgeMs  int64
 	fullViewsLeft int // full views that this round may still send
 }
 
@@ -189,7 +199,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	s := p.state(from)
-	s.lastSeen, s.leaving, s.running = now, m.Leaving, m.Running
+	s.lastSeen, s.leaving, s.running, s.echoMs = now, m.Leaving, m.Running, m.SentMs
 	if m.Full {
 		clear(s.demands)
 	}
@@ -370,8 +380,11 @@
 
 // publishRound sends one message to every registered host.
 func (p *Publisher) publishRound(ctx context.Context, fence int64) {
+	// The age is taken first, so that it is not below that of the list.
+	membersAge := p.membersAge()
 	registered := p.cfg.Hosts()
 	r := p.newRound(fence, registered, time.Now())
+	r.membersAgeMs = membersAge
 	for _, host := range registered {
 		m := p.buildView(host.Name, r)
 		if host.Name == p.cfg.Self.Name {
@@ -388,8 +401,9 @@
 	leaseEnd := p.cfg.LeaseEnd()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refreshMembers(registered)
 	r := &round{
-		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), totals: p.requestTotals(now),
+		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), membersAgeMs: -1, totals: p.requestTotals(now),
 		forecasts:     make(map[modelKey]time.Time),
 		fullViewsLeft: max(minFullViews, maxFullViewEngines/max(len(p.engines), 1)),
 	}
@@ -403,6 +417,30 @@
 	return r
 }
 
+// membersAge returns the age in ms of the last read of the registered hosts, -1 if
+// they were never read.
+func (p *Publisher) membersAge() int64 {
+	if p.cfg.HostsReadAt == nil {
+		return -1
+	}
+	if at := p.cfg.HostsReadAt(); at > 0 {
+		return (p.cfg.Clock() - at).Milliseconds()
+	}
+	return -1
+}
+
+// refreshMembers updates the names of the registered hosts. p.mu is held.
+func (p *Publisher) refreshMembers(registered []tamarackknot.HostEntry) {
+	names := make([]string, 0, len(registered))
+	for _, host := range registered {
+		names = append(names, host.Name)
+	}
+	if !slices.Equal(names, p.members) {
+		p.members = names
+		p.membersVersion++
+	}
+}
+
 // refreshHostList updates the list of hosts that callers may be sent to. An empty
 // list is never published. p.mu is held.
 func (p *Publisher) refreshHostList(registered []tamarackknot.HostEntry, now time.Time) {
@@ -444,6 +482,7 @@
 	m := viewMessage{
 		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
 		Catalog: encodeStream(p.cfg.Catalog(), r.now), Endpoints: encodeStream(p.cfg.Endpoints(), r.now),
+		MembersAgeMs: r.membersAgeMs, EchoMs: s.echoMs,
 	}
 	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
 	if s.fence != r.fence || r.now.Sub(s.fullViewAt) >= interval {
@@ -453,8 +492,8 @@
 			return m
 		}
 		r.fullViewsLeft--
-		m.Full, m.Planner, m.Registered = true, &p.cfg.Self, r.hostCount
-		s.fence, s.fullViewAt, s.hostListVersion = r.fence, r.now, 0
+		m.Full, m.Planner = true, &p.cfg.Self
+		s.fence, s.fullViewAt, s.hostListVersion, s.membersVersion = r.fence, r.now, 0, 0
 		clear(s.sent)
 		clear(s.forecasts)
 	}
@@ -462,6 +501,10 @@
 		s.hostListVersion = p.hostListVersion
 		m.Hosts = p.hostList
 	}
+	if s.membersVersion != p.membersVersion {
+		s.membersVersion = p.membersVersion
+		m.Members = p.members
+	}
 	p.addEngines(s, &m, r.totals)
 	s.addForecasts(&m, r.forecasts, r.now)
 	return m
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -119,8 +119,8 @@
 	firstEventDeadline time.Time
 	request            dispatch.Request
 	waits              dispatch.Waits
-	possibleRuns       int // attempts in which the request may have run
-	sent               int // attempts that may have reached an endpoint
+	possibleRuns       int       // attempts in which the request may have run
+	sent               int       // attempts that may have reached an endpoint
 	retryDecidedAt     time.Time // zero unless a retry is allowed and not sent yet
 	lastErr            string
 	headerSent         bool // the response headers of a stream have been sent
--- /dev/null
+++ b/share/share.go
@@ -0,0 +1,115 @@
+// Package share divides limits that hold for all entry hosts together. Hosts do not
+// agree on a division; each derives its own from the list of registered hosts that the
+// planner sends, under rules that keep the sum within the limit while hosts are
+// killed, restarted, cut off, suspended, replaced and added. docs/platform.md proves it.
+package share
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"tamarackknot.example/tamarackknot/internal/times"
+)
+
+const (
+	// listTimeout is how long a host relies on a list after its receipt.
+	listTimeout = 900 * time.Millisecond
+	// maxListAge is the maximum time between the planner's read of the list and its
+	// receipt by a host, which knows it to within the time of an exchange of messages.
+	maxListAge = 4 * time.Second
+	// maxSilence is the longest time between two lists after which a host still
+	// relies on what it heard before. It covers the change of a lost planner.
+	maxSilence = 5 * time.Second
+	// memory, added to the window of the limits, is how long a host remembers lists.
+	memory = maxListAge + listTimeout + maxSilence
+	// probation, added to the window of the limits, is how long a host must have
+	// received lists before it uses its share.
+	probation = memory + maxListAge
+)
+
+// Config configures Hosts.
+type Config struct {
+	// Window is the longest window of the limits.
+	Window time.Duration
+	// Clock returns the time since boot, including the time of suspension. Nil
+	// means the system's clock.
+	Clock  func() time.Duration
+	Logger *log.Logger
+}
+
+// Hosts tells a host among how many hosts the limits are divided.
+type Hosts struct {
+	cfg Config
+
+	mu sync.Mutex
+	// lists holds the lists within the memory, oldest first; equal ones in a row are
+	// one. since is the receipt of the first list after the last long silence.
+	lists   []hostList
+	since   time.Duration
+	sharing bool // the last result of Count was not 0
+}
+
+// hostList is a list of registered hosts, received repeatedly until last.
+type hostList struct {
+	names []string
+	last  time.Duration
+}
+
+// New returns a Hosts that knows no host.
+func New(cfg Config) *Hosts {
+	if cfg.Clock == nil {
+		cfg.Clock = times.SinceBoot
+	}
+	return &Hosts{cfg: cfg}
+}
+
+// Observe records a list of the registered hosts, in order, that the planner read the
+// given time ago. The list must not be changed afterwards.
+func (h *Hosts) Observe(names []string, age time.Duration) {
+	if age > maxListAge {
+		return
+	}
+	now := h.cfg.Clock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := len(h.lists)
+	if n == 0 || now-h.lists[n-1].last > maxSilence {
+		h.lists, h.since, n = nil, now, 0
+	}
+	if n > 0 && slices.Equal(h.lists[n-1].names, names) {
+		h.lists[n-1].last = now
+	} else {
+		h.lists = append(h.lists, hostList{names: names, last: now})
+	}
+	for h.lists[0].last < now-h.cfg.Window-memory {
+		h.lists = h.lists[1:]
+	}
+}
+
+// Count returns the number of hosts among which the limits are divided. It is 0 while
+// this host must not use a share: it does not hear the planner, or it has not heard it
+// for long enough to know all hosts that may use theirs and to be known by them.
+func (h *Hosts) Count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := 0
+	if h.mayShare(h.cfg.Clock()) {
+		for _, l := range h.lists {
+			count = max(count, len(l.names))
+		}
+	}
+	if sharing := count > 0; sharing != h.sharing {
+		h.sharing = sharing
+		h.cfg.Logger.Info("share of limits changed", "uses", sharing, "hosts", count)
+	}
+	return count
+}
+
+// mayShare reports whether this host may use its share. h.mu is held.
+func (h *Hosts) mayShare(now time.Duration) bool {
+	n := len(h.lists)
+	return n > 0 && now-h.lists[n-1].last <= listTimeout && now-h.since >= h.cfg.Window+probation
+}
