Count a retry until it has reached the endpoint

What callers saw: as before, more retries than all hosts together may send.

Cause: a retry counted within the window of its permission. Then it waits for an endpoint with the model, and for a connection, up to its deadline; the retries of two windows can arrive in one.

Change: AllowRetry returns a Retry, which counts in every window until it is sent or given up, and then in that of its latest possible arrival, 1.5 s after it was written.

Ruled out: asking for permission when the endpoint is found, since a request that waited would then be refused late.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -10,9 +10,15 @@
 	// budgetBuckets is the number of buckets that make up the window of a
 	// RetryBudget.
 	budgetBuckets = 20
+	// aheadBuckets is the number of buckets after the present one, for retries that
+	// may still be on their way.
+	aheadBuckets = 8
 	// storedBuckets covers two windows. It is one more, because the newest bucket is
 	// not complete.
-	storedBuckets = 2*budgetBuckets + 1
+	storedBuckets = 2*budgetBuckets + 1 + aheadBuckets
+	// transitTime is the time after its sending by which a request has reached the
+	// endpoint, or its connection is closed for unacknowledged data.
+	transitTime = 1500 * time.Millisecond
 )
 
 // RetryBudget bounds the retries of requests per service. For each window, the retries
@@ -34,8 +40,41 @@
 
 type retryWindow struct {
 	requests [storedBuckets]int
-	retries  [storedBuckets]int
-	bucket   int64 // number of the newest bucket
+	retries  [storedBuckets]int // by the latest time of arrival
+	bucket   int64              // number of the present bucket
+	unsent   int                // retries that are allowed and not sent yet
+}
+
+// Retry is a retry that counts from its permission on. Sent or Cancel must be called;
+// after one of them both have no effect.
+type Retry struct {
+	budget *RetryBudget
+	window *retryWindow
+	done   bool
+}
+
+// Sent records that the retry has been sent: it counts for the window after the latest
+// time at which it can reach the endpoint.
+func (r *Retry) Sent(now time.Time) {
+	r.end(func() {
+		at := r.budget.bucketAt(now.Add(transitTime)) + 1
+		r.budget.advance(r.window, r.budget.bucketAt(now))
+		r.window.retries[bucketIndex(min(at, r.window.bucket+aheadBuckets))]++
+	})
+}
+
+// Cancel records that the retry is not sent, so that it does not count.
+func (r *Retry) Cancel() { r.end(func() {}) }
+
+func (r *Retry) end(record func()) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if r.done {
+		return
+	}
+	r.done = true
+	r.window.unsent--
+	record()
 }
 
 // RecordRequest counts a request to a service.
@@ -43,7 +82,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	w.requests[w.bucket%storedBuckets]++
+	w.requests[bucketIndex(w.bucket)]++
 }
 
 // RetryDecision says whether a request may be retried, how many retries this host
@@ -54,10 +93,10 @@
 	Allowance float64
 }
 
-// AllowRetry decides whether a request may be retried and, if so, counts the retry.
-// hosts is the number of hosts that share Slack; if it is 0, which means unknown,
-// this host gets none of it.
-func (b *RetryBudget) AllowRetry(service string, hosts int, now time.Time) RetryDecision {
+// AllowRetry decides whether a request may be retried and, if so, counts the retry and
+// returns it; otherwise it returns nil. hosts is the number of hosts that share Slack;
+// if it is 0, which means unknown, this host gets none of it.
+func (b *RetryBudget) AllowRetry(service string, hosts int, now time.Time) (*Retry, RetryDecision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
@@ -66,17 +105,22 @@
 		share = b.Slack / float64(hosts)
 	}
 	d := w.decide(b.Ratio, share)
-	if d.Allowed {
-		w.retries[w.bucket%storedBuckets]++
+	if !d.Allowed {
+		return nil, d
 	}
-	return d
+	w.unsent++
+	return &Retry{budget: b, window: w}, d
 }
 
 // decide checks each window that holds the present, by the bucket in which it begins:
 // the retries in the whole bucket count, and requests of a bucket that lies only partly
-// within the two windows do not. The decision names the window with the least room.
+// within the two windows do not. Retries that may not have arrived yet count in each.
+// The decision names the window with the least room.
 func (w *retryWindow) decide(ratio, share float64) RetryDecision {
-	retries, requests := 0, 0
+	retries, requests := w.unsent, 0
+	for n := w.bucket + 1; n <= w.bucket+aheadBuckets; n++ {
+		retries += w.retries[bucketIndex(n)]
+	}
 	for n := w.bucket; n > w.bucket-budgetBuckets+1; n-- {
 		requests += w.requests[bucketIndex(n)]
 	}
@@ -96,27 +140,33 @@
 // bucketIndex returns the index of a bucket; its number may be negative.
 func bucketIndex(n int64) int64 { return (n%storedBuckets + storedBuckets) % storedBuckets }
 
-// window returns the counters of a service, with buckets up to now; those that
-// fell out of the window are cleared. The caller holds b.mu.
+// window returns the counters of a service at a time. The caller holds b.mu.
 func (b *RetryBudget) window(service string, now time.Time) *retryWindow {
 	if b.services == nil {
 		b.services = make(map[string]*retryWindow)
 		b.started = now
 	}
-	// Sub uses the monotonic clock, so that changes of the wall clock have no
-	// effect.
-	n := int64(now.Sub(b.started) / (b.Window / budgetBuckets))
+	n := b.bucketAt(now)
 	w := b.services[service]
 	if w == nil {
 		w = &retryWindow{bucket: n}
 		b.services[service] = w
 	}
+	b.advance(w, n)
+	return w
+}
+
+// bucketAt returns the number of the bucket at a time. Sub uses the monotonic clock,
+// so that changes of the wall clock have no effect.
+func (b *RetryBudget) bucketAt(t time.Time) int64 {
+	return int64(t.Sub(b.started) / (b.Window / budgetBuckets))
+}
+
+// advance makes n the present bucket and clears those that come into use.
+func (b *RetryBudget) advance(w *retryWindow, n int64) {
+	w.bucket = max(w.bucket, n-storedBuckets)
 	for ; w.bucket < n; w.bucket++ {
-		if n-w.bucket > storedBuckets {
-			w.bucket = n - storedBuckets
-		}
-		next := (w.bucket + 1) % storedBuckets
+		next := bucketIndex(w.bucket + 1 + aheadBuckets)
 		w.requests[next], w.retries[next] = 0, 0
 	}
-	return w
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"time"
 
@@ -80,7 +81,22 @@
 	if x.route.Kind == tamarackknot.RouteRepeatable {
 		transport = x.server.keepAliveTransport
 	}
-	return transport.RoundTrip(req)
+	if x.retry != nil {
+		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: x.retrySent(x.retry)}))
+	}
+	resp, err := transport.RoundTrip(req)
+	if x.retry != nil && !errors.Is(err, errNotSent) {
+		// At least part of the request may have reached the endpoint.
+		x.retry.Sent(time.Now())
+	}
+	x.cancelRetry()
+	return resp, err
+}
+
+// retrySent returns a function that counts a retry as sent. The transport calls it on
+// a goroutine of its own.
+func (*exchange) retrySent(retry *dispatch.Retry) func(httptrace.WroteRequestInfo) {
+	return func(httptrace.WroteRequestInfo) { retry.Sent(time.Now()) }
 }
 
 // outcome is the result of one attempt.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -21,6 +21,7 @@
 
 // serve answers the request, with retries as far as the route allows.
 func (x *exchange) serve() {
+	defer x.cancelRetry()
 	if x.route.Kind == tamarackknot.RouteStream {
 		x.serveStream()
 		return
@@ -63,10 +64,9 @@
 	x.endpoint = g.Endpoint.ID
 	x.waits = x.waits.Add(g.Waits)
 	x.server.counters.waited.Update(g.Waits.Total().Milliseconds())
-	if !x.retryDecidedAt.IsZero() {
+	if x.retry != nil {
 		x.server.cfg.Logger.Info("sending retry", "request", x.caller.ID, "service", x.service, "endpoint", g.Endpoint.ID,
 			"delayMs", time.Since(x.retryDecidedAt).Milliseconds())
-		x.retryDecidedAt = time.Time{}
 	}
 	return g, nil
 }
@@ -102,20 +102,28 @@
 		return true
 	}
 	hosts := x.server.cfg.HostCount()
-	d := x.server.cfg.Budget.AllowRetry(x.service, hosts, now)
+	retry, d := x.server.cfg.Budget.AllowRetry(x.service, hosts, now)
 	event := "retrying request"
 	if !d.Allowed {
 		event = "retry denied"
 		x.server.counters.retryDenied.Inc(1)
 	} else {
 		x.server.counters.repeated.Inc(1)
-		x.retryDecidedAt = now
+		x.retry, x.retryDecidedAt = retry, now
 	}
 	x.server.cfg.Logger.Info(event, "request", x.caller.ID, "service", x.service, "endpoint", g.Endpoint.ID, "reason", x.lastErr,
 		"sent", x.sent, "ran", x.possibleRuns, "started", x.headerSent, "used", d.Used, "allowance", d.Allowance, "hosts", hosts)
 	return d.Allowed
 }
 
+// cancelRetry returns a retry to the budget that was allowed and is not sent.
+func (x *exchange) cancelRetry() {
+	if x.retry != nil {
+		x.retry.Cancel()
+		x.retry = nil
+	}
+}
+
 // repeatable reports whether a request that may have run may run again.
 func (x *exchange) repeatable() bool {
 	return x.route.Kind == tamarackknot.RouteRepeatable || x.route.Kind == tamarackknot.RouteStream && x.route.Resumable
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -119,9 +119,10 @@
 	firstEventDeadline time.Time
 	request            dispatch.Request
 	waits              dispatch.Waits
-	possibleRuns       int       // attempts in which the request may have run
-	sent               int       // attempts that may have reached an endpoint
-	retryDecidedAt     time.Time // zero unless a retry is allowed and not sent yet
+	possibleRuns       int             // attempts in which the request may have run
+	sent               int             // attempts that may have reached an endpoint
+	retry              *dispatch.Retry // allowed and not sent yet; nil if there is none
+	retryDecidedAt     time.Time
 	lastErr            string
 	headerSent         bool // the response headers of a stream have been sent
 	firstEventAt       time.Time
