Measure the window of the retry budget on the clock that counts suspension

Cause: the monotonic clock stands still while a host is suspended. After it wakes, requests of before the suspension still raised its allowance.

Change: the budget has a Clock, by default the time since boot, as leases do.

Ruled out: the wall clock, which is stepped.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"tamarackknot.example/tamarackknot/internal/times"
 )
 
 const (
@@ -32,9 +34,11 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// Clock returns the time since boot, including the time of suspension. Nil
+	// means the system's clock.
+	Clock func() time.Duration
 
 	mu       sync.Mutex
-	started  time.Time // time of the first request; buckets are numbered from it
 	services map[string]*retryWindow
 }
 
@@ -55,9 +59,10 @@
 
 // Sent records that the retry has been sent: it counts for the window after the latest
 // time at which it can reach the endpoint.
-func (r *Retry) Sent(now time.Time) {
+func (r *Retry) Sent() {
 	r.end(func() {
-		at := r.budget.bucketAt(now.Add(transitTime)) + 1
+		now := r.budget.now()
+		at := r.budget.bucketAt(now+transitTime) + 1
 		r.budget.advance(r.window, r.budget.bucketAt(now))
 		r.window.retries[bucketIndex(min(at, r.window.bucket+aheadBuckets))]++
 	})
@@ -78,10 +83,10 @@
 }
 
 // RecordRequest counts a request to a service.
-func (b *RetryBudget) RecordRequest(service string, now time.Time) {
+func (b *RetryBudget) RecordRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service, now)
+	w := b.window(service)
 	w.requests[bucketIndex(w.bucket)]++
 }
 
@@ -96,10 +101,10 @@
 // AllowRetry decides whether a request may be retried and, if so, counts the retry and
 // returns it; otherwise it returns nil. hosts is the number of hosts that share Slack;
 // if it is 0, which means unknown, this host gets none of it.
-func (b *RetryBudget) AllowRetry(service string, hosts int, now time.Time) (*Retry, RetryDecision) {
+func (b *RetryBudget) AllowRetry(service string, hosts int) (*Retry, RetryDecision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service, now)
+	w := b.window(service)
 	share := 0.0
 	if hosts > 0 {
 		share = b.Slack / float64(hosts)
@@ -140,13 +145,12 @@
 // bucketIndex returns the index of a bucket; its number may be negative.
 func bucketIndex(n int64) int64 { return (n%storedBuckets + storedBuckets) % storedBuckets }
 
-// window returns the counters of a service at a time. The caller holds b.mu.
-func (b *RetryBudget) window(service string, now time.Time) *retryWindow {
+// window returns the counters of a service at the present. The caller holds b.mu.
+func (b *RetryBudget) window(service string) *retryWindow {
 	if b.services == nil {
 		b.services = make(map[string]*retryWindow)
-		b.started = now
 	}
-	n := b.bucketAt(now)
+	n := b.bucketAt(b.now())
 	w := b.services[service]
 	if w == nil {
 		w = &retryWindow{bucket: n}
@@ -156,12 +160,16 @@
 	return w
 }
 
-// bucketAt returns the number of the bucket at a time. Sub uses the monotonic clock,
-// so that changes of the wall clock have no effect.
-func (b *RetryBudget) bucketAt(t time.Time) int64 {
-	return int64(t.Sub(b.started) / (b.Window / budgetBuckets))
+func (b *RetryBudget) now() time.Duration {
+	if b.Clock == nil {
+		return times.SinceBoot()
+	}
+	return b.Clock()
 }
 
+// bucketAt returns the number of the bucket at a time.
+func (b *RetryBudget) bucketAt(t time.Duration) int64 { return int64(t / (b.Window / budgetBuckets)) }
+
 // advance makes n the present bucket and clears those that come into use.
 func (b *RetryBudget) advance(w *retryWindow, n int64) {
 	w.bucket = max(w.bucket, n-storedBuckets)
--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -46,13 +46,16 @@
 	return ""
 }
 
+// bubbleClock is the clock of a bubble of synctest, which suspends with nothing.
+func bubbleClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // send sends a retry if the budget allows it, and reports whether it does.
 func send(b *RetryBudget, service string, hosts int) bool {
-	retry, _ := b.AllowRetry(service, hosts, time.Now())
+	retry, _ := b.AllowRetry(service, hosts)
 	if retry == nil {
 		return false
 	}
-	retry.Sent(time.Now())
+	retry.Sent()
 	return true
 }
 
@@ -68,12 +71,12 @@
 	started := time.Now()
 	hosts := make([]*RetryBudget, 3)
 	for i := range hosts {
-		hosts[i] = &RetryBudget{Ratio: 0.2, Slack: 6, Window: 10 * time.Second}
+		hosts[i] = &RetryBudget{Ratio: 0.2, Slack: 6, Window: 10 * time.Second, Clock: bubbleClock}
 	}
 	for _, u := range bursts {
 		time.Sleep(u.pause)
 		for range u.requests {
-			hosts[u.host].RecordRequest("s", time.Now())
+			hosts[u.host].RecordRequest("s")
 			e.requests = append(e.requests, time.Now())
 		}
 		time.Sleep(u.retryAfter)
@@ -122,11 +125,11 @@
 // to traffic that does not change.
 func TestRetryBudgetSteadyTraffic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &RetryBudget{Ratio: 0.2, Window: 10 * time.Second}
+		b := &RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Clock: bubbleClock}
 		started, requests, retries := time.Now(), 0, 0
 		for range 800 {
 			time.Sleep(100 * time.Millisecond)
-			b.RecordRequest("s", time.Now())
+			b.RecordRequest("s")
 			allowed := send(b, "s", 0)
 			if time.Since(started) <= 2*b.Window {
 				continue
@@ -139,3 +142,19 @@
 		require.Greater(t, retries, requests*15/100)
 	})
 }
+
+// TestRetryBudgetSuspendedHost guards against a host that wakes from a suspension and
+// retries by its requests of before, which no longer count.
+func TestRetryBudgetSuspendedHost(t *testing.T) {
+	now := time.Hour
+	b := &RetryBudget{Ratio: 0.2, Slack: 8, Window: 10 * time.Second, Clock: func() time.Duration { return now }}
+	for range 200 {
+		b.RecordRequest("s")
+	}
+	now += 3 * b.Window // the suspension, in which the monotonic clock stands still
+	n := 0
+	for send(b, "s", 4) {
+		n++
+	}
+	require.Equal(t, 2, n, "only the share of the slack is left")
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -236,9 +236,9 @@
 // after its window.
 func TestRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+		b := &RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Clock: bubbleClock}
 		for range 100 {
-			b.RecordRequest("s", time.Now())
+			b.RecordRequest("s")
 		}
 		allowed := 0
 		for range 100 {
@@ -260,8 +260,8 @@
 // window that starts between two buckets.
 func TestRetryBudgetSlidingWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
-		b.RecordRequest("s", time.Now())
+		b := &RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Clock: bubbleClock}
+		b.RecordRequest("s")
 		var retries []time.Time
 		for range 4000 {
 			time.Sleep(13 * time.Millisecond)
--- a/entry/hosted/budget_test.go
+++ b/entry/hosted/budget_test.go
@@ -40,7 +40,7 @@
 // loop sends requests and retries of one process until ctx ends. A retry of a
 // paused host arrives after the pause.
 func (r *retryTrial) loop(ctx context.Context, h *clusterHost) {
-	budget := &dispatch.RetryBudget{Ratio: retryRatio, Slack: retrySlack, Window: retryWindow}
+	budget := &dispatch.RetryBudget{Ratio: retryRatio, Slack: retrySlack, Window: retryWindow, Clock: h.cfg.clock}
 	gate := &gatedHost{h: h}
 	for wait.For(ctx, 100*time.Millisecond) {
 		gate.pass()
@@ -48,12 +48,12 @@
 			return
 		}
 		for range rand.IntN(2*r.rate + 1) {
-			budget.RecordRequest("s", time.Now())
+			budget.RecordRequest("s")
 			r.record(&r.requests)
 		}
 		for range 5 {
-			if retry, _ := budget.AllowRetry("s", h.shares.Count(), time.Now()); retry != nil {
-				retry.Sent(time.Now())
+			if retry, _ := budget.AllowRetry("s", h.shares.Count()); retry != nil {
+				retry.Sent()
 				r.record(&r.retries)
 			}
 		}
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -58,7 +58,7 @@
 		}}})
 		server := New(Config{
 			Catalog: catalogs.Current, Dispatch: d, Dialect: testDialect{}, Logger: logger, HostCount: func() int { return 1 },
-			Budget: &dispatch.RetryBudget{Slack: slack, Window: window},
+			Budget: &dispatch.RetryBudget{Slack: slack, Window: window, Clock: func() time.Duration { return time.Duration(time.Now().UnixNano()) }},
 			// The connections of the first retries take long.
 			Dial: func(ctx context.Context, network_, address string) (net.Conn, error) {
 				mu.Lock()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -87,7 +87,7 @@
 	resp, err := transport.RoundTrip(req)
 	if x.retry != nil && !errors.Is(err, errNotSent) {
 		// At least part of the request may have reached the endpoint.
-		x.retry.Sent(time.Now())
+		x.retry.Sent()
 	}
 	x.cancelRetry()
 	return resp, err
@@ -96,7 +96,7 @@
 // retrySent returns a function that counts a retry as sent. The transport calls it on
 // a goroutine of its own.
 func (*exchange) retrySent(retry *dispatch.Retry) func(httptrace.WroteRequestInfo) {
-	return func(httptrace.WroteRequestInfo) { retry.Sent(time.Now()) }
+	return func(httptrace.WroteRequestInfo) { retry.Sent() }
 }
 
 // outcome is the result of one attempt.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -102,7 +102,7 @@
 		return true
 	}
 	hosts := x.server.cfg.HostCount()
-	retry, d := x.server.cfg.Budget.AllowRetry(x.service, hosts, now)
+	retry, d := x.server.cfg.Budget.AllowRetry(x.service, hosts)
 	event := "retrying request"
 	if !d.Allowed {
 		event = "retry denied"
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -237,7 +237,7 @@
 	if pool, ok := x.server.cfg.Catalog().Catalog.Services[x.service]; !ok || pool.Engine == nil {
 		x.request.Model, x.request.Adapter = "", ""
 	}
-	x.server.cfg.Budget.RecordRequest(x.service, x.arrived)
+	x.server.cfg.Budget.RecordRequest(x.service)
 	return true
 }
 
