Do not let the transport send a request again by itself

Cause: net/http's transport repeats a GET without a body on a kept connection that breaks before the answer. Neither the attempts of the route nor the retry budget count that, and the endpoint may run it twice.

Evidence: TestNoUncountedRepeat failed: the caller of a route with one attempt got 200 from the second run, 502 expected.

Change: such a request is sent with a body of unknown length and no bytes, which the transport does not repeat and sends like no body. Empty bodies of other methods go over connections that are not kept.

Ruled out: kept connections for none (more new connections for each lookup).

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,6 +58,12 @@
 	}
 }
 
+// bodylessMethods returns the methods with which the transport sends an empty body of
+// unknown length like no body.
+func bodylessMethods() []string {
+	return []string{http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions}
+}
+
 // errNotSent marks errors that occurred before any byte of a request was sent.
 var errNotSent = errors.New("no connection to the endpoint")
 
@@ -78,7 +85,7 @@
 		req.Header["User-Agent"] = []string{""}
 	}
 	transport := x.server.onceTransport
-	if x.route.Kind == tamarackknot.RouteRepeatable {
+	if x.route.Kind == tamarackknot.RouteRepeatable && (len(x.body) > 0 || slices.Contains(bodylessMethods(), x.r.Method)) {
 		transport = x.server.keepAliveTransport
 	}
 	if x.retry != nil {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -291,3 +292,28 @@
 	require.NoError(t, err)
 	_ = rest // ReadAll returns because the host has closed the connection
 }
+
+// TestNoUncountedRepeat guards against a request that the transport sends again by
+// itself, which neither the route's attempts nor the retry budget count: a GET on a
+// kept connection that breaks before the answer.
+func TestNoUncountedRepeat(t *testing.T) {
+	var requests atomic.Int32
+	h := newHarness(t, tamarackknot.Route{Kind: tamarackknot.RouteRepeatable, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) == 2 {
+			resetConn(w, r)
+			return
+		}
+		respond(http.StatusOK, "x")(w, r)
+	})
+	for _, status := range []int{http.StatusOK, http.StatusBadGateway} {
+		r := h.request(t.Context(), call{method: http.MethodGet})
+		r.Close = false // the header would close the connection to the endpoint as well
+		resp, err := h.entryHost.Client().Do(r)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, status, resp.StatusCode)
+	}
+	require.Len(t, h.reached(), 2, "the second request reaches the endpoint once")
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -306,10 +307,10 @@
 }
 
 func (x *exchange) bodyReader() io.ReadCloser {
-	if len(x.body) == 0 {
+	if len(x.body) == 0 && !slices.Contains(bodylessMethods(), x.r.Method) {
 		return http.NoBody
 	}
 	// The wrapper hides the reader's type, so that the transport can't rewind
-	// the body and resend the request by itself.
+	// the body and resend the request by itself, which it also does without a body.
 	return io.NopCloser(bytes.NewReader(x.body))
 }
