--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -462,6 +462,18 @@
 	}
 }
 
+// ObserveLimit records the limit that an answer of the endpoint names, or that it names
+// none.
+func (g *Grant) ObserveLimit(limit tamarackknot.RateLimit) {
+	g.d.mu.Lock()
+	defer g.d.mu.Unlock()
+	if e := g.d.endpoints[g.Endpoint.ID]; e != nil && e.limit != limit {
+		e.limit = limit
+		g.d.cfg.Logger.Info("endpoint limit changed", "endpoint", g.Endpoint.ID, "limited", limit.Limited, "perSecond", limit.PerSecond,
+			"request", g.req.ID)
+	}
+}
+
 // Done releases the place at the endpoint and records the result of the
 // attempt. Further calls have no effect.
 func (g *Grant) Done(r Result) {
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -56,6 +56,7 @@
 type endpoint struct {
 	entry tamarackknot.EndpointEntry
 	slots int
+	limit tamarackknot.RateLimit // as last named by the endpoint
 	// own is the number of requests in flight from this host, others that from the
 	// other hosts as reported by the planner.
 	own        int
@@ -77,7 +78,7 @@
 
 // accepts reports whether the request may be sent to the endpoint now.
 func (e *endpoint) accepts(req *Request, now time.Time) bool {
-	if now.Before(e.backoffUntil) || e.own+e.others >= e.limit(req) {
+	if now.Before(e.backoffUntil) || e.own+e.others >= e.maxRequests(req) {
 		return false
 	}
 	if !e.entry.GoneAt.IsZero() && e.entry.GoneAt.Sub(now) < removalMargin {
@@ -91,9 +92,9 @@
 	return req.Model == "" || e.holds(req, now)
 }
 
-// limit is the number of requests that all hosts together may have in flight at
+// maxRequests is the number of requests that all hosts together may have in flight at
 // the endpoint.
-func (e *endpoint) limit(req *Request) int {
+func (e *endpoint) maxRequests(req *Request) int {
 	if req.Model == "" {
 		return e.slots * plainRequestsPerSlot
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -198,6 +198,9 @@
 func (x *exchange) checkResponseHeader(g *dispatch.Grant, resp *http.Response) (outcome, bool) {
 	a := x.server.cfg.Dialect.Answer(resp.StatusCode, resp.Header)
 	x.sent++
+	if a.RequestID == x.caller.ID && !a.Misplaced && (a.NotRun || a.Signed) {
+		g.ObserveLimit(a.Limit)
+	}
 	switch {
 	case a.NotRun && a.Misplaced:
 		g.Done(dispatch.ResultMisplaced)
