--- a/entry/hosted/budget_test.go
+++ b/entry/hosted/budget_test.go
@@ -186,22 +186,30 @@
 func TestRetryBudgetFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rate := rapid.IntRange(0, 4).Draw(rt, "rate")
-		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
-			f := drawFault(t)
-			f.kind = rapid.SampledFrom([]string{
-				"kill", "kill", "kill", "handover", "restartHolder", "pause", "cutPeers", "cutStore", "outage", "restore", "addHost",
-			}).Draw(t, "hostFault")
-			return f
-		}), 1, 12).Draw(rt, "faults")
-		excess, _ := playRetries(t, rate, func(c *cluster) {
-			for _, f := range faults {
-				wait.For(c.ctx, time.Duration(f.pauseMs)*time.Millisecond)
-				c.begin(f)
-			}
-		})
+		faults := drawHostFaults(rt)
+		excess, _ := playRetries(t, rate, func(c *cluster) { c.play(faults) })
 		if excess != "" {
 			t.Logf("rate=%d faults=%v: %s", rate, faults, excess)
 		}
 		require.Empty(rt, excess)
 	})
 }
+
+// drawHostFaults draws a series of faults of the hosts and the store.
+func drawHostFaults(rt *rapid.T) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		f := drawFault(t)
+		f.kind = rapid.SampledFrom([]string{
+			"kill", "kill", "kill", "handover", "restartHolder", "pause", "cutPeers", "cutStore", "outage", "restore", "addHost",
+		}).Draw(t, "hostFault")
+		return f
+	}), 1, 12).Draw(rt, "faults")
+}
+
+// play begins the faults one after the other.
+func (c *cluster) play(faults []fault) {
+	for _, f := range faults {
+		wait.For(c.ctx, time.Duration(f.pauseMs)*time.Millisecond)
+		c.begin(f)
+	}
+}
