Publish a host of the test cluster after its components are built

Found when TestRetryBudgetFaults and the like run with overlapping faults: a second fault could shut down a host that was being started, whose components were nil (panic in clusterHost.shutDown, once in four runs of the package).

Cause: start put the host into the map before it built the components. Change: after. Only the test's stand-in for a machine is concerned.

--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -125,7 +125,6 @@
 		c: c, name: name, done: make(chan struct{}), startedAt: time.Now(),
 		knownGone: make(map[startKey]bool), listed: make(map[startKey]bool),
 	}
-	c.hosts[name] = h
 	c.mu.Unlock()
 	gate := &gatedHost{h: h}
 	h.components = newComponents(componentsConfig{
@@ -143,6 +142,10 @@
 	})
 	var ctx context.Context
 	ctx, h.cancel = context.WithCancel(c.ctx)
+	// Faults may strike the host from here on.
+	c.mu.Lock()
+	c.hosts[name] = h
+	c.mu.Unlock()
 	var loops sync.WaitGroup
 	for _, loop := range append(h.loops(), h.observe, h.request) {
 		loops.Go(func() { loop(ctx) })
