Keep the limit that an endpoint names, over all hosts together

Cause: nothing read the limit.

Change: at most 4 + r hosts, chosen by hashing names among those that know of each other (share.Hosts), send to an endpoint that takes r requests a second, each r/m a second from an empty bucket of one; the others send nothing. Changes are reported to the planner and passed on to all.

Ruled out: r divided by all hosts (72 at once), requests handed out by the planner (a message for each).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -107,7 +107,10 @@
 	// OnModelWait is called when a request starts to wait for a model, so that the
 	// demand is reported to the planner at once.
 	OnModelWait func()
-	Logger      *log.Logger
+	// LimitShare returns the rate, in requests a second, that this host may send to an
+	// endpoint which takes perSecond from all hosts together. Nil means all of it.
+	LimitShare func(endpoint string, perSecond float64) float64
+	Logger     *log.Logger
 }
 
 // Dispatcher assigns requests to endpoints. It minimises the load of the chosen
@@ -124,6 +127,7 @@
 	forecasts map[target]time.Time
 	history   map[target]*requestHistory
 	affinity  map[affinityKey]string
+	limits    map[limitKey]*limitState
 	changed   map[target]bool // targets whose demand changed since the last report
 	queueWake chan struct{}   // wakes Run when a request starts to wait
 	drainBy   time.Time       // when waiting requests are refused; zero unless the host shuts down
@@ -161,6 +165,7 @@
 		forecasts: make(map[target]time.Time),
 		history:   make(map[target]*requestHistory),
 		affinity:  make(map[affinityKey]string),
+		limits:    make(map[limitKey]*limitState),
 		changed:   make(map[target]bool),
 		queueWake: make(chan struct{}, 1),
 	}
@@ -358,7 +363,7 @@
 	affinity := d.affinityEndpoint(req)
 	preferred := d.preferredReplica(req)
 	for _, e := range d.byService[req.Service] {
-		if !e.accepts(req, now) {
+		if !e.accepts(req, now) || !d.limitAllows(e, now) {
 			missing = min(missing, e.lacks(req))
 			continue
 		}
@@ -369,6 +374,7 @@
 		if e == preferred {
 			score -= preferredReplicaBonus
 		}
+		score += d.limitPenalty(e, now)
 		if best == nil || score < bestScore {
 			best, bestScore = e, score
 		}
@@ -383,6 +389,7 @@
 	if best == nil {
 		return nil, missing
 	}
+	d.spendLimit(best, now)
 	best.own++
 	best.prefilling++
 	best.running[modelAdapter{req.Model, req.Adapter}]++
@@ -462,18 +469,6 @@
 	}
 }
 
-// ObserveLimit records the limit that an answer of the endpoint names, or that it names
-// none.
-func (g *Grant) ObserveLimit(limit tamarackknot.RateLimit) {
-	g.d.mu.Lock()
-	defer g.d.mu.Unlock()
-	if e := g.d.endpoints[g.Endpoint.ID]; e != nil && e.limit != limit {
-		e.limit = limit
-		g.d.cfg.Logger.Info("endpoint limit changed", "endpoint", g.Endpoint.ID, "limited", limit.Limited, "perSecond", limit.PerSecond,
-			"request", g.req.ID)
-	}
-}
-
 // Done releases the place at the endpoint and records the result of the
 // attempt. Further calls have no effect.
 func (g *Grant) Done(r Result) {
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -56,7 +56,6 @@
 type endpoint struct {
 	entry tamarackknot.EndpointEntry
 	slots int
-	limit tamarackknot.RateLimit // as last named by the endpoint
 	// own is the number of requests in flight from this host, others that from the
 	// other hosts as reported by the planner.
 	own        int
--- /dev/null
+++ b/dispatch/limit.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"time"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+const (
+	// limitedPenalty, a fraction of the slots, is for an endpoint that names a limit, so
+	// that its few requests are those that no other endpoint takes. It does not apply to
+	// the first one in limitProbeInterval, whose answer says whether the limit still
+	// holds.
+	limitedPenalty     = 1.0
+	limitProbeInterval = 2 * time.Second
+	// limitRetention is how long the limit of an endpoint that is not listed is kept:
+	// its entry may come back.
+	limitRetention = time.Minute
+)
+
+// limitKey identifies one start of an endpoint.
+type limitKey struct {
+	endpoint string
+	born     int64 // Unix ms
+}
+
+// limitState is what is known of an endpoint's limit, and this host's part of it.
+type limitState struct {
+	tamarackknot.EndpointLimit
+	// tokens is the number of requests that this host may send, at tokensAt. It never
+	// exceeds 1, and a host that learns of the limit begins with none.
+	tokens   float64
+	tokensAt time.Time
+	sentAt   time.Time // when this host last sent a request under the limit
+	changed  bool      // since the last report
+	listedAt time.Time
+}
+
+// refill adds the tokens of this host's rate.
+func (l *limitState) refill(perSecond float64, now time.Time) {
+	l.tokens = min(1, l.tokens+perSecond*now.Sub(l.tokensAt).Seconds())
+	l.tokensAt = now
+}
+
+func keyOf(e tamarackknot.EndpointEntry) limitKey { return limitKey{e.ID, e.Born.UnixMilli()} }
+
+// limitAllows reports whether this host may send a request to the endpoint under the
+// limit that the endpoint named. d.mu is held.
+func (d *Dispatcher) limitAllows(e *endpoint, now time.Time) bool {
+	l := d.limits[keyOf(e.entry)]
+	if l == nil || !l.Limit.Limited {
+		return true
+	}
+	perSecond := l.Limit.PerSecond
+	if d.cfg.LimitShare != nil {
+		perSecond = d.cfg.LimitShare(l.Endpoint, perSecond)
+	}
+	l.refill(perSecond, now)
+	return l.tokens >= 1
+}
+
+// limitPenalty returns what the endpoint's limit adds to its score. d.mu is held.
+func (d *Dispatcher) limitPenalty(e *endpoint, now time.Time) float64 {
+	l := d.limits[keyOf(e.entry)]
+	if l == nil || !l.Limit.Limited || now.Sub(l.sentAt) > limitProbeInterval {
+		return 0
+	}
+	return limitedPenalty
+}
+
+// spendLimit counts a request to the endpoint. d.mu is held.
+func (d *Dispatcher) spendLimit(e *endpoint, now time.Time) {
+	if l := d.limits[keyOf(e.entry)]; l != nil && l.Limit.Limited {
+		l.tokens--
+		l.sentAt = now
+	}
+}
+
+// ObserveLimit records the limit that an answer of the endpoint names, or that it names
+// none.
+func (g *Grant) ObserveLimit(limit tamarackknot.RateLimit) {
+	g.d.mu.Lock()
+	defer g.d.mu.Unlock()
+	if l := g.d.limits[keyOf(g.Endpoint)]; l == nil && !limit.Limited {
+		return
+	}
+	g.d.applyLimit(tamarackknot.EndpointLimit{Endpoint: g.Endpoint.ID, Born: g.Endpoint.Born, Limit: limit, At: time.Now()}, g.req.ID)
+}
+
+// applyLimit records the newest observation of an endpoint's limit, made by the answer
+// to a request, or by another host if request is empty. d.mu is held.
+func (d *Dispatcher) applyLimit(n tamarackknot.EndpointLimit, request string) {
+	k := limitKey{n.Endpoint, n.Born.UnixMilli()}
+	l := d.limits[k]
+	if l == nil {
+		l = &limitState{tokensAt: time.Now(), listedAt: time.Now()}
+		d.limits[k] = l
+	}
+	if n.At.Before(l.At) {
+		// The planner has an older observation than this host.
+		l.changed = l.changed || n.Limit != l.Limit
+		return
+	}
+	if n.Limit != l.Limit {
+		d.cfg.Logger.Info("endpoint limit changed", "endpoint", n.Endpoint, "limited", n.Limit.Limited, "perSecond", n.Limit.PerSecond,
+			"request", request)
+		l.changed = l.changed || request != ""
+		if !l.Limit.Limited {
+			l.tokens, l.tokensAt = 0, time.Now()
+		}
+	}
+	l.EndpointLimit = n
+}
+
+// pruneLimits forgets the limits of endpoints that have not been listed for long. d.mu
+// is held.
+func (d *Dispatcher) pruneLimits(now time.Time) {
+	for k, l := range d.limits {
+		if e := d.endpoints[k.endpoint]; e != nil && keyOf(e.entry) == k {
+			l.listedAt = now
+		} else if now.Sub(l.listedAt) > limitRetention {
+			delete(d.limits, k)
+		}
+	}
+}
+
+// reportedLimits returns the limits whose change at this host was not reported yet, all
+// known ones with all. d.mu is held.
+func (d *Dispatcher) reportedLimits(all bool) []tamarackknot.EndpointLimit {
+	var out []tamarackknot.EndpointLimit
+	for _, l := range d.limits {
+		if all || l.changed {
+			out = append(out, l.EndpointLimit)
+			l.changed = false
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/dispatch/limit_test.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+func limitOf(perSecond float64) tamarackknot.RateLimit {
+	return tamarackknot.RateLimit{Limited: true, PerSecond: perSecond}
+}
+
+// sendAll sends requests for the model for some time, up to ten at once, and returns how
+// many each endpoint gets.
+func (h *harness) sendAll(t *testing.T, lasts time.Duration) map[string]int {
+	t.Helper()
+	sent := make(map[string]int)
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		h.mu.Lock()
+		g, _ := h.tryGrant(request("s", "m"), time.Now())
+		h.mu.Unlock()
+		if g != nil {
+			sent[g.Endpoint.ID]++
+			g.Done(ResultAnswered)
+		}
+	}
+	return sent
+}
+
+// TestEndpointLimit guards against more requests to an endpoint than this host's part of
+// the limit that it named, and against a limit that outlives its cause.
+func TestEndpointLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		share := 1.0
+		h.cfg.LimitShare = func(_ string, perSecond float64) float64 { return share * perSecond }
+		h.add("e0", "s", "z1", 4, "m")
+		grant := func() *Grant {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			g, _ := h.tryGrant(request("s", "m"), time.Now())
+			return g
+		}
+		g := grant()
+		g.ObserveLimit(limitOf(2))
+		g.Done(ResultAnswered)
+		require.Nil(t, grant(), "a host that learns of a limit must not begin with a request in hand")
+		atMost := func(limit int) {
+			t.Helper()
+			n := h.sendAll(t, 10*time.Second)["e0"]
+			require.LessOrEqual(t, n, limit)
+			require.GreaterOrEqual(t, n, limit*3/4)
+		}
+		atMost(20)
+		share = 0.25
+		atMost(5)
+		share = 0
+		require.Empty(t, h.sendAll(t, 10*time.Second))
+
+		// An older observation of another host does not count, a newer one does.
+		entry := h.entries["e0"]
+		other := tamarackknot.EndpointLimit{Endpoint: "e0", Born: entry.Born, At: time.Now().Add(-time.Hour)}
+		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{other}})
+		require.Empty(t, h.sendAll(t, time.Second))
+		require.Len(t, h.Demand(false).Limits, 1, "the planner must learn of the newer observation")
+		other.At = time.Now()
+		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{other}})
+		require.Equal(t, 20, h.sendAll(t, time.Second)["e0"])
+
+		// A limit belongs to one start of the endpoint, also while its entry is away.
+		share = 0
+		other.Limit, other.At = limitOf(2), time.Now()
+		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{other}})
+		delete(h.entries, "e0")
+		h.publish()
+		h.entries["e0"] = entry
+		h.publish()
+		require.Empty(t, h.sendAll(t, time.Second))
+		entry.Born = time.Now()
+		h.entries["e0"] = entry
+		h.publish()
+		require.Equal(t, 20, h.sendAll(t, time.Second)["e0"])
+	})
+}
+
+// TestLimitedEndpointLast guards against a limited endpoint that spends its few requests
+// although others have the model, and against one that is never asked again.
+func TestLimitedEndpointLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		h.add("e0", "s", "z1", 4, "m")
+		h.add("e1", "s", "z2", 4, "m")
+		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{{Endpoint: "e0", Limit: limitOf(10), At: time.Now()}}})
+		sent := h.sendAll(t, 20*time.Second)
+		require.InDelta(t, 20/limitProbeInterval.Seconds(), sent["e0"], 1)
+		require.Greater(t, sent["e1"], 350)
+	})
+}
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -63,6 +63,7 @@
 			delete(d.endpoints, id)
 		}
 	}
+	d.pruneLimits(time.Now())
 	clear(d.byService)
 	for service, ids := range byService {
 		for _, id := range ids {
@@ -91,6 +92,9 @@
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
 		}
 	}
+	for _, l := range v.Limits {
+		d.applyLimit(l, "")
+	}
 	clear(d.forecasts)
 	for _, f := range v.Forecasts {
 		d.forecasts[target{f.Service, f.Model}] = f.ReadyAt
@@ -104,7 +108,7 @@
 func (d *Dispatcher) Demand(all bool) tamarackknot.HostDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out tamarackknot.HostDemand
+	out := tamarackknot.HostDemand{Limits: d.reportedLimits(all)}
 	for id, e := range d.endpoints {
 		for k, n := range e.running {
 			out.Running = append(out.Running, tamarackknot.RunCount{Endpoint: id, Model: k.model, Adapter: k.adapter, Count: n})
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -125,6 +125,7 @@
 		HostIndex:          c.hostIndex,
 		PlannerViewCurrent: func() bool { return c.fleet.PlannerAlive() },
 		OnModelWait:        func() { c.fleet.SendNow() },
+		LimitShare:         func(endpoint string, perSecond float64) float64 { return c.shares.Rate(endpoint, perSecond) },
 		Logger:             logger,
 	})
 	c.catalog = catalog.New(catalog.Config{
@@ -180,7 +181,7 @@
 		Catalog: c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
 		OnDemand: func() { c.planner.Replan() },
 	})
-	c.shares = share.New(share.Config{Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
+	c.shares = share.New(share.Config{Self: s.Host, Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
 		Demand: c.dispatch.Demand, OnView: c.dispatch.SetView,
@@ -195,6 +196,7 @@
 		Catalog:         c.currentCatalog,
 		Endpoints:       func() map[string]tamarackknot.EndpointEntry { return c.discovery.Current().Endpoints },
 		Demands:         c.publisher.Demands,
+		Limited:         c.publisher.Limits,
 		Publish:         c.publisher.Publish,
 		FencingEnforced: s.EnginesEnforceFencing, LoadWindow: s.LoadWindow, LoadFactor: s.LoadFactor,
 		Logger: logger,
--- a/fleet.go
+++ b/fleet.go
@@ -8,6 +8,17 @@
 	Leaving bool
 	Running []RunCount
 	Models  []ModelDemand
+	// Limits are the limits of endpoints that changed since the last report.
+	Limits []EndpointLimit
+}
+
+// EndpointLimit is the limit that one start of an endpoint named, or that it names none,
+// as observed by a host at a time.
+type EndpointLimit struct {
+	Endpoint string
+	Born     time.Time
+	Limit    RateLimit
+	At       time.Time
 }
 
 // RunCount is the number of requests for one target that a host has running at
@@ -48,6 +59,8 @@
 	Engines map[string]EngineView
 	// Forecasts are the forecasts for the models that requests wait for.
 	Forecasts []ModelForecast
+	// Limits are the limits that endpoints named, if the message has them.
+	Limits []EndpointLimit
 	// Hosts are the entry hosts that currently report to the planner.
 	Hosts []HostEntry
 }
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -284,7 +284,7 @@
 		clear(c.held)
 		clear(c.forecasts)
 	}
-	v := tamarackknot.FleetView{Engines: make(map[string]tamarackknot.EngineView, len(m.Engines))}
+	v := tamarackknot.FleetView{Limits: decodeLimits(m.Limits, now), Engines: make(map[string]tamarackknot.EngineView, len(m.Engines))}
 	for _, e := range m.Engines {
 		if !e.HeldUnchanged {
 			c.held[e.ID] = decodeHeld(e.Held)
@@ -335,7 +335,7 @@
 		d.Host, d.Leaving = c.cfg.Self.Name, leaving
 		running := runningCounts(d.Running)
 		due := time.Since(lastSent) >= maxDemandInterval
-		if !urgent && !due && !all && !behind && len(d.Models) == 0 && maps.Equal(running, last) {
+		if !urgent && !due && !all && !behind && len(d.Models)+len(d.Limits) == 0 && maps.Equal(running, last) {
 			continue
 		}
 		m := encodeDemand(d, all, behind, c.cfg.CatalogVersion(), time.Now())
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -30,6 +30,7 @@
 	view   map[string]tamarackknot.EngineView
 
 	forecasts []tamarackknot.ModelForecast
+	limits    []tamarackknot.EndpointLimit
 	cancels   []context.CancelFunc
 
 	acknowledgedAt time.Duration // the latest that OnAcknowledged was called with
@@ -91,6 +92,7 @@
 					n.view[id] = e
 				}
 				n.forecasts = v.Forecasts
+				n.limits = append(n.limits, v.Limits...)
 			},
 			CatalogVersion: func() int64 { return 1 },
 			Promise:        func(time.Duration) bool { return !n.keepsSilent.Load() },
@@ -393,3 +395,47 @@
 		})
 	}
 }
+
+// TestLimits guards against hosts that do not learn of a limit that an endpoint named to
+// another host, and against an older observation that replaces a newer one.
+func TestLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := start(t, 3)
+		defer stop(nodes)
+		nodes[0].setLease(1, true)
+		time.Sleep(time.Second)
+		report := func(n *node, limited bool, at time.Time) {
+			n.mu.Lock()
+			n.demand.Limits = []tamarackknot.EndpointLimit{{
+				Endpoint: "e", Born: time.UnixMilli(7), Limit: tamarackknot.RateLimit{Limited: limited, PerSecond: 2}, At: at,
+			}}
+			n.mu.Unlock()
+			n.client.SendNow()
+			time.Sleep(200 * time.Millisecond)
+			n.mu.Lock()
+			n.demand.Limits = nil
+			n.mu.Unlock()
+			time.Sleep(time.Second)
+		}
+		newest := func(n *node) tamarackknot.EndpointLimit {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.limits[len(n.limits)-1]
+		}
+		reported := time.Now()
+		report(nodes[1], true, reported)
+		for _, n := range nodes {
+			l := newest(n)
+			require.Equal(t, "e", l.Endpoint)
+			require.True(t, l.Limit.Limited)
+			require.Equal(t, int64(7), l.Born.UnixMilli())
+			require.WithinDuration(t, reported, l.At, 10*time.Millisecond)
+		}
+		require.Contains(t, nodes[0].publisher.Limits(), "e")
+		report(nodes[2], false, reported.Add(-time.Second))
+		require.True(t, newest(nodes[1]).Limit.Limited, "an older observation")
+		report(nodes[2], false, time.Now())
+		require.False(t, newest(nodes[1]).Limit.Limited)
+		require.Empty(t, nodes[0].publisher.Limits())
+	})
+}
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -99,6 +99,9 @@
 	Catalog func() *tamarackknot.Catalog
 	// Endpoints returns the registered endpoints by ID.
 	Endpoints func() map[string]tamarackknot.EndpointEntry
+	// Limited returns the engines that name a limit, with the start that does so. Nil
+	// means none.
+	Limited func() map[string]time.Time
 	// Demands returns the demand of each entry host.
 	Demands func() []tamarackknot.HostDemand
 	// Publish sends the state of the engines to the hosts, without delay if now
@@ -456,12 +459,19 @@
 			s.Models[key.model] = demand.state
 		}
 	}
+	var limited map[string]time.Time
+	if c.cfg.Limited != nil {
+		limited = c.cfg.Limited()
+	}
 	for _, e := range c.engines {
 		if e.service != service {
 			continue
 		}
 		e.updateLoad(now)
-		s.Engines = append(s.Engines, e.state(now))
+		state := e.state(now)
+		born, named := limited[e.id]
+		state.Limited = named && born.UnixMilli() == e.entry.Born.UnixMilli()
+		s.Engines = append(s.Engines, state)
 		if e.move != nil && e.move.Tier == tamarackknot.TierRemote {
 			s.ColdLoads++
 		}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -97,6 +97,9 @@
 	OnDisk   map[string]bool
 	// Unavailable engines get no orders.
 	Unavailable bool
+	// Limited engines take few requests: they name a limit. What they hold does not
+	// count as a replica, and nothing is loaded there unless all engines are limited.
+	Limited bool
 	// Load is the average number of requests at the engine.
 	Load float64
 	// ColdLoads counts the engine's loads from the weight store so far.
@@ -155,6 +158,7 @@
 	cached map[string]bool
 	// adapterReserveMB is the memory reserved for adapters on each engine.
 	adapterReserveMB float64
+	allLimited       bool
 	decision         Decision
 }
 
@@ -169,15 +173,20 @@
 	p := &planState{ServiceState: s, replicas: make(map[string]int), cached: make(map[string]bool)}
 	p.Engines = slices.Clone(s.Engines)
 	p.adapterReserveMB = adapterReserve(s.Spec)
+	p.allLimited = !slices.ContainsFunc(s.Engines, func(e EngineState) bool { return !e.Unavailable && !e.Limited })
 	for _, e := range s.Engines {
 		if e.Unavailable {
 			continue
 		}
-		for _, h := range e.Held {
-			p.replicas[h.Model]++
+		if !p.avoids(&e) {
+			for _, h := range e.Held {
+				p.replicas[h.Model]++
+			}
+			if e.Loading != "" {
+				p.replicas[e.Loading]++
+			}
 		}
 		if e.Loading != "" {
-			p.replicas[e.Loading]++
 			p.cached[e.Loading] = true
 		}
 		for m := range e.OnDisk {
@@ -194,6 +203,9 @@
 	return p.decision
 }
 
+// avoids reports whether the engine takes too few requests to serve its models.
+func (p *planState) avoids(e *EngineState) bool { return e.Limited && !p.allLimited }
+
 // wanted returns the models to load, most urgent first.
 func (p *planState) wanted() []string {
 	var names []string
@@ -341,7 +353,7 @@
 // would end, and its cost in penalty seconds, infinite if it is not possible.
 func (p *planState) evaluate(e *EngineState, model tamarackknot.HostedModel, state ModelState) (Move, time.Time, float64) {
 	infeasible := math.Inf(1)
-	if e.Unavailable || e.holds(model.Name) || e.Loading == model.Name {
+	if e.Unavailable || p.avoids(e) || e.holds(model.Name) || e.Loading == model.Name {
 		return Move{}, time.Time{}, infeasible
 	}
 	tier := e.tier(model.Name)
--- a/planner/decide_test.go
+++ b/planner/decide_test.go
@@ -71,6 +71,22 @@
 			models: map[string]ModelState{"m06": waiting(4), "m03": idle, "m04": idle, "m05": idle},
 			moves:  []Move{{Engine: "b", Model: "m06", Tier: tamarackknot.TierDisk, Evict: []string{"m03"}}},
 		},
+		"a model whose only replica is on a limited engine is loaded elsewhere": {
+			engines: []EngineState{
+				{ID: "a", Held: held("m06"), OnDisk: onDisk("m06"), Limited: true},
+				{ID: "b", Held: held("m03"), OnDisk: onDisk("m03", "m06")},
+				{ID: "c", OnDisk: onDisk("m06"), InMemory: onDisk("m06"), Limited: true},
+			},
+			models: map[string]ModelState{"m06": waiting(4)},
+			moves:  []Move{{Engine: "b", Model: "m06", Tier: tamarackknot.TierDisk}},
+		},
+		"while all engines are limited they are used": {
+			engines: []EngineState{
+				{ID: "a", Held: held("m03"), OnDisk: onDisk("m03", "m06"), Limited: true},
+			},
+			models: map[string]ModelState{"m06": waiting(4)},
+			moves:  []Move{{Engine: "a", Model: "m06", Tier: tamarackknot.TierDisk}},
+		},
 		"a model cached in memory is preferred to one on disk": {
 			engines: []EngineState{
 				{ID: "a", Held: held("m00"), OnDisk: onDisk("m00", "m06")},
--- a/share/share.go
+++ b/share/share.go
@@ -5,10 +5,12 @@
 package share
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"tamarackknot.example/tamarackknot/internal/times"
@@ -30,8 +32,19 @@
 	probation = memory + maxListAge
 )
 
+const (
+	// baseSharers is the number of hosts that share a rate below one request a second;
+	// each request a second adds one.
+	baseSharers = 4
+	// minRate, in requests a second, is the rate of all hosts at an endpoint that takes
+	// none, so that they learn when it does again.
+	minRate = 0.1
+)
+
 // Config configures Hosts.
 type Config struct {
+	// Self is the name of this host.
+	Self string
 	// Window is the longest window of the limits.
 	Window time.Duration
 	// Clock returns the time since boot, including the time of suspension. Nil
@@ -50,6 +63,14 @@
 	lists   []hostList
 	since   time.Duration
 	sharing bool // the last result of Count was not 0
+	// sharers caches Rate: the number of hosts that share the rate of a key, 0 if this
+	// host is not one of them. It is cleared when the lists change.
+	sharers map[rateKey]int
+}
+
+type rateKey struct {
+	name  string
+	hosts int // at most as many share the rate
 }
 
 // hostList is a list of registered hosts, received repeatedly until last.
@@ -63,7 +84,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = times.SinceBoot
 	}
-	return &Hosts{cfg: cfg}
+	return &Hosts{cfg: cfg, sharers: make(map[rateKey]int)}
 }
 
 // Observe records a list of the registered hosts, in order, that the planner read the
@@ -78,14 +99,17 @@
 	n := len(h.lists)
 	if n == 0 || now-h.lists[n-1].last > maxSilence {
 		h.lists, h.since, n = nil, now, 0
+		clear(h.sharers)
 	}
 	if n > 0 && slices.Equal(h.lists[n-1].names, names) {
 		h.lists[n-1].last = now
 	} else {
 		h.lists = append(h.lists, hostList{names: names, last: now})
+		clear(h.sharers)
 	}
 	for h.lists[0].last < now-h.cfg.Window-memory {
 		h.lists = h.lists[1:]
+		clear(h.sharers)
 	}
 }
 
@@ -113,3 +137,49 @@
 	n := len(h.lists)
 	return n > 0 && now-h.lists[n-1].last <= listTimeout && now-h.since >= h.cfg.Window+probation
 }
+
+// Rate returns the requests a second that this host may send, where all hosts together
+// may send perSecond, to the endpoint of a name. A few hosts share the rate, chosen by
+// hashing their names: each may send a request at any time, and those of all hosts at
+// once would exceed a low rate.
+func (h *Hosts) Rate(name string, perSecond float64) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.mayShare(h.cfg.Clock()) {
+		return 0
+	}
+	key := rateKey{name, baseSharers + int(min(perSecond, math.MaxInt32))}
+	n, cached := h.sharers[key]
+	if !cached {
+		n = h.countSharers(key)
+		h.sharers[key] = n
+	}
+	if n == 0 {
+		return 0
+	}
+	return max(perSecond, minRate) / float64(n)
+}
+
+// countSharers returns the number of hosts that share the rate of a key, 0 if this host
+// is not one of them. h.mu is held.
+func (h *Hosts) countSharers(key rateKey) int {
+	names, before := make(map[string]bool), 0
+	for _, l := range h.lists {
+		for _, name := range l.names {
+			names[name] = true
+		}
+	}
+	self := rank(key.name, h.cfg.Self)
+	for name := range names {
+		if r := rank(key.name, name); r < self || r == self && name < h.cfg.Self {
+			before++
+		}
+	}
+	if before >= key.hosts {
+		return 0
+	}
+	return min(len(names), key.hosts)
+}
+
+// rank orders the hosts for a name.
+func rank(name, host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
