Give up an event of a stream that has no end

Cause: the limit of an event was checked only for a line that exceeds the read buffer. An event of endless short lines was read, and kept in memory, until the request's deadline.

Evidence: TestEndlessAnswers, case "the lines of an event", failed: 20 s instead of at most 10. The other twelve cases passed on the code before.

Change: the whole event is checked.

Result: all cases pass in 0.1 to 2 s.

A first call of the test hung until go test's limit of ten minutes: its harness did not run the dispatcher, so a declined request waited for ever. That was the test's fault and is mended in it.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -317,3 +318,61 @@
 	}
 	require.Len(t, h.reached(), 2, "the second request reaches the endpoint once")
 }
+
+// TestEndlessAnswers guards against an answer without end that the entry host reads, and
+// keeps in memory, until the request's deadline.
+func TestEndlessAnswers(t *testing.T) {
+	endless := func(head, part string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			conn, buf, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err = buf.WriteString(head); err != nil {
+				return
+			}
+			block := strings.Repeat(part, 1+4096/len(part))
+			for err == nil {
+				if _, err = buf.WriteString(block); err == nil {
+					err = buf.Flush()
+				}
+			}
+		}
+	}
+	const ok = "HTTP/1.1 200 OK\r\nId: id-1\r\nSigned: a\r\n"
+	cases := map[string]struct {
+		kind       tamarackknot.RouteKind
+		head, part string
+	}{
+		"no answer at all":              {repeatable, "", "x"},
+		"a status line":                 {repeatable, "HTTP/1.1 200 ", "x"},
+		"header lines":                  {repeatable, ok, "A: b\r\n"},
+		"a header value":                {once, ok + "A: ", "x"},
+		"informational responses":       {once, "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		"a body without a length":       {repeatable, ok + "\r\n", "x"},
+		"a chunk size":                  {once, ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"chunk extensions":              {once, ok + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"a trailer":                     {once, ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		"the line of an event":          {stream, ok + "\r\ndata: ", "x"},
+		"the lines of an event":         {stream, ok + "\r\n", "data: x\n"},
+		"a failure of a stream":         {stream, "HTTP/1.1 500 X\r\nId: id-1\r\nSigned: a\r\n\r\n", "x"},
+		"a declined request of a route": {once, "HTTP/1.1 503 X\r\nId: id-1\r\nNotRun: 1\r\n\r\n", "x"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, tamarackknot.Route{Kind: tc.kind, Attempts: 1}, endless(tc.head, tc.part))
+			go h.dispatcher.Run(t.Context())
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			started := time.Now()
+			resp, _, err := h.do(call{header: map[string]string{"Patience": "20s"}})
+			runtime.ReadMemStats(&after)
+			if err == nil {
+				require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+			}
+			require.Less(t, time.Since(started), 10*time.Second, "the answer must be given up")
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(256<<20))
+		})
+	}
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -36,6 +36,9 @@
 // event.
 var errPartialEvent = errors.New("stream ended in the middle of an event")
 
+// errLongEvent means that an event exceeds maxEventBytes.
+var errLongEvent = errors.New("event exceeds the limit")
+
 // serveStream relays a stream event by event and resumes it at another endpoint
 // if the route allows it.
 func (x *exchange) serveStream() {
@@ -185,7 +188,10 @@
 	for {
 		line, err := in.ReadSlice('\n')
 		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
+		if len(event) > maxEventBytes {
+			return errLongEvent
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
