Continue a stream only at an endpoint of the version that began it

What callers could see: within one answer, events of two versions of the endpoints' software, which do not fit together (ORDER of the users' new pages).

Cause: a resumable stream that breaks moves to any endpoint of its service.

Change: entries keep the software's version; after the first event the request is pinned to the version of the endpoint that sent it. A stream that no other endpoint of its version can go on with ends at once, and is not given up for a pause. An endpoint of unknown version neither begins nor takes over a stream that moves.

Ruled out: checking the version in the answer, which does not name it.

--- a/catalog.go
+++ b/catalog.go
@@ -133,6 +133,8 @@
 	GoneAt time.Time
 	// Born is the start time of the endpoint's process.
 	Born time.Time
+	// Version is the version of the endpoint's software, empty if not known.
+	Version string
 	// Engine is nil for a plain service.
 	Engine *EngineReport
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -55,6 +55,10 @@
 	PromptParts []string
 	// Exclude lists the ids of endpoints that must not get the request.
 	Exclude []string
+	// Pinned means that only endpoints of Version may get the request: it goes on with
+	// a stream that one of them began.
+	Pinned  bool
+	Version string
 }
 
 // Refusal says why a request cannot be sent and when to retry.
@@ -324,6 +328,9 @@
 	if remaining := req.Deadline.Sub(now); remaining < minServiceTime {
 		return &Refusal{Reason: "no time is left"}
 	}
+	if req.Pinned && !d.canContinue(req) {
+		return &Refusal{Reason: "no other endpoint of the stream's version holds the model"}
+	}
 	if req.Model == "" {
 		return d.unmeetablePlain(req, now)
 	}
@@ -341,6 +348,21 @@
 	return nil
 }
 
+// CanContinue reports whether an endpoint of the version of a pinned request other than
+// the excluded ones holds its model, now or when it is free again.
+func (d *Dispatcher) CanContinue(req *Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.canContinue(req)
+}
+
+// canContinue is CanContinue with d.mu held.
+func (d *Dispatcher) canContinue(req *Request) bool {
+	return slices.ContainsFunc(d.byService[req.Service], func(e *endpoint) bool {
+		return e.runsVersionFor(req) && e.lacks(req) != lackModel && !slices.Contains(req.Exclude, e.entry.ID)
+	})
+}
+
 // unmeetablePlain returns a refusal if the objective of a request to a plain
 // service has passed.
 func (d *Dispatcher) unmeetablePlain(req *Request, now time.Time) *Refusal {
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -83,14 +84,18 @@
 	if !e.entry.GoneAt.IsZero() && e.entry.GoneAt.Sub(now) < removalMargin {
 		return false
 	}
-	for _, id := range req.Exclude {
-		if id == e.entry.ID {
-			return false
-		}
+	if !e.runsVersionFor(req) || slices.Contains(req.Exclude, e.entry.ID) {
+		return false
 	}
 	return req.Model == "" || e.holds(req, now)
 }
 
+// runsVersionFor reports whether the endpoint's software may serve the request. An
+// endpoint of unknown version continues no stream.
+func (e *endpoint) runsVersionFor(req *Request) bool {
+	return !req.Pinned || req.Version != "" && e.entry.Version == req.Version
+}
+
 // maxRequests is the number of requests that all hosts together may have in flight at
 // the endpoint.
 func (e *endpoint) maxRequests(req *Request) int {
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -94,7 +94,7 @@
 		}))
 		tb.Cleanup(s.Close)
 		h.entries[id] = tamarackknot.EndpointEntry{
-			ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 10 - i, State: tamarackknot.EndpointReady,
+			ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 10 - i, State: tamarackknot.EndpointReady, Version: "1",
 		}
 		ids = append(ids, id)
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -376,3 +376,47 @@
 		})
 	}
 }
+
+// TestStreamVersion guards against a stream that goes on at an endpoint of another version
+// of the software, whose events do not fit those before.
+func TestStreamVersion(t *testing.T) {
+	cut := events(4, func(i int, _ http.ResponseWriter) {
+		if i == 2 {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	cases := map[string]struct {
+		versions []string // of the endpoints, in the order of choice
+		reached  []string
+		complete bool
+	}{
+		"another endpoint of the version":      {[]string{"1", "2", "1"}, []string{"a", "c"}, true},
+		"no other endpoint of the version":     {[]string{"1", "2", "2"}, []string{"a"}, false},
+		"endpoints that do not name a version": {[]string{"", "", ""}, []string{"a"}, false},
+		"the endpoint does not name a version": {[]string{"", "1", "1"}, []string{"a"}, false},
+		"the others do not name a version":     {[]string{"1", "", ""}, []string{"a"}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, tamarackknot.Route{Kind: stream, Resumable: true, Attempts: 3}, cut, events(4, nil), events(4, nil))
+			for i, v := range tc.versions {
+				id := string(rune('a' + i))
+				e := h.entries[id]
+				e.Version = v
+				h.entries[id] = e
+			}
+			h.dispatcher.SetEndpoints(h.entries, map[string][]string{"s": {"a", "b", "c"}}, true)
+			started := time.Now()
+			_, body, err := h.do(call{})
+			require.Equal(t, tc.reached, h.reached())
+			if tc.complete {
+				require.NoError(t, err)
+				require.Equal(t, allEvents(4), body)
+				return
+			}
+			require.Error(t, err, "an incomplete stream must not look complete")
+			require.Equal(t, allEvents(2), body)
+			require.Less(t, time.Since(started), time.Second, "a stream that cannot go on ends at once")
+		})
+	}
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -97,6 +97,9 @@
 		}
 		x.request.Exclude = append(x.request.Exclude, g.Endpoint.ID)
 	}
+	if x.request.Pinned && !x.server.cfg.Dispatch.CanContinue(&x.request) {
+		return false
+	}
 	if x.sent == 0 {
 		// No endpoint has received the request, so this is not a retry.
 		return true
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -106,9 +106,17 @@
 		return x.readStreamFailure(g, resp)
 	}
 	x.writeStreamHeader(resp.Header)
+	first, movable := true, false
 	err = x.copyEvents(resp.Body, lastEvent, func() {
 		g.Started()
-		stall.Reset(x.stallTimeout())
+		if first {
+			first, movable = false, x.pin(g)
+		}
+		if movable {
+			stall.Reset(x.stallTimeout())
+		} else {
+			stall.Stop()
+		}
 	})
 	switch {
 	case err == nil:
@@ -127,6 +135,16 @@
 	return outcomeUnknown, nil
 }
 
+// pin restricts the stream, whose first event an endpoint sent, to the version of that
+// endpoint's software: what two versions write does not fit together. It reports whether
+// another endpoint could go on.
+func (x *exchange) pin(g *dispatch.Grant) bool {
+	x.request.Pinned, x.request.Version = true, g.Endpoint.Version
+	other := x.request
+	other.Exclude = append(slices.Clone(other.Exclude), g.Endpoint.ID)
+	return x.server.cfg.Dispatch.CanContinue(&other)
+}
+
 // startStallTimer returns a timer that cancels the attempt if the endpoint
 // stalls and the stream can resume at another one. It must be reset after each
 // event.
