Go on with a stream at the version that began it, also at another host

What callers could see: a caller that takes a broken stream up again, mostly at another host, gets events of another version of the endpoints' software.

Cause: nothing read which attempt a caller goes on with, and no host but the one that relayed the stream could know its version.

Change: package origin. The host that relays a stream records the version under the attempt's id and sends it to two hosts chosen by hashing the id; a host that is asked to go on looks it up there. If it cannot be found, and more than one version was listed within a minute, the request is refused at once, not run.

--- a/callerrequest.go
+++ b/callerrequest.go
@@ -1,6 +1,7 @@
 package tamarackknot
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -18,6 +19,23 @@
 	// LastEvent is the id of the last event that the caller received of a
 	// stream.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of that
+	// stream.
+	Resumes string
+}
+
+// StreamOrigin says what began a stream: the service, and the version of its endpoints'
+// software.
+type StreamOrigin struct{ Service, Version string }
+
+// StreamOrigins records the origins of streams on several hosts.
+type StreamOrigins interface {
+	// Record keeps the origin of the stream that the caller's attempt with the id began.
+	// It does not block.
+	Record(id string, o StreamOrigin)
+	// Find returns the origin of a stream. If it is not found, complete says that all
+	// hosts have answered.
+	Find(ctx context.Context, id string) (o StreamOrigin, found, complete bool)
 }
 
 // EndpointAttempt holds the metadata that an endpoint gets with one attempt to
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -132,6 +132,8 @@
 	history   map[target]*requestHistory
 	affinity  map[affinityKey]string
 	limits    map[limitKey]*limitState
+	// versions holds when each version of a service's endpoints was last listed.
+	versions  map[string]map[string]time.Time
 	changed   map[target]bool // targets whose demand changed since the last report
 	queueWake chan struct{}   // wakes Run when a request starts to wait
 	drainBy   time.Time       // when waiting requests are refused; zero unless the host shuts down
@@ -170,6 +172,7 @@
 		history:   make(map[target]*requestHistory),
 		affinity:  make(map[affinityKey]string),
 		limits:    make(map[limitKey]*limitState),
+		versions:  make(map[string]map[string]time.Time),
 		changed:   make(map[target]bool),
 		queueWake: make(chan struct{}, 1),
 	}
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -2,12 +2,17 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
 )
 
+// versionMemory is how long a version counts after no endpoint of it is listed: longer
+// than any caller comes back to a stream.
+const versionMemory = time.Minute
+
 // defaultSlots applies to an endpoint without a number of slots in its service
 // and its entry.
 const defaultSlots = 4
@@ -64,6 +69,7 @@
 		}
 	}
 	d.pruneLimits(time.Now())
+	d.recordVersions(time.Now())
 	clear(d.byService)
 	for service, ids := range byService {
 		for _, id := range ids {
@@ -73,6 +79,41 @@
 	d.serveWaiting(time.Now())
 }
 
+// SingleVersion returns the version of the software of all endpoints of a service that
+// this host has listed within versionMemory. ok is false if there are several, if one is
+// unknown or if none is listed.
+func (d *Dispatcher) SingleVersion(service string) (version string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordVersions(time.Now())
+	for v := range d.versions[service] {
+		if ok || v == "" {
+			return "", false
+		}
+		version, ok = v, true
+	}
+	return version, ok
+}
+
+// recordVersions records the versions that are listed, and forgets those that have not
+// been for versionMemory. d.mu is held.
+func (d *Dispatcher) recordVersions(now time.Time) {
+	for _, e := range d.endpoints {
+		seen := d.versions[e.entry.Service]
+		if seen == nil {
+			seen = make(map[string]time.Time)
+			d.versions[e.entry.Service] = seen
+		}
+		seen[e.entry.Version] = now
+	}
+	for service, seen := range d.versions {
+		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) > versionMemory })
+		if len(seen) == 0 {
+			delete(d.versions, service)
+		}
+	}
+}
+
 // adaptersByModel maps the names of the models to their adapters.
 func adaptersByModel(models []tamarackknot.HeldModel) map[string][]string {
 	held := make(map[string][]string, len(models))
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -14,6 +14,7 @@
 	"tamarackknot.example/tamarackknot/dispatch"
 	"tamarackknot.example/tamarackknot/fleet"
 	"tamarackknot.example/tamarackknot/lease"
+	"tamarackknot.example/tamarackknot/origin"
 	"tamarackknot.example/tamarackknot/planner"
 	"tamarackknot.example/tamarackknot/platform"
 	"tamarackknot.example/tamarackknot/relay"
@@ -70,6 +71,7 @@
 	lease          *lease.Elector
 	hosts          *fleet.Registry
 	shares         *share.Hosts
+	origins        *origin.Registry
 	publisher      *fleet.Publisher
 	fleet          *fleet.Client
 	planner        *planner.Controller
@@ -98,7 +100,7 @@
 func (c *components) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
-		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.yieldLoop,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.yieldLoop,
 	}
 }
 
@@ -181,6 +183,7 @@
 		Catalog: c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
 		OnDemand: func() { c.planner.Replan() },
 	})
+	c.origins = origin.New(origin.Config{Peers: c.cfg.peers, Others: c.otherHosts, Logger: logger})
 	c.shares = share.New(share.Config{Self: s.Host, Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -109,6 +109,7 @@
 		Dispatch:  d.dispatch,
 		Budget:    &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		Dialect:   platform.Dialect{},
+		Origins:   d.origins,
 		HostCount: d.shares.Count,
 		Dial:      platform.NewDialer().DialContext,
 		Logger:    cfg.Logger,
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -24,7 +24,7 @@
 type testDialect struct{}
 
 func (testDialect) Request(h http.Header) (tamarackknot.CallerRequest, error) {
-	r := tamarackknot.CallerRequest{ID: h.Get("Id"), Model: h.Get("Model"), LastEvent: h.Get("After")}
+	r := tamarackknot.CallerRequest{ID: h.Get("Id"), Model: h.Get("Model"), LastEvent: h.Get("After"), Resumes: h.Get("Resumes")}
 	if v := h.Get("Patience"); v != "" {
 		var err error
 		r.Timeout, err = time.ParseDuration(v)
@@ -51,6 +51,26 @@
 
 func (testDialect) Relay(h http.Header) http.Header { return h.Clone() }
 
+// testOrigins are origins that no other host has to be asked for.
+type testOrigins struct {
+	mu         sync.Mutex
+	known      map[string]tamarackknot.StreamOrigin
+	incomplete bool // some host does not answer
+}
+
+func (o *testOrigins) Record(id string, origin tamarackknot.StreamOrigin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.known[id] = origin
+}
+
+func (o *testOrigins) Find(_ context.Context, id string) (tamarackknot.StreamOrigin, bool, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	origin, found := o.known[id]
+	return origin, found, found || !o.incomplete
+}
+
 // harness runs a Server in front of endpoints with handlers set by the test.
 type harness struct {
 	t          testing.TB
@@ -58,6 +78,7 @@
 	server     *Server
 	entryHost  *httptest.Server
 	entries    map[string]tamarackknot.EndpointEntry
+	origins    *testOrigins
 	dispatcher *dispatch.Dispatcher
 
 	mu   sync.Mutex
@@ -73,7 +94,7 @@
 	}
 	route.Attempts = max(route.Attempts, 1)
 	logger := log.New(io.Discard)
-	h := &harness{t: tb, entries: make(map[string]tamarackknot.EndpointEntry)}
+	h := &harness{t: tb, origins: &testOrigins{known: make(map[string]tamarackknot.StreamOrigin)}, entries: make(map[string]tamarackknot.EndpointEntry)}
 	h.dispatcher = dispatch.New(dispatch.Config{PlannerViewCurrent: func() bool { return false }, Logger: logger})
 	catalogs := catalog.New(catalog.Config{Logger: logger})
 	catalogs.Offer(&tamarackknot.Catalog{
@@ -101,7 +122,8 @@
 	h.dispatcher.SetEndpoints(h.entries, map[string][]string{"s": ids}, true)
 	h.server = New(Config{
 		Catalog: func() *catalog.View { return h.view }, Dispatch: h.dispatcher, Dialect: testDialect{}, Logger: logger,
-		Budget: &dispatch.RetryBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, HostCount: func() int { return 1 },
+		Origins: h.origins,
+		Budget:  &dispatch.RetryBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, HostCount: func() int { return 1 },
 	})
 	h.entryHost = httptest.NewServer(h.server)
 	tb.Cleanup(h.entryHost.Close)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -399,13 +399,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, tamarackknot.Route{Kind: stream, Resumable: true, Attempts: 3}, cut, events(4, nil), events(4, nil))
-			for i, v := range tc.versions {
-				id := string(rune('a' + i))
-				e := h.entries[id]
-				e.Version = v
-				h.entries[id] = e
-			}
-			h.dispatcher.SetEndpoints(h.entries, map[string][]string{"s": {"a", "b", "c"}}, true)
+			h.setVersions(tc.versions...)
 			started := time.Now()
 			_, body, err := h.do(call{})
 			require.Equal(t, tc.reached, h.reached())
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -53,6 +53,8 @@
 	Dispatch *dispatch.Dispatcher
 	Budget   *dispatch.RetryBudget
 	Dialect  tamarackknot.Dialect
+	// Origins keeps the origins of resumable streams.
+	Origins tamarackknot.StreamOrigins
 	// HostCount returns the number of entry hosts that share the retry budget.
 	HostCount func() int
 	// Dial opens connections to endpoints; nil uses TCP.
@@ -125,6 +127,7 @@
 	retry              *dispatch.Retry // allowed and not sent yet; nil if there is none
 	retryDecidedAt     time.Time
 	lastErr            string
+	originRecorded     bool
 	headerSent         bool // the response headers of a stream have been sent
 	firstEventAt       time.Time
 	endpoint           string
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -42,6 +42,9 @@
 // serveStream relays a stream event by event and resumes it at another endpoint
 // if the route allows it.
 func (x *exchange) serveStream() {
+	if !x.findOrigin() {
+		return
+	}
 	lastEvent := x.caller.LastEvent
 	var failure *bufferedResponse
 	for {
@@ -140,6 +143,7 @@
 // another endpoint could go on.
 func (x *exchange) pin(g *dispatch.Grant) bool {
 	x.request.Pinned, x.request.Version = true, g.Endpoint.Version
+	x.recordOrigin()
 	other := x.request
 	other.Exclude = append(slices.Clone(other.Exclude), g.Endpoint.ID)
 	return x.server.cfg.Dispatch.CanContinue(&other)
