Wait out the gap after a shutdown within it and a restart

Cause: a released record of the same host meant no wait; the release did not say how long the host still had to wait.

Evidence: TestRestartInGap failed: an order 20 ms after the other holder's last one, 3 s required.

Change: the release carries the remaining wait, as renewals do, and the host waits it out. Release stops orders by a flag of its own in place of a far time of the first order.

Ruled out: the gap in each case, since a host that had ordered itself needs none.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -159,6 +159,7 @@
 	end         tamarackknot.Position // position after the newest record that this holder knows
 	validUntil  time.Duration         // on Clock, as are the times below
 	ordersFrom  time.Duration
+	stopped     bool // Release was called
 	renewedAt   time.Duration
 	attemptedAt time.Duration // start of the last renewal
 	failing     bool          // renewals since renewedAt did not reach the store
@@ -229,7 +230,7 @@
 
 // mayOrder is MayOrder with e.mu held.
 func (e *Elector) mayOrder() bool {
-	return e.held && e.valid() && e.cfg.Clock() >= e.ordersFrom
+	return e.held && !e.stopped && e.valid() && e.cfg.Clock() >= e.ordersFrom
 }
 
 // valid reports whether the lease has not expired. Where engines reject
@@ -325,7 +326,7 @@
 // ctx is done.
 func (e *Elector) Release(ctx context.Context) {
 	e.mu.Lock()
-	e.ordersFrom = 1 << 62
+	e.stopped = true
 	e.mu.Unlock()
 	close(e.release)
 	select {
@@ -351,7 +352,10 @@
 func (e *Elector) giveUp(ctx context.Context) {
 	e.mu.Lock()
 	held, end := e.held && e.valid(), e.end
-	rec := record{Holder: e.cfg.Host, Incarnation: e.cfg.Incarnation, Fence: e.fence, Released: true}
+	rec := record{
+		Holder: e.cfg.Host, Incarnation: e.cfg.Incarnation, Fence: e.fence, Released: true,
+		WaitMs: max(0, (e.ordersFrom - e.cfg.Clock()).Milliseconds()),
+	}
 	if e.ordersInFlight == 0 {
 		rec.IdleMs = (e.cfg.Clock() - e.lastOrderAt).Milliseconds()
 	}
@@ -542,10 +546,8 @@
 		// before the restore.
 		return e.seenAt + expiryTime, e.firstOrderGap(leaseTTL - expiryTime)
 	case newest.Holder == e.cfg.Host:
-		// No gap is needed between the orders of one host.
-		if newest.Released {
-			return e.seenAt, 0
-		}
+		// No gap is needed between the orders of one host, beyond what it still had to
+		// wait after another one.
 		return e.seenAt, time.Duration(newest.WaitMs) * time.Millisecond
 	case newest.Released:
 		return e.seenAt, max(e.firstOrderGap(0)-time.Duration(newest.IdleMs)*time.Millisecond, 0)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -225,6 +225,37 @@
 	})
 }
 
+// TestRestartInGap guards against a host that is shut down within the gap after another
+// holder's last order, starts again and orders at once, because its own record released
+// the lease.
+func TestRestartInGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(false)
+		a, b := h.elector("a", "1"), h.elector("b", "1")
+		stop := h.run(t, a)
+		time.Sleep(2 * time.Second)
+		_, orderEnded, ok := a.BeginOrder()
+		require.True(t, ok)
+		orderEnded()
+		lastOrder := time.Now()
+		a.Release(t.Context())
+		stop()
+		stop = h.run(t, b)
+		for !b.Status().Held {
+			time.Sleep(10 * time.Millisecond)
+		}
+		b.Release(t.Context())
+		stop()
+		again := h.elector("b", "2")
+		defer h.run(t, again)()
+		for !mayOrder(again) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, time.Since(lastOrder), 3*time.Second)
+		require.Less(t, time.Since(lastOrder), 5*time.Second)
+	})
+}
+
 // TestTakeoverAfterLostHolder guards against a late takeover after the holder
 // was lost without a release, and against a takeover while the holder cannot be
 // heard but still renews the lease.
