Let a resumed stream wait for its model like a new request

Evidence: TestPinnedRequest, case "only another version has the model", fails on the code before (refused at once).

Change: an endpoint of the version in service is enough; waiting, placing and refusing follow as for a new request.

Result: the tests of dispatch, ingress and origin pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -332,7 +332,7 @@
 		return &Refusal{Reason: "no time is left"}
 	}
 	if req.Pinned && !d.canContinue(req) {
-		return &Refusal{Reason: "no other endpoint of the stream's version holds the model"}
+		return &Refusal{Reason: "no other endpoint of the stream's version is in service"}
 	}
 	if req.Model == "" {
 		return d.unmeetablePlain(req, now)
@@ -351,8 +351,8 @@
 	return nil
 }
 
-// CanContinue reports whether an endpoint of the version of a pinned request other than
-// the excluded ones holds its model, now or when it is free again.
+// CanContinue reports whether an endpoint of the version of a pinned request is in service
+// other than the excluded ones. It may still have to load the model.
 func (d *Dispatcher) CanContinue(req *Request) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -362,7 +362,7 @@
 // canContinue is CanContinue with d.mu held.
 func (d *Dispatcher) canContinue(req *Request) bool {
 	return slices.ContainsFunc(d.byService[req.Service], func(e *endpoint) bool {
-		return e.runsVersionFor(req) && e.lacks(req) != lackModel && !slices.Contains(req.Exclude, e.entry.ID)
+		return e.runsVersionFor(req) && !slices.Contains(req.Exclude, e.entry.ID)
 	})
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -335,3 +335,48 @@
 		d.best(req, now)
 	}
 }
+
+// TestPinnedRequest guards against a resumed stream that is refused although an endpoint
+// of its version may load the model, that goes to another version, or that waits although
+// no endpoint of its version is left.
+func TestPinnedRequest(t *testing.T) {
+	cases := map[string]struct {
+		held, other []string // models of the endpoints of version 1 and 2
+		exclude     string
+		wait        bool
+		chosen      string
+	}{
+		"an endpoint of the version has the model": {held: []string{"m"}, other: []string{"m"}, chosen: "e0"},
+		"only another version has the model":       {held: nil, other: []string{"m"}, wait: true},
+		"no other endpoint of the version":         {held: []string{"m"}, other: []string{"m"}, exclude: "e0"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go h.Run(ctx)
+				h.add("e0", "s", "z2", 4, tc.held...)
+				h.add("e1", "s", "z1", 4, tc.other...)
+				for id, v := range map[string]string{"e0": "1", "e1": "2"} {
+					e := h.entries[id]
+					e.Version = v
+					h.entries[id] = e
+				}
+				h.publish()
+				req := request("s", "m")
+				req.Pinned, req.Version, req.Exclude = true, "1", []string{tc.exclude}
+				started := time.Now()
+				g, refusal := h.Acquire(ctx, req)
+				if tc.chosen != "" {
+					require.NotNil(t, g)
+					require.Equal(t, tc.chosen, g.Endpoint.ID)
+					return
+				}
+				require.NotNil(t, refusal)
+				require.Equal(t, tc.wait, time.Since(started) > 0)
+			})
+		})
+	}
+}
