Let a host that loses its part of an endpoint's limit send nothing

Found when the proof of the sum was read against the code: a host that had saved a request while it had a part could send it after it had lost the part, beside the hosts that have one then.

Evidence: TestEndpointLimit, with a request saved before the part goes to 0, fails without the change.

Change: the saved request goes with the part. The state of a limit hangs on the endpoint, so that the choice of an endpoint looks nothing up.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -399,7 +399,7 @@
 		if e == preferred {
 			score -= preferredReplicaBonus
 		}
-		score += d.limitPenalty(e, now)
+		score += e.limit.penalty(now)
 		if best == nil || score < bestScore {
 			best, bestScore = e, score
 		}
@@ -414,7 +414,7 @@
 	if best == nil {
 		return nil, missing
 	}
-	d.spendLimit(best, now)
+	best.limit.spend(now)
 	best.own++
 	best.prefilling++
 	best.running[modelAdapter{req.Model, req.Adapter}]++
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -57,6 +57,7 @@
 type endpoint struct {
 	entry tamarackknot.EndpointEntry
 	slots int
+	limit *limitState // nil if it has never named one
 	// own is the number of requests in flight from this host, others that from the
 	// other hosts as reported by the planner.
 	own        int
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -36,46 +36,51 @@
 	listedAt time.Time
 }
 
-// refill adds the tokens of this host's rate.
-func (l *limitState) refill(perSecond float64, now time.Time) {
-	l.tokens = min(1, l.tokens+perSecond*now.Sub(l.tokensAt).Seconds())
-	l.tokensAt = now
-}
-
 func keyOf(e tamarackknot.EndpointEntry) limitKey { return limitKey{e.ID, e.Born.UnixMilli()} }
 
-// limitAllows reports whether this host may send a request to the endpoint under the
-// limit that the endpoint named. d.mu is held.
-func (d *Dispatcher) limitAllows(e *endpoint, now time.Time) bool {
-	l := d.limits[keyOf(e.entry)]
-	if l == nil || !l.Limit.Limited {
-		return true
-	}
-	perSecond := l.Limit.PerSecond
-	if d.cfg.LimitShare != nil {
-		perSecond = d.cfg.LimitShare(l.Endpoint, perSecond)
+// applies reports whether the endpoint names a limit; l may be nil.
+func (l *limitState) applies() bool { return l != nil && l.Limit.Limited }
+
+// allows reports whether this host, whose part of the limit is perSecond, may send a
+// request. A host that loses its part also loses what it has saved.
+func (l *limitState) allows(perSecond float64, now time.Time) bool {
+	l.tokens = min(1, l.tokens+perSecond*now.Sub(l.tokensAt).Seconds())
+	l.tokensAt = now
+	if perSecond <= 0 {
+		l.tokens = 0
 	}
-	l.refill(perSecond, now)
 	return l.tokens >= 1
 }
 
-// limitPenalty returns what the endpoint's limit adds to its score. d.mu is held.
-func (d *Dispatcher) limitPenalty(e *endpoint, now time.Time) float64 {
-	l := d.limits[keyOf(e.entry)]
-	if l == nil || !l.Limit.Limited || now.Sub(l.sentAt) > limitProbeInterval {
+// penalty returns what the limit adds to the endpoint's score.
+func (l *limitState) penalty(now time.Time) float64 {
+	if !l.applies() || now.Sub(l.sentAt) > limitProbeInterval {
 		return 0
 	}
 	return limitedPenalty
 }
 
-// spendLimit counts a request to the endpoint. d.mu is held.
-func (d *Dispatcher) spendLimit(e *endpoint, now time.Time) {
-	if l := d.limits[keyOf(e.entry)]; l != nil && l.Limit.Limited {
+// spend counts a request to the endpoint.
+func (l *limitState) spend(now time.Time) {
+	if l.applies() {
 		l.tokens--
 		l.sentAt = now
 	}
 }
 
+// limitAllows reports whether this host may send a request to the endpoint under the
+// limit that the endpoint named. d.mu is held.
+func (d *Dispatcher) limitAllows(e *endpoint, now time.Time) bool {
+	if !e.limit.applies() {
+		return true
+	}
+	perSecond := e.limit.Limit.PerSecond
+	if d.cfg.LimitShare != nil {
+		perSecond = d.cfg.LimitShare(e.entry.ID, perSecond)
+	}
+	return e.limit.allows(perSecond, now)
+}
+
 // ObserveLimit records the limit that an answer of the endpoint names, or that it names
 // none.
 func (g *Grant) ObserveLimit(limit tamarackknot.RateLimit) {
@@ -95,6 +100,9 @@
 	if l == nil {
 		l = &limitState{tokensAt: time.Now(), listedAt: time.Now()}
 		d.limits[k] = l
+		if e := d.endpoints[n.Endpoint]; e != nil && keyOf(e.entry) == k {
+			e.limit = l
+		}
 	}
 	if n.At.Before(l.At) {
 		// The planner has an older observation than this host.
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -58,8 +58,12 @@
 		atMost(20)
 		share = 0.25
 		atMost(5)
+		time.Sleep(10 * time.Second)
+		h.mu.Lock()
+		require.True(t, h.limitAllows(h.endpoints["e0"], time.Now()), "a request is saved, and sent elsewhere")
+		h.mu.Unlock()
 		share = 0
-		require.Empty(t, h.sendAll(t, 10*time.Second))
+		require.Empty(t, h.sendAll(t, 10*time.Second), "a host without a part must not send what it has saved")
 
 		// An older observation of another host does not count, a newer one does.
 		entry := h.entries["e0"]
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -57,7 +57,7 @@
 				e.held = adaptersByModel(entry.Engine.Held)
 			}
 		}
-		e.entry = entry
+		e.entry, e.limit = entry, d.limits[keyOf(entry)]
 		e.slots = d.slotsOf(entry)
 		if useEntryModels && entry.Engine != nil {
 			e.held = adaptersByModel(entry.Engine.Held)
