Hold messages to a host of the test cluster until it is built

TestEndpointLimitOfAllHosts ended with a panic in three of seven runs of six: a message of demand reached a publisher whose planner was nil.

Cause: the stand-in for messages delivers to a handler once it is registered, in the middle of newComponents; the daemon listens after all is built. Change: the test's cluster holds messages back until then.

--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -127,6 +127,7 @@
 	}
 	c.mu.Unlock()
 	gate := &gatedHost{h: h}
+	peers := &startingPeers{Peers: c.peers.Host(name), started: make(chan struct{})}
 	h.components = newComponents(componentsConfig{
 		settings: platform.SiteSettings{
 			Host: name, FailureDomain: "z1", CallerAddress: name, PeerAddress: name, FirstStart: first, CPUCores: 1,
@@ -136,13 +137,14 @@
 		incarnation: incarnation,
 		store:       &gatedStore{Store: c.store.Client(name), gatedHost: gate},
 		control:     &gatedControl{gatedHost: gate},
-		peers:       c.peers.Host(name),
+		peers:       peers,
 		clock:       func() time.Duration { return time.Since(c.started) + time.Hour },
 		logger:      log.NewWithOptions(&lockedWriter{c: c}, log.Options{Formatter: log.LogfmtFormatter, Prefix: name}),
 	})
 	var ctx context.Context
 	ctx, h.cancel = context.WithCancel(c.ctx)
-	// Faults may strike the host from here on.
+	// Messages and faults reach the host from here on.
+	close(peers.started)
 	c.mu.Lock()
 	c.hosts[name] = h
 	c.mu.Unlock()
@@ -209,6 +211,20 @@
 	return h.paused != nil || h.faultUntil.After(t) || h.startedAt.After(t)
 }
 
+// startingPeers holds back the messages to a host until its components are built, as the
+// daemon does, which listens after that.
+type startingPeers struct {
+	tamarackknot.Peers
+	started chan struct{}
+}
+
+func (p *startingPeers) Handle(method string, handler tamarackknot.PeerHandler) {
+	p.Peers.Handle(method, func(ctx context.Context, from string, params json.RawMessage) (any, error) {
+		<-p.started
+		return handler(ctx, from, params)
+	})
+}
+
 // gatedHost holds back what a paused host sends.
 type gatedHost struct{ h *clusterHost }
 
