Keep the limit of an endpoint while it lasts

Found by reading the change as a newcomer: the planner forgot a limit ten minutes after its last change, and a host forgot it at once when the entry of an endpoint was away after the list had not changed for a minute.

Evidence: TestEndpointLimit, with a limit that is observed again after a minute and an entry that is away after that, fails on the code before.

Change: hosts report an unchanged limit again after a minute; the minute for which a missing endpoint's limit is kept counts from when it is first missing.

Result: the tests of dispatch and fleet pass.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -16,6 +16,9 @@
 	// limitRetention is how long the limit of an endpoint that is not listed is kept:
 	// its entry may come back.
 	limitRetention = time.Minute
+	// limitReportInterval is how long after the last report an unchanged limit is
+	// reported again, so that the planner knows that it lasts.
+	limitReportInterval = time.Minute
 )
 
 // limitKey identifies one start of an endpoint.
@@ -29,11 +32,12 @@
 	tamarackknot.EndpointLimit
 	// tokens is the number of requests that this host may send, at tokensAt. It never
 	// exceeds 1, and a host that learns of the limit begins with none.
-	tokens   float64
-	tokensAt time.Time
-	sentAt   time.Time // when this host last sent a request under the limit
-	changed  bool      // since the last report
-	listedAt time.Time
+	tokens     float64
+	tokensAt   time.Time
+	sentAt     time.Time // when this host last sent a request under the limit
+	due        bool      // to be reported
+	reportedAt time.Time
+	unlistedAt time.Time // since when the endpoint has not been listed; zero if it is
 }
 
 func keyOf(e tamarackknot.EndpointEntry) limitKey { return limitKey{e.ID, e.Born.UnixMilli()} }
@@ -102,7 +106,7 @@
 	k := limitKey{n.Endpoint, n.Born.UnixMilli()}
 	l := d.limits[k]
 	if l == nil {
-		l = &limitState{tokensAt: time.Now(), listedAt: time.Now()}
+		l = &limitState{tokensAt: time.Now()}
 		d.limits[k] = l
 		if e := d.endpoints[n.Endpoint]; e != nil && keyOf(e.entry) == k {
 			e.limit = l
@@ -110,17 +114,19 @@
 	}
 	if n.At.Before(l.At) {
 		// The planner has an older observation than this host.
-		l.changed = l.changed || n.Limit != l.Limit
+		l.due = l.due || n.Limit != l.Limit
 		return
 	}
 	if n.Limit != l.Limit {
 		d.cfg.Logger.Info("endpoint limit changed", "endpoint", n.Endpoint, "limited", n.Limit.Limited, "perSecond", n.Limit.PerSecond,
 			"request", request)
-		l.changed = l.changed || request != ""
 		if !l.Limit.Limited {
 			l.tokens, l.tokensAt = 0, time.Now()
 		}
 	}
+	if request != "" && (n.Limit != l.Limit || n.At.Sub(l.reportedAt) > limitReportInterval) {
+		l.due = true
+	}
 	l.EndpointLimit = n
 }
 
@@ -128,22 +134,26 @@
 // is held.
 func (d *Dispatcher) pruneLimits(now time.Time) {
 	for k, l := range d.limits {
-		if e := d.endpoints[k.endpoint]; e != nil && keyOf(e.entry) == k {
-			l.listedAt = now
-		} else if now.Sub(l.listedAt) > limitRetention {
+		e := d.endpoints[k.endpoint]
+		switch {
+		case e != nil && keyOf(e.entry) == k:
+			l.unlistedAt = time.Time{}
+		case l.unlistedAt.IsZero():
+			l.unlistedAt = now
+		case now.Sub(l.unlistedAt) > limitRetention:
 			delete(d.limits, k)
 		}
 	}
 }
 
-// reportedLimits returns the limits whose change at this host was not reported yet, all
-// known ones with all. d.mu is held.
-func (d *Dispatcher) reportedLimits(all bool) []tamarackknot.EndpointLimit {
+// reportLimits returns the limits that are to be reported, all known ones with all. d.mu
+// is held.
+func (d *Dispatcher) reportLimits(all bool) []tamarackknot.EndpointLimit {
 	var out []tamarackknot.EndpointLimit
 	for _, l := range d.limits {
-		if all || l.changed {
+		if all || l.due {
 			out = append(out, l.EndpointLimit)
-			l.changed = false
+			l.due, l.reportedAt = false, time.Now()
 		}
 	}
 	return out
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -65,6 +65,25 @@
 		share = 0
 		require.Empty(t, h.sendAll(t, 10*time.Second), "a host without a part must not send what it has saved")
 
+		// A limit that lasts is reported now and then.
+		share = 1
+		h.Demand(false)
+		require.Empty(t, h.Demand(false).Limits)
+		grantAndObserve := func() {
+			time.Sleep(limitReportInterval)
+			h.mu.Lock()
+			_ = h.limitAllows(h.endpoints["e0"], time.Now())
+			h.mu.Unlock()
+			time.Sleep(time.Second)
+			g := grant()
+			g.ObserveLimit(limitOf(2))
+			g.Done(ResultAnswered)
+		}
+		grantAndObserve()
+		require.Len(t, h.Demand(false).Limits, 1)
+		share = 0
+		require.Empty(t, h.sendAll(t, 10*time.Second))
+
 		// An older observation of another host does not count, a newer one does.
 		entry := h.entries["e0"]
 		other := tamarackknot.EndpointLimit{Endpoint: "e0", Born: entry.Born, At: time.Now().Add(-time.Hour)}
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -149,7 +149,7 @@
 func (d *Dispatcher) Demand(all bool) tamarackknot.HostDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := tamarackknot.HostDemand{Limits: d.reportedLimits(all)}
+	out := tamarackknot.HostDemand{Limits: d.reportLimits(all)}
 	for id, e := range d.endpoints {
 		for k, n := range e.running {
 			out.Running = append(out.Running, tamarackknot.RunCount{Endpoint: id, Model: k.model, Adapter: k.adapter, Count: n})
--- a/fleet.go
+++ b/fleet.go
@@ -8,7 +8,8 @@
 	Leaving bool
 	Running []RunCount
 	Models  []ModelDemand
-	// Limits are the limits of endpoints that changed since the last report.
+	// Limits are the limits of endpoints that changed since the last report, or have not
+	// been reported for long.
 	Limits []EndpointLimit
 }
 
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -8,8 +8,8 @@
 	"tamarackknot.example/tamarackknot"
 )
 
-// limitRetention is how long a limit is kept after its last change: longer than a host is
-// without messages of the planner.
+// limitRetention is how long a limit is kept after its last observation. Hosts that send
+// requests to the endpoint report theirs again long before.
 const limitRetention = 10 * time.Minute
 
 // limitList holds the newest observations of the limits of endpoints, by endpoint; those
