Send the age of the hosts' list as of the message, not of the round

Found when the proof was read against the code: a planner that is suspended within a round, and hears a host's report after it wakes, sent that host a new echo beside an age from before the suspension. The host would take the list for newer than it is, by the time of the suspension.

Evidence: TestMembersAgeOfSuspendedPlanner (age 5.1 s; the round's age was 100 ms).

Change: the round keeps the time of the read; the age is determined for each message, after its echo.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -439,3 +439,22 @@
 		require.Empty(t, nodes[0].publisher.Limits())
 	})
 }
+
+// TestMembersAgeOfSuspendedPlanner guards against a planner that is suspended in the
+// middle of a round and then sends a list as new that it read before.
+func TestMembersAgeOfSuspendedPlanner(t *testing.T) {
+	now := time.Hour
+	p := NewPublisher(PublisherConfig{
+		Self: tamarackknot.HostEntry{Name: "p"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("p"), Logger: log.New(io.Discard),
+		Clock: func() time.Duration { return now }, OnCatalogVersion: func(int64) {},
+		LeaseEnd: func() tamarackknot.Position { return tamarackknot.Position{} },
+		Catalog:  func() tamarackknot.StreamState { return tamarackknot.StreamState{} }, Endpoints: func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
+	})
+	r := p.newRound(1, []tamarackknot.HostEntry{{Name: "a"}, {Name: "p"}}, time.Now())
+	r.membersReadAt = now - 100*time.Millisecond
+	now += 5 * time.Second // the suspension
+	p.applyDemand("a", demandMessage{SentMs: now.Milliseconds()})
+	m := p.buildView("a", r)
+	require.Equal(t, now.Milliseconds(), m.EchoMs)
+	require.Equal(t, int64(5100), m.MembersAgeMs)
+}
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -160,8 +160,8 @@
 	totals        []int // requests at each engine, by index
 	forecasts     map[modelKey]time.Time
 	hostCount     int
-	membersAgeMs  int64
-	fullViewsLeft int // full views that this round may still send
+	membersReadAt time.Duration // when the registered hosts were read, 0 if never
+	fullViewsLeft int           // full views that this round may still send
 }
 
 // engineState is an engine of the view with its models in message form; version
@@ -383,11 +383,11 @@
 
 // publishRound sends one message to every registered host.
 func (p *Publisher) publishRound(ctx context.Context, fence int64) {
-	// The age is taken first, so that it is not below that of the list.
-	membersAge := p.membersAge()
+	// The time of the read is taken first, so that it is not after that of the list.
+	readAt := p.membersReadAt()
 	registered := p.cfg.Hosts()
 	r := p.newRound(fence, registered, time.Now())
-	r.membersAgeMs = membersAge
+	r.membersReadAt = readAt
 	for _, host := range registered {
 		m := p.buildView(host.Name, r)
 		if host.Name == p.cfg.Self.Name {
@@ -406,7 +406,7 @@
 	defer p.mu.Unlock()
 	p.refreshMembers(registered)
 	r := &round{
-		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), membersAgeMs: -1, totals: p.requestTotals(now),
+		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), totals: p.requestTotals(now),
 		forecasts:     make(map[modelKey]time.Time),
 		fullViewsLeft: max(minFullViews, maxFullViewEngines/max(len(p.engines), 1)),
 	}
@@ -420,16 +420,22 @@
 	return r
 }
 
-// membersAge returns the age in ms of the last read of the registered hosts, -1 if
-// they were never read.
-func (p *Publisher) membersAge() int64 {
+// membersReadAt returns when the registered hosts were last read, 0 if never.
+func (p *Publisher) membersReadAt() time.Duration {
 	if p.cfg.HostsReadAt == nil {
-		return -1
+		return 0
 	}
-	if at := p.cfg.HostsReadAt(); at > 0 {
-		return (p.cfg.Clock() - at).Milliseconds()
+	return p.cfg.HostsReadAt()
+}
+
+// membersAge returns the time in ms since the registered hosts were read, -1 if they were
+// not. It is determined after the echo of a message, since the process may be suspended
+// in between.
+func (p *Publisher) membersAge(readAt time.Duration) int64 {
+	if readAt <= 0 {
+		return -1
 	}
-	return -1
+	return (p.cfg.Clock() - readAt).Milliseconds()
 }
 
 // refreshMembers updates the names of the registered hosts. p.mu is held.
@@ -485,8 +491,9 @@
 	m := viewMessage{
 		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
 		Catalog: encodeStream(p.cfg.Catalog(), r.now), Endpoints: encodeStream(p.cfg.Endpoints(), r.now),
-		MembersAgeMs: r.membersAgeMs, EchoMs: s.echoMs,
+		EchoMs: s.echoMs,
 	}
+	m.MembersAgeMs = p.membersAge(r.membersReadAt)
 	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
 	if s.fence != r.fence || r.now.Sub(s.fullViewAt) >= interval {
 		if r.fullViewsLeft == 0 {
