Call one check from two lease tests, log each change of the share

Found when the change was read again. TestRestartInGap repeated TestReleaseDuringGap but for the process that comes next; both now call one function, with the assertions as they were.

The line "share of limits changed" was written only when a retry was decided, though docs/OPERATIONS.md names it for limited endpoints as well; it is now written wherever the share is asked for. No decision changes.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -199,39 +199,23 @@
 // TestReleaseDuringGap guards against a host that orders within the gap because the
 // holder before it, which had not ordered yet, says that it was idle.
 func TestReleaseDuringGap(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(false)
-		a, b, c := h.elector("a", "1"), h.elector("b", "1"), h.elector("c", "1")
-		stop := h.run(t, a)
-		time.Sleep(2 * time.Second)
-		_, orderEnded, ok := a.BeginOrder()
-		require.True(t, ok)
-		orderEnded()
-		lastOrder := time.Now()
-		a.Release(t.Context())
-		stop()
-		stop = h.run(t, b)
-		for !b.Status().Held {
-			time.Sleep(10 * time.Millisecond)
-		}
-		b.Release(t.Context())
-		stop()
-		defer h.run(t, c)()
-		for !mayOrder(c) {
-			time.Sleep(10 * time.Millisecond)
-		}
-		require.GreaterOrEqual(t, time.Since(lastOrder), 3*time.Second)
-		require.Less(t, time.Since(lastOrder), 5*time.Second)
-	})
+	requireGapAfterRelease(t, "c", "1")
 }
 
 // TestRestartInGap guards against a host that is shut down within the gap after another
 // holder's last order, starts again and orders at once, because its own record released
 // the lease.
 func TestRestartInGap(t *testing.T) {
+	requireGapAfterRelease(t, "b", "2")
+}
+
+// requireGapAfterRelease lets host a order and release the lease, b take it and release it
+// within the gap, and requires that the next process waits for the gap after a's order.
+func requireGapAfterRelease(t *testing.T, host, incarnation string) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(false)
-		a, b := h.elector("a", "1"), h.elector("b", "1")
+		a, b, next := h.elector("a", "1"), h.elector("b", "1"), h.elector(host, incarnation)
 		stop := h.run(t, a)
 		time.Sleep(2 * time.Second)
 		_, orderEnded, ok := a.BeginOrder()
@@ -246,9 +230,8 @@
 		}
 		b.Release(t.Context())
 		stop()
-		again := h.elector("b", "2")
-		defer h.run(t, again)()
-		for !mayOrder(again) {
+		defer h.run(t, next)()
+		for !mayOrder(next) {
 			time.Sleep(10 * time.Millisecond)
 		}
 		require.GreaterOrEqual(t, time.Since(lastOrder), 3*time.Second)
--- a/share/share.go
+++ b/share/share.go
@@ -62,7 +62,7 @@
 	// one. since is the receipt of the first list after the last long silence.
 	lists   []hostList
 	since   time.Duration
-	sharing bool // the last result of Count was not 0
+	sharing bool // the last result of mayShare
 	// sharers caches Rate: the number of hosts that share the rate of a key, 0 if this
 	// host is not one of them. It is cleared when the lists change.
 	sharers map[rateKey]int
@@ -125,17 +125,19 @@
 			count = max(count, len(l.names))
 		}
 	}
-	if sharing := count > 0; sharing != h.sharing {
-		h.sharing = sharing
-		h.cfg.Logger.Info("share of limits changed", "uses", sharing, "hosts", count)
-	}
 	return count
 }
 
-// mayShare reports whether this host may use its share. h.mu is held.
+// mayShare reports whether this host may use its share, and logs when that changes. h.mu
+// is held.
 func (h *Hosts) mayShare(now time.Duration) bool {
 	n := len(h.lists)
-	return n > 0 && now-h.lists[n-1].last <= listTimeout && now-h.since >= h.cfg.Window+probation
+	may := n > 0 && now-h.lists[n-1].last <= listTimeout && now-h.since >= h.cfg.Window+probation
+	if may != h.sharing {
+		h.sharing = may
+		h.cfg.Logger.Info("share of limits changed", "uses", may)
+	}
+	return may
 }
 
 // Rate returns the requests a second that this host may send, where all hosts together
