--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -148,6 +149,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil || len(body) > maxBufferedResponse {
 		g.Done(dispatch.ResultFailed)
+		x.logLost(g, 0, err)
 		x.lastErr = "the endpoint broke off its answer"
 		return x.adjustOutcome(outcomeUnknown), nil
 	}
@@ -176,9 +178,18 @@
 		return outcomeCallerGone
 	}
 	g.Done(dispatch.ResultFailed)
+	x.logLost(g, 0, err)
 	return x.adjustOutcome(outcomeUnknown)
 }
 
+// logLost logs that the endpoint did not complete its answer, of which a number of events
+// was received. err is nil if the answer is too long.
+func (x *exchange) logLost(g *dispatch.Grant, events int, err error) {
+	x.server.cfg.Logger.Info("answer lost", "request", x.caller.ID, "service", x.service, "model", x.caller.Model,
+		"parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
+		"events", events, "error", err)
+}
+
 // adjustOutcome returns outcomeCallerGone if the caller has disconnected, and
 // outcomeTimedOut in place of outcomeUnknown after the deadline.
 func (x *exchange) adjustOutcome(o outcome) outcome {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -109,12 +109,13 @@
 		return x.readStreamFailure(g, resp)
 	}
 	x.writeStreamHeader(resp.Header)
-	first, movable := true, false
+	events, movable := 0, false
 	err = x.copyEvents(resp.Body, lastEvent, func() {
 		g.Started()
-		if first {
-			first, movable = false, x.pin(g)
+		if events == 0 {
+			movable = x.pin(g)
 		}
+		events++
 		if movable {
 			stall.Reset(x.stallTimeout())
 		} else {
@@ -135,6 +136,7 @@
 		return outcomeTimedOut, nil
 	}
 	g.Done(dispatch.ResultFailed)
+	x.logLost(g, events, err)
 	return outcomeUnknown, nil
 }
 
