Read resources and their changes at one moment in journaltest

Seen in 3 of 4,000 runs of TestKeyWithoutCreationTime: 504, the request waits for an endpoint until its deadline although the replica is loaded.

A resource applied in between was in the offset and in the list of changes, but its kind had no resources; the table of endpoints took that for its first complete state and never added the endpoint. Ruled out: a lost wake-up of the router.

Change: the reader gets the lock only while the sorted resources are complete.

--- a/internal/journaltest/journal.go
+++ b/internal/journaltest/journal.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -266,21 +267,38 @@
 // Read implements tamarackknot.Journal.
 func (j *Journal) Read(fn func(tamarackknot.State)) {
 	s := j.Store
-	s.mu.Lock()
-	for k, byName := range s.resources {
-		if s.sorted[k] == nil {
-			for _, r := range byName {
-				s.sorted[k] = append(s.sorted[k], r)
-			}
-			slices.SortFunc(s.sorted[k], func(a, b *tamarackknot.Resource) int {
+	s.lockSorted()
+	defer s.mu.RUnlock()
+	fn(view{s})
+}
+
+// lockSorted locks mu for reading while sorted holds the resources of every kind.
+func (s *Store) lockSorted() {
+	for {
+		s.mu.RLock()
+		if len(s.unsorted()) == 0 {
+			return
+		}
+		s.mu.RUnlock()
+		s.mu.Lock()
+		for _, k := range s.unsorted() {
+			s.sorted[k] = slices.SortedFunc(maps.Values(s.resources[k]), func(a, b *tamarackknot.Resource) int {
 				return strings.Compare(a.Metadata.Name, b.Metadata.Name)
 			})
 		}
+		s.mu.Unlock()
 	}
-	s.mu.Unlock()
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	fn(view{s})
+}
+
+// unsorted returns the kinds that sorted lacks.
+func (s *Store) unsorted() []tamarackknot.Kind {
+	var out []tamarackknot.Kind
+	for k, byName := range s.resources {
+		if len(s.sorted[k]) != len(byName) {
+			out = append(out, k)
+		}
+	}
+	return out
 }
 
 // Changed implements tamarackknot.Journal.
