Test parts of prompts that crash endpoints

A cluster of the components that serve, with their handlers for callers, sends requests over connections to endpoints that crash when they begin to answer a prompt with a certain part.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/catalog"
 	"tamarackknot.example/tamarackknot/discovery"
 	"tamarackknot.example/tamarackknot/dispatch"
 	"tamarackknot.example/tamarackknot/fleet"
+	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/lease"
 	"tamarackknot.example/tamarackknot/origin"
 	"tamarackknot.example/tamarackknot/planner"
@@ -104,6 +107,22 @@
 	}
 }
 
+// newCallerServer returns the handler for callers, which reaches endpoints by dial.
+func (c *components) newCallerServer(dial func(ctx context.Context, network, address string) (net.Conn, error), registry metrics.Registry) *ingress.Server {
+	s := c.cfg.settings
+	return ingress.New(ingress.Config{
+		Catalog:   c.catalog.Current,
+		Dispatch:  c.dispatch,
+		Budget:    &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Clock: c.cfg.clock},
+		Dialect:   platform.Dialect{},
+		Origins:   c.origins,
+		HostCount: c.shares.Count,
+		Dial:      dial,
+		Logger:    c.cfg.logger,
+		Metrics:   registry,
+	})
+}
+
 // leave makes the other hosts go on without this one: requests that still wait at
 // drainBy are refused, and the lease is released before the others are told, so
 // that one of them can take it at once.
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -21,7 +21,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tamarackknot.example/tamarackknot"
-	"tamarackknot.example/tamarackknot/dispatch"
 	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/peer"
 	"tamarackknot.example/tamarackknot/platform"
@@ -104,17 +103,7 @@
 		store:   platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
 		control: platform.NewWeightClient(platform.Config{}),
 	})
-	d.callers = ingress.New(ingress.Config{
-		Catalog:   d.catalog.Current,
-		Dispatch:  d.dispatch,
-		Budget:    &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
-		Dialect:   platform.Dialect{},
-		Origins:   d.origins,
-		HostCount: d.shares.Count,
-		Dial:      platform.NewDialer().DialContext,
-		Logger:    cfg.Logger,
-		Metrics:   d.registry,
-	})
+	d.callers = d.newCallerServer(platform.NewDialer().DialContext, d.registry)
 	return d
 }
 
--- /dev/null
+++ b/entry/hosted/serving_test.go
@@ -0,0 +1,235 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"tamarackknot.example/tamarackknot/fake"
+	"tamarackknot.example/tamarackknot/ingress"
+	"tamarackknot.example/tamarackknot/internal/wait"
+)
+
+const (
+	servingEndpoints = 8
+	connectTimeout   = 700 * time.Millisecond
+	// restartTime is how long an endpoint that crashed is away.
+	restartTime  = 4 * time.Second
+	prefillTime  = 100 * time.Millisecond
+	eventPause   = 50 * time.Millisecond
+	answerEvents = 5
+	callTimeout  = 5 * time.Second
+)
+
+// serving runs a cluster whose hosts serve callers over connections to endpoints that
+// answer, and that crash when they begin to answer a prompt with a crashing part.
+type serving struct {
+	c       *cluster
+	network *fake.Network
+	crashes func(parts []string) bool
+
+	mu       sync.Mutex
+	servers  map[string]*ingress.Server // by host
+	ends     []time.Time                // when endpoints crashed
+	arrivals []servingArrival           // of requests with a crashing part
+	calls    []servingCall
+	nextID   int
+}
+
+// servingArrival is a request with a crashing part that reached an endpoint.
+type servingArrival struct {
+	at      time.Time
+	inTouch bool // the host that sent it
+}
+
+// servingCall is a request of a caller.
+type servingCall struct {
+	kind, host string
+	at         time.Time
+	inTouch    bool
+	began      bool // an event was received
+	complete   bool
+	status     int
+}
+
+// startServing starts the cluster. loops run for each process of a host.
+func startServing(crashes func(parts []string) bool, output io.Writer, loops ...func(context.Context, *serving, *clusterHost)) (*serving, context.CancelFunc) {
+	s := &serving{network: fake.NewNetwork(), crashes: crashes, servers: make(map[string]*ingress.Server)}
+	built := make(chan struct{})
+	c, cancel := startCluster(true, output, func(ctx context.Context, h *clusterHost) {
+		<-built
+		server := h.newCallerServer(s.dialer(h.name), metrics.NewRegistry())
+		s.mu.Lock()
+		s.servers[h.name] = server
+		s.mu.Unlock()
+		var running sync.WaitGroup
+		for _, loop := range loops {
+			running.Go(func() { loop(ctx, s, h) })
+		}
+		running.Wait()
+	})
+	s.c = c
+	c.quiet = true // only the requests of the trial
+	for i := range servingEndpoints {
+		if id := fmt.Sprintf("e%d", i); i >= clusterEngines {
+			c.startReplica(id)
+		}
+	}
+	for _, r := range c.replicas {
+		s.serve(r)
+	}
+	close(built)
+	return s, cancel
+}
+
+// dialer returns the dial function of a host.
+func (s *serving) dialer(host string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithDeadline(ctx, time.Now().Add(connectTimeout))
+		defer cancel()
+		return s.network.Host(host).Dial(ctx, network, address)
+	}
+}
+
+// netName returns the name of a start of an endpoint in the network.
+func netName(r *replica) string { return fmt.Sprintf("%s.%d", r.id, r.born.UnixMilli()) }
+
+// serve serves a start of an endpoint until it crashes.
+func (s *serving) serve(r *replica) {
+	l, err := s.network.Host(netName(r)).Listen(s.c.ctx, r.address)
+	if err != nil {
+		panic(err)
+	}
+	server := &http.Server{ReadHeaderTimeout: time.Minute}
+	crash := sync.OnceFunc(func() { s.crash(r, server) })
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { s.answer(w, req, crash) })
+	s.c.wg.Go(func() { _ = server.Serve(l) })
+	context.AfterFunc(s.c.ctx, func() { _ = server.Close() })
+}
+
+// crash ends a start of an endpoint; the next one follows after restartTime.
+func (s *serving) crash(r *replica, server *http.Server) {
+	s.mu.Lock()
+	s.ends = append(s.ends, time.Now())
+	s.mu.Unlock()
+	r.mu.Lock()
+	r.state = ""
+	r.mu.Unlock()
+	s.network.Kill(netName(r))
+	s.c.wg.Go(func() {
+		_ = server.Close()
+		if !wait.For(s.c.ctx, restartTime) {
+			return
+		}
+		s.c.startReplica(r.id)
+		s.c.mu.Lock()
+		next := s.c.replicas[r.id]
+		s.c.mu.Unlock()
+		s.serve(next)
+	})
+}
+
+// answer streams an answer.
+func (s *serving) answer(w http.ResponseWriter, req *http.Request, crash func()) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	var parts []string
+	for _, part := range strings.Split(req.Header.Get("X-Prompt-Prefix"), ",") {
+		id, _, _ := strings.Cut(part, ":")
+		parts = append(parts, id)
+	}
+	bad := s.crashes(parts)
+	if bad {
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, servingArrival{time.Now(), s.inTouch(req.Header.Get("Sender"))})
+		s.mu.Unlock()
+	}
+	if !wait.For(req.Context(), prefillTime) {
+		return
+	}
+	if bad {
+		crash()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Server-Stamp", "s")
+	for i := range answerEvents {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i); err != nil || http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		if !wait.For(req.Context(), eventPause) {
+			return
+		}
+	}
+}
+
+// inTouch reports whether a host was undisturbed for adaptTime.
+func (s *serving) inTouch(name string) bool {
+	h := s.c.host(name)
+	return h != nil && !h.disturbedSince(time.Now().Add(-adaptTime))
+}
+
+// call sends a caller's request to a host and records the outcome. Its prompt has the
+// parts and one of its own.
+func (s *serving) call(ctx context.Context, host, kind string, parts ...string) servingCall {
+	s.mu.Lock()
+	s.nextID++
+	id, server := fmt.Sprintf("r%d", s.nextID), s.servers[host]
+	s.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(callTimeout))
+	defer cancel()
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://a/x", strings.NewReader("x"))
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Model", modelName(0))
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	req.Header.Set("X-Prompt-Prefix", strings.Join(append(slices.Clone(parts), id), ":100,")+":100")
+	req.Header.Set("Sender", host)
+	out := servingCall{kind: kind, host: host, at: time.Now(), inTouch: s.inTouch(host)}
+	w := httptest.NewRecorder()
+	func() {
+		defer func() {
+			if err := recover(); err != nil && err != http.ErrAbortHandler { //nolint:errorlint // net/http compares it so
+				panic(err)
+			}
+		}()
+		server.ServeHTTP(w, req)
+	}()
+	events := strings.Count(w.Body.String(), "id: ")
+	out.status, out.began, out.complete = w.Code, events > 0, events == answerEvents
+	s.mu.Lock()
+	s.calls = append(s.calls, out)
+	s.mu.Unlock()
+	return out
+}
+
+// share returns the share of the calls that began to be answered, of the kind, sent
+// within the time at hosts in touch for which match is true, and their number.
+func (s *serving) share(kind string, from, to time.Time, match func(host string) bool) (began float64, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, call := range s.calls {
+		if call.kind != kind || !call.inTouch || call.at.Before(from) || !call.at.Before(to) || match != nil && !match(call.host) {
+			continue
+		}
+		n++
+		if call.began {
+			count++
+		}
+	}
+	return float64(count) / float64(max(n, 1)), n
+}
+
+// stopServing ends the cluster.
+func (s *serving) stop(cancel context.CancelFunc) {
+	cancel()
+	s.c.wg.Wait()
+}
