Reject requests with a part of a prompt that crashes endpoints

Cause: no host relates the ends of endpoints to what they were working on, and what one host could see is too little. Class of fault: evidence that is spread over hosts is kept by each for itself and dropped.

Change: package quarantine. Hosts record which start of an endpoint broke off which answers before their third event, and which parts are answered; they spread the records directly to each other, so that no planner is needed, and derive from them which part explains the crashes. A part that was answered since, or whose crashes another part explains, is not blamed, so that no caller can put another's part beside a bad one. An endpoint that still answers has not crashed. A ban ends; then one host at a time tries the part. Suspicions are kept in the platform's store, since all hosts may be lost at once. Sizes are bounded, parts are known by a hash.

Ruled out: to spread it through the planner, as limits are (nothing is spread for up to 5 s after its loss); to blame parts by their number of crashes alone (the part that all requests share comes first); to take a broken connection for a crash by itself (a host that is cut off from endpoints sees many).

fake.Network resets the connections of a host that ends, as TCP does, in place of an error that no socket gives.

--- a/callerrequest.go
+++ b/callerrequest.go
@@ -38,6 +38,21 @@
 	Find(ctx context.Context, id string) (o StreamOrigin, found, complete bool)
 }
 
+// CrashRecords relates crashes of endpoints to the parts of prompts that cause them. The
+// last part of a prompt belongs to its request alone and is not considered.
+type CrashRecords interface {
+	// Rejects reports whether a request must not be sent, since endpoints crash under a
+	// part of its prompt.
+	Rejects(service string, parts []string) bool
+	// RecordLoss records that an endpoint broke off the answer to a prompt before it had
+	// properly begun.
+	RecordLoss(e EndpointEntry, parts []string)
+	// RecordAnswer records that an endpoint properly began to answer a prompt.
+	RecordAnswer(e EndpointEntry, parts []string)
+	// RecordAlive records that an endpoint sent something.
+	RecordAlive(e EndpointEntry)
+}
+
 // EndpointAttempt holds the metadata that an endpoint gets with one attempt to
 // run a request.
 type EndpointAttempt struct {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -114,7 +114,10 @@
 	// LimitShare returns the rate, in requests a second, that this host may send to an
 	// endpoint which takes perSecond from all hosts together. Nil means all of it.
 	LimitShare func(endpoint string, perSecond float64) float64
-	Logger     *log.Logger
+	// Rejects reports whether endpoints of a service crash under a part of a prompt. Nil
+	// means that they do not.
+	Rejects func(service string, parts []string) bool
+	Logger  *log.Logger
 }
 
 // Dispatcher assigns requests to endpoints. It minimises the load of the chosen
@@ -204,6 +207,10 @@
 func (d *Dispatcher) Acquire(ctx context.Context, req *Request) (*Grant, *Refusal) {
 	now := time.Now()
 	d.mu.Lock()
+	if r := d.rejected(req); r != nil {
+		d.mu.Unlock()
+		return nil, r
+	}
 	tight := d.recordRequest(req, now)
 	g, lack := d.tryGrant(req, now)
 	if g != nil {
@@ -303,15 +310,24 @@
 func (d *Dispatcher) serveWaiting(now time.Time) {
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
-		g, lack := d.tryGrant(w.req, now)
+		r := d.rejected(w.req)
+		var g *Grant
+		lack := w.lack
+		if r == nil {
+			g, lack = d.tryGrant(w.req, now)
+		}
 		w.recordWait(lack, now)
-		if g != nil {
+		if g == nil && r == nil {
+			r = d.unmeetable(w.req, now)
+		}
+		switch {
+		case g != nil:
 			g.Waits = w.waits
 			w.granted <- g
-		} else if r := d.unmeetable(w.req, now); r != nil {
+		case r != nil:
 			r.Waits = w.waits
 			w.refused <- r
-		} else {
+		default:
 			kept = append(kept, w)
 			continue
 		}
@@ -321,6 +337,14 @@
 	d.waiting = kept
 }
 
+// rejected returns a refusal if endpoints crash under a part of the request's prompt.
+func (d *Dispatcher) rejected(req *Request) *Refusal {
+	if d.cfg.Rejects == nil || !d.cfg.Rejects(req.Service, req.PromptParts) {
+		return nil
+	}
+	return &Refusal{Reason: "endpoints crash under a part of the prompt"}
+}
+
 // unmeetable returns a refusal if the request is not expected to be answered by
 // its deadline, or if it must not wait any longer: the host is shutting down, or
 // there has been no forecast for too long.
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -20,6 +20,7 @@
 	"tamarackknot.example/tamarackknot/origin"
 	"tamarackknot.example/tamarackknot/planner"
 	"tamarackknot.example/tamarackknot/platform"
+	"tamarackknot.example/tamarackknot/quarantine"
 	"tamarackknot.example/tamarackknot/relay"
 	"tamarackknot.example/tamarackknot/share"
 )
@@ -75,6 +76,7 @@
 	hosts          *fleet.Registry
 	shares         *share.Hosts
 	origins        *origin.Registry
+	crashes        *quarantine.List
 	publisher      *fleet.Publisher
 	fleet          *fleet.Client
 	planner        *planner.Controller
@@ -103,7 +105,7 @@
 func (c *components) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
-		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.yieldLoop,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.crashes.Run, c.crashes.RunStore, c.yieldLoop,
 	}
 }
 
@@ -116,6 +118,7 @@
 		Budget:    &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Clock: c.cfg.clock},
 		Dialect:   platform.Dialect{},
 		Origins:   c.origins,
+		Crashes:   c.crashes,
 		HostCount: c.shares.Count,
 		Dial:      dial,
 		Logger:    c.cfg.logger,
@@ -146,6 +149,7 @@
 		HostIndex:          c.hostIndex,
 		PlannerViewCurrent: func() bool { return c.fleet.PlannerAlive() },
 		OnModelWait:        func() { c.fleet.SendNow() },
+		Rejects:            func(service string, parts []string) bool { return c.crashes.Rejects(service, parts) },
 		LimitShare:         func(endpoint string, perSecond float64) float64 { return c.shares.Rate(endpoint, perSecond) },
 		Logger:             logger,
 	})
@@ -203,6 +207,9 @@
 		OnDemand: func() { c.planner.Replan() },
 	})
 	c.origins = origin.New(origin.Config{Peers: c.cfg.peers, Others: c.otherHosts, Logger: logger})
+	c.crashes = quarantine.New(quarantine.Config{
+		Self: s.Host, Peers: c.cfg.peers, Store: store, Others: c.otherHosts, Clock: c.cfg.clock, Logger: logger,
+	})
 	c.shares = share.New(share.Config{Self: s.Host, Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
--- a/fake/network.go
+++ b/fake/network.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -233,6 +236,19 @@
 	err    error // of an earlier write to the peer
 }
 
+// Read implements net.Conn.
+func (c *networkConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.ErrClosedPipe) {
+		select {
+		case <-c.broken:
+			err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+		default:
+		}
+	}
+	return n, err
+}
+
 // Write implements net.Conn. It never blocks.
 func (c *networkConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -149,7 +150,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil || len(body) > maxBufferedResponse {
 		g.Done(dispatch.ResultFailed)
-		x.logLost(g, 0, err)
+		x.recordLost(g, 0, err)
 		x.lastErr = "the endpoint broke off its answer"
 		return x.adjustOutcome(outcomeUnknown), nil
 	}
@@ -160,6 +161,7 @@
 		return outcomeFailed, buffered
 	}
 	g.Done(dispatch.ResultAnswered)
+	x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.caller.Parts)
 	return outcomeDone, buffered
 }
 
@@ -178,16 +180,25 @@
 		return outcomeCallerGone
 	}
 	g.Done(dispatch.ResultFailed)
-	x.logLost(g, 0, err)
+	x.recordLost(g, 0, err)
 	return x.adjustOutcome(outcomeUnknown)
 }
 
-// logLost logs that the endpoint did not complete its answer, of which a number of events
-// was received. err is nil if the answer is too long.
-func (x *exchange) logLost(g *dispatch.Grant, events int, err error) {
+// recordLost records that the endpoint did not complete its answer, of which a number of
+// events was received. err is nil if the answer is too long.
+func (x *exchange) recordLost(g *dispatch.Grant, events int, err error) {
 	x.server.cfg.Logger.Info("answer lost", "request", x.caller.ID, "service", x.service, "model", x.caller.Model,
 		"parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
 		"events", events, "error", err)
+	if events < provenEvents && connectionLost(err) {
+		x.server.cfg.Crashes.RecordLoss(g.Endpoint, x.caller.Parts)
+	}
+}
+
+// connectionLost reports whether an answer ended because its connection did, other than by
+// this host.
+func connectionLost(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errPartialEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT)
 }
 
 // adjustOutcome returns outcomeCallerGone if the caller has disconnected, and
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -172,18 +173,23 @@
 			}
 		}
 	}
+	// The end of the connection is the end of the response.
+	const unframed = "HTTP/1.1 200 OK\r\nId: id-1\r\nSigned: a\r\n\r\n"
 	cases := map[string]struct {
 		resumable bool
 		endpoints []http.HandlerFunc
 		complete  bool
 		body      string
 	}{
-		"whole":                   {false, []http.HandlerFunc{events(5, nil)}, true, allEvents(5)},
-		"aborted":                 {false, []http.HandlerFunc{events(5, abort(3)), events(5, nil)}, false, allEvents(3)},
-		"aborted inside an event": {false, []http.HandlerFunc{events(5, cutInsideEvent(3))}, false, allEvents(3)},
-		"resumed":                 {true, []http.HandlerFunc{events(5, abort(3)), events(5, nil)}, true, allEvents(5)},
-		"resumed inside an event": {true, []http.HandlerFunc{events(5, cutInsideEvent(3)), events(5, nil)}, true, allEvents(5)},
-		"resumed, aborted again":  {true, []http.HandlerFunc{events(5, abort(1)), events(5, abort(3)), events(5, nil)}, false, allEvents(3)},
+		"whole":                     {false, []http.HandlerFunc{events(5, nil)}, true, allEvents(5)},
+		"aborted":                   {false, []http.HandlerFunc{events(5, abort(3)), events(5, nil)}, false, allEvents(3)},
+		"aborted inside an event":   {false, []http.HandlerFunc{events(5, cutInsideEvent(3))}, false, allEvents(3)},
+		"resumed":                   {true, []http.HandlerFunc{events(5, abort(3)), events(5, nil)}, true, allEvents(5)},
+		"resumed inside an event":   {true, []http.HandlerFunc{events(5, cutInsideEvent(3)), events(5, nil)}, true, allEvents(5)},
+		"resumed, aborted again":    {true, []http.HandlerFunc{events(5, abort(1)), events(5, abort(3)), events(5, nil)}, false, allEvents(3)},
+		"unframed":                  {false, []http.HandlerFunc{rawResponse(unframed + allEvents(5))}, true, allEvents(5)},
+		"unframed, inside an event": {false, []http.HandlerFunc{rawResponse(unframed + allEvents(3) + "id: 3\nda")}, false, allEvents(3)},
+		"unframed, resumed":         {true, []http.HandlerFunc{rawResponse(unframed + allEvents(3) + "id: 3\nda"), events(5, nil)}, true, allEvents(5)},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -197,6 +203,43 @@
 	}
 }
 
+// TestCrashRecords guards against broken answers that are not taken for crashes, and
+// against other failures that are.
+func TestCrashRecords(t *testing.T) {
+	abort := func(at int) http.HandlerFunc {
+		return events(5, func(i int, _ http.ResponseWriter) {
+			if i == at {
+				panic(http.ErrAbortHandler)
+			}
+		})
+	}
+	a := []string{"a"}
+	for name, tt := range map[string]struct {
+		handler          http.HandlerFunc
+		losses, answered []string
+	}{
+		"reset before the answer":  {resetConn, a, nil},
+		"closed before the answer": {rawResponse(""), a, nil},
+		"closed before an event":   {abort(0), a, nil},
+		"closed after two events":  {abort(2), a, nil},
+		"closed after three":       {abort(3), nil, a},
+		"complete, two events":     {events(2, nil), nil, a},
+		"not HTTP":                 {rawResponse("x\r\n\r\n"), nil, nil},
+		"declined":                 {decline, nil, nil},
+		"failure":                  {respond(http.StatusInternalServerError, "x"), nil, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, tamarackknot.Route{Kind: stream}, tt.handler)
+			go h.dispatcher.Run(t.Context())
+			_, _, _ = h.do(call{header: map[string]string{"Patience": "500ms"}})
+			h.crashes.mu.Lock()
+			defer h.crashes.mu.Unlock()
+			require.Equal(t, tt.losses, h.crashes.losses)
+			require.Equal(t, tt.answered, slices.Compact(h.crashes.answered))
+		})
+	}
+}
+
 // TestStall guards against a resumable stream that waits for an unresponsive
 // endpoint until the caller gives up.
 func TestStall(t *testing.T) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -55,6 +55,8 @@
 	Dialect  tamarackknot.Dialect
 	// Origins keeps the origins of resumable streams.
 	Origins tamarackknot.StreamOrigins
+	// Crashes relates crashes of endpoints to parts of prompts.
+	Crashes tamarackknot.CrashRecords
 	// HostCount returns the number of entry hosts that share the retry budget.
 	HostCount func() int
 	// Dial opens connections to endpoints; nil uses TCP.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -30,6 +30,9 @@
 	eventBufferBytes = 4 << 10
 	// maxEventBytes limits one event.
 	maxEventBytes = 1 << 20
+	// provenEvents is the number of events after which an endpoint has properly begun an
+	// answer: an endpoint that crashes under a prompt does so sooner.
+	provenEvents = 3
 )
 
 // errPartialEvent means that the endpoint ended the stream in the middle of an
@@ -116,6 +119,10 @@
 			movable = x.pin(g)
 		}
 		events++
+		x.server.cfg.Crashes.RecordAlive(g.Endpoint)
+		if events == provenEvents {
+			x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.caller.Parts)
+		}
 		if movable {
 			stall.Reset(x.stallTimeout())
 		} else {
@@ -125,6 +132,7 @@
 	switch {
 	case err == nil:
 		g.Done(dispatch.ResultAnswered)
+		x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.caller.Parts)
 		return outcomeDone, nil
 	case x.r.Context().Err() != nil || errors.Is(err, errCallerWrite):
 		g.Done(dispatch.ResultDisconnected)
@@ -136,7 +144,7 @@
 		return outcomeTimedOut, nil
 	}
 	g.Done(dispatch.ResultFailed)
-	x.logLost(g, events, err)
+	x.recordLost(g, events, err)
 	return outcomeUnknown, nil
 }
 
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,158 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/fake"
+)
+
+// trial is a List on a clock that the test sets.
+type trial struct {
+	*List
+	now    time.Duration
+	others []string
+}
+
+func newTrial() *trial {
+	tr := &trial{now: time.Hour}
+	tr.List = New(Config{
+		Self: "h", Peers: fake.NewPeers(fake.PeersConfig{}).Host("h"), Store: fake.NewStreams().Client("h"),
+		Others: func() []string { return tr.others }, Clock: func() time.Duration { return tr.now }, Logger: log.New(io.Discard),
+	})
+	return tr
+}
+
+// play records, from a step each second: "e1:a,b" an endpoint that broke off the answer to
+// a prompt with these parts, "+e1:a" one that answered it, "e1" one that sent something
+// one second after its loss, "60s" a pause.
+func (tr *trial) play(steps string) {
+	for _, step := range strings.Fields(steps) {
+		tr.now += time.Second
+		id, parts, hasParts := strings.Cut(strings.TrimPrefix(step, "+"), ":")
+		e := tamarackknot.EndpointEntry{ID: id, Service: "s"}
+		prompt := append(strings.Split(parts, ","), "own")
+		pause, err := time.ParseDuration(step)
+		switch {
+		case err == nil:
+			tr.now += pause
+		case strings.HasPrefix(step, "+"):
+			tr.RecordAnswer(e, prompt)
+		case hasParts:
+			tr.RecordLoss(e, prompt)
+		default:
+			tr.RecordAlive(e)
+		}
+	}
+}
+
+func (tr *trial) rejects(parts string) bool {
+	return tr.Rejects("s", append(strings.Split(parts, ","), "own"))
+}
+
+// TestBlame guards against requests with a crashing part that are not rejected, and
+// against parts that a caller, or bad luck, puts beside it and that are rejected with it.
+func TestBlame(t *testing.T) {
+	const threeBad = "e1:c,bad e2:c,bad e3:c,bad "
+	for name, tt := range map[string]struct {
+		steps            string
+		rejected, served []string
+	}{
+		"two crashes":                       {"e1:bad e2:bad", nil, []string{"bad"}},
+		"three crashes":                     {"e1:bad e2:bad e3:bad", []string{"bad", "c,bad", "bad,x"}, []string{"c", "x"}},
+		"three breaks of one endpoint":      {"e1:bad e1:bad e1:bad", nil, []string{"bad"}},
+		"an endpoint answers after":         {"e1:bad e2:bad e3:bad e3", nil, []string{"bad"}},
+		"the next start answers":            {"e1:bad e2:bad e3:bad 2s e3", []string{"bad"}, nil},
+		"common part answered":              {"+e9:c " + threeBad + "+e9:c", []string{"c,bad", "bad"}, []string{"c", "c,x"}},
+		"companion never answered":          {threeBad, []string{"c,bad", "c,x,bad"}, []string{"c", "c,x", "bad,x"}},
+		"companion alone crashes":           {threeBad + "e4:c,x", []string{"c,bad", "c,x", "c"}, []string{"bad,x"}},
+		"companion of some":                 {"e1:v,bad e2:v,bad e3:v,bad e4:bad", []string{"v,bad", "bad"}, []string{"v", "v,x"}},
+		"in flight at crashed endpoints":    {"e1:v,own1 e1:bad e2:v,own2 e2:bad e3:v,own3 e3:bad e4:bad", []string{"bad"}, []string{"v", "v,own1"}},
+		"answered before, five crashes":     {"+e9:c e1:c e2:c e3:c e4:c e5:c", nil, []string{"c"}},
+		"answered before, six crashes":      {"+e9:c e1:c e2:c e3:c e4:c e5:c e6:c", []string{"c"}, nil},
+		"answered in between":               {"e1:c e2:c +e9:c e3:c", nil, []string{"c"}},
+		"answered after a probe":            {"e1:bad e2:bad e3:bad 61s +e9:bad", nil, []string{"bad"}},
+		"answered after, long ago":          {"e1:bad e2:bad e3:bad +e9:bad 300s +e9:x 100s +e9:x", nil, []string{"bad"}},
+		"two crashing parts":                {"e1:a e2:a e3:a e4:b e5:b e6:b", []string{"a", "b"}, []string{"x"}},
+		"last part":                         {"e1:x e2:y e3:z", nil, []string{"x", "w"}},
+		"another service has its own parts": {"e1:bad e2:bad e3:bad", []string{"bad"}, nil},
+		"records expire":                    {"e1:bad e2:bad e3:bad 16m e4:x", nil, []string{"bad"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := newTrial()
+			tr.others = []string{"i"} // this host may not probe alone
+			tr.play(tt.steps)
+			for _, parts := range tt.rejected {
+				require.True(t, tr.rejects(parts), "rejected: %s", parts)
+				require.False(t, tr.Rejects("other", []string{parts, "own"}))
+			}
+			for _, parts := range tt.served {
+				require.False(t, tr.rejects(parts), "served: %s", parts)
+			}
+		})
+	}
+}
+
+// TestProbation guards against a part that is rejected for good, and against several
+// requests at once that try it.
+func TestProbation(t *testing.T) {
+	tr := newTrial()
+	tr.play("e1:bad e2:bad e3:bad 58s")
+	require.True(t, tr.rejects("bad"))
+	tr.play("2s")
+	require.False(t, tr.rejects("bad"), "the first request after the ban")
+	require.True(t, tr.rejects("bad"), "the second one")
+	tr.play("e4:bad 60s")
+	require.True(t, tr.rejects("bad"), "the ban is longer after another crash")
+	tr.play("60s")
+	require.False(t, tr.rejects("bad"))
+}
+
+// TestProbingHost guards against several hosts that try a part on probation.
+func TestProbingHost(t *testing.T) {
+	hosts, probing := []string{"h", "i", "j", "k"}, 0
+	for _, self := range hosts {
+		tr := newTrial()
+		tr.cfg.Self = self
+		tr.others = slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == self })
+		tr.play("e1:bad e2:bad e3:bad 61s")
+		if !tr.rejects("bad") {
+			probing++
+		}
+	}
+	require.Equal(t, 1, probing)
+}
+
+// TestBounds guards against records without limit, and against message parts that can't
+// be read.
+func TestBounds(t *testing.T) {
+	tr := newTrial()
+	var parts []string
+	for i := range 2 * maxLossParts {
+		parts = append(parts, fmt.Sprint(i))
+	}
+	for i := range 2 * maxLosses {
+		tr.play(fmt.Sprintf("e%d:%s", i, strings.Join(parts, ",")))
+	}
+	require.LessOrEqual(t, len(tr.losses), maxLosses)
+	for _, l := range tr.losses {
+		require.LessOrEqual(t, len(l.parts), maxLossParts)
+	}
+	for i := range 3 * maxAnswers {
+		tr.answers.put(partID{byte(i), byte(i >> 8), byte(i >> 16)}, tr.now)
+	}
+	require.LessOrEqual(t, len(tr.answers.recent)+len(tr.answers.earlier), 2*maxAnswers)
+	_, err := tr.handleSpread(context.Background(), "i", []byte(`{"losses":[{"endpoint":"e","parts":["zz","00"]}],"answers":[{"part":"-"}]}`))
+	require.NoError(t, err)
+	_, err = tr.handleSpread(context.Background(), "i", []byte(`{"losses":1}`))
+	require.Error(t, err)
+}
--- /dev/null
+++ b/quarantine/spread.go
@@ -0,0 +1,222 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"tamarackknot.example/tamarackknot/internal/wait"
+)
+
+const (
+	// spreadInterval is the least time between two messages with changes.
+	spreadInterval = 20 * time.Millisecond
+	// fanout is the number of hosts that get a change from each host that learns of it.
+	// The others hear of it from these.
+	fanout = 8
+	// repeatInterval is the time between two messages with all records, each to one host,
+	// so that a host that missed a message learns of it.
+	repeatInterval = time.Second
+	// pullInterval is the time between two questions for the records of another host
+	// until one answers.
+	pullInterval = 200 * time.Millisecond
+	// mergeTolerance is the difference of two times that is not worth a message: it comes
+	// from the messages' time on the way.
+	mergeTolerance = 50 * time.Millisecond
+	sendTimeout    = 300 * time.Millisecond
+)
+
+// Methods of the messages between hosts.
+const (
+	methodSpread = "quarantine.spread"
+	methodPull   = "quarantine.pull"
+)
+
+// spreadMessage carries records, with ages in place of times.
+type spreadMessage struct {
+	Losses  []lossMessage   `json:"losses,omitempty"`
+	Answers []answerMessage `json:"answers,omitempty"`
+}
+
+type lossMessage struct {
+	Endpoint string `json:"endpoint"`
+	BornMs   int64  `json:"bornMs"`
+	AgeMs    int64  `json:"ageMs"`
+	// AliveMsAgo is -1 if the endpoint is not known to have answered.
+	AliveMsAgo int64    `json:"aliveMsAgo"`
+	Parts      []string `json:"parts,omitempty"`
+}
+
+type answerMessage struct {
+	Part  string `json:"part"`
+	AgeMs int64  `json:"ageMs"`
+}
+
+// Run spreads the records until ctx ends.
+func (l *List) Run(ctx context.Context) {
+	tick := time.NewTicker(pullInterval)
+	defer tick.Stop()
+	for pulled := false; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+			l.send(ctx, l.changes(), fanout)
+			if !wait.For(ctx, spreadInterval) {
+				return
+			}
+		case <-tick.C:
+			if pulled {
+				l.send(ctx, l.all(), 1)
+			} else if pulled = l.pull(ctx); pulled {
+				tick.Reset(repeatInterval)
+			}
+		}
+	}
+}
+
+// changes returns the records that changed since the last call.
+func (l *List) changes() spreadMessage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var m spreadMessage
+	now := l.cfg.Clock()
+	for s, added := range l.unsentLosses {
+		if lost := l.losses[s]; lost != nil {
+			m.Losses = append(m.Losses, encodeLoss(s, lost, added, now))
+		}
+	}
+	for p := range l.unsentAnswers {
+		m.Answers = append(m.Answers, answerMessage{p.String(), (now - l.answers.last(p)).Milliseconds()})
+	}
+	clear(l.unsentLosses)
+	clear(l.unsentAnswers)
+	return m
+}
+
+// all returns all losses, and the answers to the parts that occur in them.
+func (l *List) all() spreadMessage {
+	if !l.active.Load() {
+		return spreadMessage{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune()
+	var m spreadMessage
+	now, parts := l.cfg.Clock(), make(map[partID]bool)
+	for s, lost := range l.losses {
+		open := make(map[partID]bool, len(lost.parts))
+		for p, unanswered := range lost.parts {
+			if unanswered {
+				open[p] = true
+			}
+			if at := l.answers.last(p); at > 0 && !parts[p] {
+				parts[p] = true
+				m.Answers = append(m.Answers, answerMessage{p.String(), (now - at).Milliseconds()})
+			}
+		}
+		m.Losses = append(m.Losses, encodeLoss(s, lost, open, now))
+	}
+	return m
+}
+
+func encodeLoss(s start, lost *loss, parts map[partID]bool, now time.Duration) lossMessage {
+	m := lossMessage{Endpoint: s.endpoint, BornMs: s.bornMs, AgeMs: (now - lost.at).Milliseconds(), AliveMsAgo: -1}
+	if lost.aliveAt > 0 {
+		m.AliveMsAgo = (now - lost.aliveAt).Milliseconds()
+	}
+	for p := range parts {
+		m.Parts = append(m.Parts, p.String())
+	}
+	return m
+}
+
+// send sends a message to some other hosts, chosen at random.
+func (l *List) send(ctx context.Context, m spreadMessage, hosts int) {
+	if len(m.Losses)+len(m.Answers) == 0 {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(sendTimeout))
+	defer cancel()
+	others := l.cfg.Others()
+	for _, i := range rand.Perm(len(others))[:min(len(others), hosts)] {
+		if err := l.cfg.Peers.Notify(ctx, others[i], methodSpread, m); err != nil {
+			l.cfg.Logger.Debug("cannot send records of crashes", "host", others[i], "error", err)
+		}
+	}
+}
+
+// pull asks another host for all records, and reports whether it answered.
+func (l *List) pull(ctx context.Context) bool {
+	others := l.cfg.Others()
+	if len(others) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(sendTimeout))
+	defer cancel()
+	host := others[rand.IntN(len(others))]
+	var m spreadMessage
+	if err := l.cfg.Peers.Call(ctx, host, methodPull, struct{}{}, &m); err != nil {
+		l.cfg.Logger.Debug("cannot ask for records of crashes", "host", host, "error", err)
+		return false
+	}
+	l.merge(m)
+	return true
+}
+
+func (l *List) handlePull(context.Context, string, json.RawMessage) (any, error) { return l.all(), nil }
+
+func (l *List) handleSpread(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var m spreadMessage
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, err
+	}
+	l.merge(m)
+	return nil, nil
+}
+
+// merge adds the records of another host.
+func (l *List) merge(m spreadMessage) {
+	if len(m.Losses)+len(m.Answers) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Clock()
+	for _, a := range m.Answers {
+		p, ok := decodePart(a.Part)
+		if at := max(now-millis(a.AgeMs), 1); ok && at-l.answers.last(p) > mergeTolerance {
+			l.answers.put(p, at)
+			if l.isOpen(p) {
+				l.unsentAnswers[p] = true
+			}
+		}
+	}
+	for _, lost := range m.Losses {
+		n := loss{at: now - millis(lost.AgeMs), parts: make(map[partID]bool, len(lost.Parts))}
+		if lost.AliveMsAgo >= 0 {
+			n.aliveAt = now - millis(lost.AliveMsAgo)
+		}
+		for _, text := range lost.Parts {
+			if p, ok := decodePart(text); ok {
+				n.parts[p] = true
+			}
+		}
+		if now-n.at <= lossRetention {
+			l.mergeLoss(start{lost.Endpoint, lost.BornMs}, n)
+		}
+	}
+	l.update()
+}
+
+func decodePart(text string) (p partID, ok bool) {
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(p) {
+		return p, false
+	}
+	return partID(data), true
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/store.go
+++ b/store.go
@@ -70,6 +70,7 @@
 	StreamHosts     Stream = "hosts"
 	StreamLease     Stream = "lease"
 	StreamHistory   Stream = "history"
+	StreamCrashes   Stream = "crashes"
 )
 
 // Store is the platform's store, which consists of keyed append-only streams.
