Take a stream without an event for broken off

Callers saw: a stream that comes with neither a length nor chunks, and whose endpoint crashes before its first event, looked complete with no event in it.

Cause: the end of the connection counts as the end of such a stream wherever no event is cut in two. No stream is complete without an event, unless it goes on after its last one.

Change: it has failed, so it is taken up elsewhere where its route allows it, and else answered 502; it counts as a sign of a crash. The header is written with the first event, not before it, so that a stream which an endpoint breaks off before that gets a status in place of a closed connection. On the wire nothing else changes, since the header was sent with the first event already.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -198,7 +198,7 @@
 // connectionLost reports whether an answer ended because its connection did, other than by
 // this host.
 func connectionLost(err error) bool {
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errPartialEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT)
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errPartialEvent, errNoEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT)
 }
 
 // adjustOutcome returns outcomeCallerGone if the caller has disconnected, and
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -203,6 +203,34 @@
 	}
 }
 
+// TestStreamWithoutEvent guards against a stream that ends with its connection before its
+// first event and looks complete.
+func TestStreamWithoutEvent(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\nId: id-1\r\nSigned: a\r\n\r\n"
+	for name, tt := range map[string]struct {
+		endpoints []http.HandlerFunc
+		resumable bool
+		after     string // the last event that the caller has
+		status    int
+		body      string
+	}{
+		"without an event":            {[]http.HandlerFunc{rawResponse(unframed)}, false, "", http.StatusBadGateway, ""},
+		"inside the first event":      {[]http.HandlerFunc{rawResponse(unframed + "id: 0\nda")}, false, "", http.StatusBadGateway, ""},
+		"resumed at another endpoint": {[]http.HandlerFunc{rawResponse(unframed), events(5, nil)}, true, "", http.StatusOK, allEvents(5)},
+		"resumed after the last":      {[]http.HandlerFunc{events(5, nil)}, true, "4", http.StatusOK, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, tamarackknot.Route{Kind: stream, Resumable: tt.resumable, Attempts: 2}, tt.endpoints...)
+			resp, body, err := h.do(call{header: map[string]string{"After": tt.after}})
+			require.NoError(t, err)
+			require.Equal(t, tt.status, resp.StatusCode)
+			if tt.status == http.StatusOK {
+				require.Equal(t, tt.body, body)
+			}
+		})
+	}
+}
+
 // TestCrashRecords guards against broken answers that are not taken for crashes, and
 // against other failures that are.
 func TestCrashRecords(t *testing.T) {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -39,6 +39,9 @@
 // event.
 var errPartialEvent = errors.New("stream ended in the middle of an event")
 
+// errNoEvent means that the endpoint ended a stream before its first event.
+var errNoEvent = errors.New("stream ended before its first event")
+
 // errLongEvent means that an event exceeds maxEventBytes.
 var errLongEvent = errors.New("event exceeds the limit")
 
@@ -111,9 +114,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return x.readStreamFailure(g, resp)
 	}
-	x.writeStreamHeader(resp.Header)
 	events, movable := 0, false
-	err = x.copyEvents(resp.Body, lastEvent, func() {
+	err = x.copyEvents(resp, lastEvent, func() {
 		g.Started()
 		if events == 0 {
 			movable = x.pin(g)
@@ -129,8 +131,12 @@
 			stall.Stop()
 		}
 	})
+	if err == nil && events == 0 && *lastEvent == "" {
+		err = errNoEvent
+	}
 	switch {
 	case err == nil:
+		x.writeStreamHeader(resp.Header)
 		g.Done(dispatch.ResultAnswered)
 		x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.caller.Parts)
 		return outcomeDone, nil
@@ -209,9 +215,10 @@
 var errCallerWrite = errors.New("write to the caller failed")
 
 // copyEvents relays complete events until the stream ends, stores the id of the
-// last one in lastEvent and calls eventSent after each.
-func (x *exchange) copyEvents(body io.Reader, lastEvent *string, eventSent func()) error {
-	in := bufio.NewReaderSize(body, eventBufferBytes)
+// last one in lastEvent and calls eventSent after each. The header is written before the
+// first one.
+func (x *exchange) copyEvents(resp *http.Response, lastEvent *string, eventSent func()) error {
+	in := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	rc := http.NewResponseController(x.w)
 	// A deadline left in place would fail later responses on the connection.
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
@@ -228,7 +235,7 @@
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
-				return x.writeEvent(rc, event)
+				return x.writeEvent(rc, resp.Header, event)
 			}
 			if errors.Is(err, io.EOF) {
 				return errPartialEvent
@@ -241,7 +248,7 @@
 			}
 			continue
 		}
-		if err := x.writeEvent(rc, event); err != nil {
+		if err := x.writeEvent(rc, resp.Header, event); err != nil {
 			return err
 		}
 		*lastEvent = id
@@ -255,10 +262,11 @@
 	return strings.TrimSpace(s), ok
 }
 
-func (x *exchange) writeEvent(rc *http.ResponseController, event []byte) error {
+func (x *exchange) writeEvent(rc *http.ResponseController, header http.Header, event []byte) error {
 	if len(event) == 0 {
 		return nil
 	}
+	x.writeStreamHeader(header)
 	now := time.Now()
 	if x.firstEventAt.IsZero() {
 		x.firstEventAt = now
