Log endpoints that a host cannot reach

The logs of second1 can't tell a host that reaches no endpoint from one that meets a failed endpoint: a failed connection left no line. endpoint unreachable names the endpoint, the error and the number of failures since the last connection. No decision changes; the tests of ingress pass.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -110,7 +109,7 @@
 }
 
 // newCallerServer returns the handler for callers, which reaches endpoints by dial.
-func (c *components) newCallerServer(dial func(ctx context.Context, network, address string) (net.Conn, error), registry metrics.Registry) *ingress.Server {
+func (c *components) newCallerServer(dial ingress.DialFunc, registry metrics.Registry) *ingress.Server {
 	s := c.cfg.settings
 	return ingress.New(ingress.Config{
 		Catalog:   c.catalog.Current,
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -39,19 +39,9 @@
 // requests, or one without for requests that run at most once: if the endpoint
 // closes an idle connection while a request is in flight, it is unknown whether
 // the request ran.
-func newTransport(cfg Config, keepAlive bool) *http.Transport {
-	dial := cfg.Dial
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
+func newTransport(dial DialFunc, keepAlive bool) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, errors.Mark(err, errNotSent)
-			}
-			return conn, nil
-		},
+		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      !keepAlive,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
@@ -60,6 +50,20 @@
 	}
 }
 
+// dialEndpoint opens a connection to an endpoint and counts the failures since the last
+// success.
+func (s *Server) dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := s.cfg.Dial(ctx, network, address)
+	if err != nil {
+		if ctx.Err() == nil {
+			s.failedDials.Add(1)
+		}
+		return nil, errors.Mark(err, errNotSent)
+	}
+	s.failedDials.Store(0)
+	return conn, nil
+}
+
 // bodylessMethods returns the methods with which the transport sends an empty body of
 // unknown length like no body.
 func bodylessMethods() []string {
@@ -171,6 +175,7 @@
 	x.lastErr = err.Error()
 	if errors.Is(err, errNotSent) {
 		g.Done(dispatch.ResultUnreachable)
+		x.logUnreachable(g, err)
 		return x.adjustOutcome(outcomeNotRun)
 	}
 	x.sent++
@@ -184,6 +189,15 @@
 	return x.adjustOutcome(outcomeUnknown)
 }
 
+// logUnreachable logs that no connection to the endpoint could be made.
+func (x *exchange) logUnreachable(g *dispatch.Grant, err error) {
+	if x.r.Context().Err() != nil {
+		return
+	}
+	x.server.cfg.Logger.Info("endpoint unreachable", "request", x.caller.ID, "endpoint", g.Endpoint.ID, "address", g.Endpoint.Address,
+		"error", err, "failedSinceSuccess", x.server.failedDials.Load())
+}
+
 // recordLost records that the endpoint did not complete its answer, of which a number of
 // events was received. err is nil if the answer is too long.
 func (x *exchange) recordLost(g *dispatch.Grant, events int, err error) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -60,28 +60,32 @@
 	// HostCount returns the number of entry hosts that share the retry budget.
 	HostCount func() int
 	// Dial opens connections to endpoints; nil uses TCP.
-	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial    DialFunc
 	Logger  *log.Logger
 	Metrics metrics.Registry
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Server is the HTTP handler for callers.
 type Server struct {
 	cfg                Config
 	onceTransport      *http.Transport
 	keepAliveTransport *http.Transport
 	draining           atomic.Bool
+	failedDials        atomic.Int64 // failed connections to endpoints since the last success
 	counters           counters
 }
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	return &Server{
-		cfg:                cfg,
-		onceTransport:      newTransport(cfg, false),
-		keepAliveTransport: newTransport(cfg, true),
-		counters:           newCounters(cfg.Metrics),
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{}).DialContext
 	}
+	s := &Server{cfg: cfg, counters: newCounters(cfg.Metrics)}
+	s.onceTransport, s.keepAliveTransport = newTransport(s.dialEndpoint, false), newTransport(s.dialEndpoint, true)
+	return s
 }
 
 // Drain makes the server close each connection after its next response.
