Test hosts that reach no endpoint

fake.Network refuses new connections and resets those between two hosts; the hosts of the test cluster have addresses and serve connections there.

--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -130,7 +130,7 @@
 	peers := &startingPeers{Peers: c.peers.Host(name), started: make(chan struct{})}
 	h.components = newComponents(componentsConfig{
 		settings: platform.SiteSettings{
-			Host: name, FailureDomain: "z1", CallerAddress: name, PeerAddress: name, FirstStart: first, CPUCores: 1,
+			Host: name, FailureDomain: "z1", CallerAddress: callerAddress(name), PeerAddress: name, FirstStart: first, CPUCores: 1,
 			OrderGap: orderGap, RecoveryTime: 3 * time.Second, EnginesEnforceFencing: c.enforced,
 			RetryWindow: retryWindow, LoadWindow: 5 * time.Second, LoadFactor: 1.1,
 		},
@@ -483,6 +483,9 @@
 	return fmt.Sprintf("10.0.0.%d:80", n+1)
 }
 
+// callerAddress returns the address of a host, whose name is a letter and a number.
+func callerAddress(host string) string { return fmt.Sprintf("10.%d.0.%s:80", host[0], host[1:]) }
+
 func engineSpec() *tamarackknot.EngineSpec {
 	models := make(map[string]tamarackknot.HostedModel, clusterModels)
 	for i := range clusterModels {
--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -71,6 +71,7 @@
 		s.mu.Lock()
 		s.servers[h.name] = server
 		s.mu.Unlock()
+		s.serveCallers(ctx, h, server)
 		var running sync.WaitGroup
 		for _, loop := range loops {
 			running.Go(func() { loop(ctx, s, h) })
@@ -91,6 +92,17 @@
 	return s, cancel
 }
 
+// serveCallers serves connections from other hosts until ctx ends.
+func (s *serving) serveCallers(ctx context.Context, h *clusterHost, handler http.Handler) {
+	l, err := s.network.Host(h.name).Listen(ctx, h.self.Address)
+	if err != nil {
+		panic(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	s.c.wg.Go(func() { _ = server.Serve(l) })
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+}
+
 // dialer returns the dial function of a host.
 func (s *serving) dialer(host string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/fake/network.go
+++ b/fake/network.go
@@ -21,6 +21,7 @@
 	mu        sync.Mutex
 	listeners map[string]*networkListener
 	cuts      map[direction]bool
+	refused   map[direction]bool
 	dead      map[string]bool
 	frozen    map[string]bool
 	conns     map[*networkConn]struct{}
@@ -36,6 +37,7 @@
 	return &Network{
 		listeners: make(map[string]*networkListener),
 		cuts:      make(map[direction]bool),
+		refused:   make(map[direction]bool),
 		dead:      make(map[string]bool),
 		frozen:    make(map[string]bool),
 		conns:     make(map[*networkConn]struct{}),
@@ -58,6 +60,29 @@
 	n.changed = make(chan struct{})
 }
 
+// Refuse makes new connections from one host to another fail, or succeed again. Those
+// that exist go on.
+func (n *Network) Refuse(from, to string, refuse bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused[direction{from, to}] = refuse
+}
+
+// Reset closes the connections between two hosts.
+func (n *Network) Reset(a, b string) {
+	n.mu.Lock()
+	var conns []*networkConn
+	for c := range n.conns {
+		if c.dir == (direction{a, b}) || c.dir == (direction{b, a}) {
+			conns = append(conns, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		c.abort()
+	}
+}
+
 // Freeze blocks or restores all traffic of a host. To other hosts this looks like
 // a paused process.
 func (n *Network) Freeze(name string, frozen bool) {
@@ -150,12 +175,13 @@
 		h.net.mu.Lock()
 		l, changed := h.net.listeners[address], h.net.changed
 		dead := h.net.dead[h.name]
+		refused := l != nil && h.net.refused[direction{h.name, l.host}]
 		cut := l != nil && (h.net.cutLocked(direction{h.name, l.host}) || h.net.cutLocked(direction{l.host, h.name}))
 		h.net.mu.Unlock()
 		switch {
 		case dead:
 			return nil, syscall.ENETUNREACH
-		case l == nil:
+		case l == nil || refused:
 			return nil, syscall.ECONNREFUSED
 		case !cut:
 			return l, nil
