Serve through other hosts while no endpoint can be reached

Cause: a host takes each failed connection for the fault of one endpoint and does not relate them to each other; it has no other way to serve, keeps its place among the hosts that callers are sent to, and keeps the lease if it plans. Class of fault: a fault of the observer is taken for one of what it observes.

An isolated host forwards requests that no endpoint has received to another host, at most three, which answers as to any caller, but does not forward again and does not count the request a second time for the retry budget. Where no host can, the caller is refused at once. It tells the planner, whose list of live hosts says so to all; callers are sent elsewhere and other hosts don't forward to it. An isolated planner yields the lease, and isolated hosts take it last. What is said expires with the list.

Ruled out: not ready while isolated (callers keep addresses for up to 6 s, and the store would remove hosts that serve well); Connection: close alone (the first try is lost); the mesh between hosts as the carrier of requests (streams, sizes and cancellation are HTTP's).

TestIsolated bounds the time until a host knows: 0.6 s where connections are refused, 2.5 s where they hang; a failed endpoint among reachable ones costs a few connections.

--- a/callerrequest.go
+++ b/callerrequest.go
@@ -56,7 +56,8 @@
 // EndpointAttempt holds the metadata that an endpoint gets with one attempt to
 // run a request.
 type EndpointAttempt struct {
-	// Endpoint is the only endpoint that may run the request.
+	// Endpoint is the only endpoint that may run the request; empty if it is forwarded to
+	// another entry host.
 	Endpoint string
 	// Deadline is when the caller gives up.
 	Deadline time.Time
--- a/catalog.go
+++ b/catalog.go
@@ -210,4 +210,7 @@
 	// CPUCores is the number of processor cores available to the host, possibly
 	// a fraction; 0 means unknown.
 	CPUCores float64 `json:"strength,omitempty"`
+	// Isolated says that the host reaches no endpoint; only in the planner's list of live
+	// hosts.
+	Isolated bool `json:"isolated,omitempty"`
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -117,7 +117,10 @@
 	// Rejects reports whether endpoints of a service crash under a part of a prompt. Nil
 	// means that they do not.
 	Rejects func(service string, parts []string) bool
-	Logger  *log.Logger
+	// Isolated reports whether this host reaches no endpoint; no request then waits for
+	// one. Nil means that it does.
+	Isolated func() bool
+	Logger   *log.Logger
 }
 
 // Dispatcher assigns requests to endpoints. It minimises the load of the chosen
@@ -352,6 +355,9 @@
 	if !d.drainBy.IsZero() && !now.Before(d.drainBy) {
 		return &Refusal{Reason: "the host is leaving", RetryAt: now}
 	}
+	if d.cfg.Isolated != nil && d.cfg.Isolated() {
+		return &Refusal{Reason: "this host reaches no endpoint", RetryAt: now.Add(fullRetryDelay)}
+	}
 	if remaining := req.Deadline.Sub(now); remaining < minServiceTime {
 		return &Refusal{Reason: "no time is left"}
 	}
--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -16,6 +17,7 @@
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/dispatch"
 	"tamarackknot.example/tamarackknot/fake"
+	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/internal/wait"
 	"tamarackknot.example/tamarackknot/platform"
 )
@@ -29,6 +31,7 @@
 	// registered again.
 	registrationTime = 2 * time.Second
 	heartbeat        = 1200 * time.Millisecond
+	connectTimeout   = 700 * time.Millisecond
 	// expiryHeartbeats is after how many missed heartbeats the store removes an
 	// entry.
 	expiryHeartbeats = 3
@@ -43,6 +46,7 @@
 type cluster struct {
 	store    *fake.Streams
 	peers    *fake.Peers
+	network  *fake.Network
 	engines  *fake.WeightEngines
 	enforced bool // engines check fencing tokens
 	output   io.Writer
@@ -138,6 +142,7 @@
 		store:       &gatedStore{Store: c.store.Client(name), gatedHost: gate},
 		control:     &gatedControl{gatedHost: gate},
 		peers:       peers,
+		dial:        c.dialer(name),
 		clock:       func() time.Duration { return time.Since(c.started) + time.Hour },
 		logger:      log.NewWithOptions(&lockedWriter{c: c}, log.Options{Formatter: log.LogfmtFormatter, Prefix: name}),
 	})
@@ -161,6 +166,15 @@
 	})
 }
 
+// dialer returns the dial function of a host.
+func (c *cluster) dialer(host string) ingress.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithDeadline(ctx, time.Now().Add(connectTimeout))
+		defer cancel()
+		return c.network.Host(host).Dial(ctx, network, address)
+	}
+}
+
 // stop ends a host and waits until all of it has ended.
 func (h *clusterHost) stop() {
 	h.resume()
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -1,7 +1,9 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,7 @@
 	"tamarackknot.example/tamarackknot/planner"
 	"tamarackknot.example/tamarackknot/platform"
 	"tamarackknot.example/tamarackknot/quarantine"
+	"tamarackknot.example/tamarackknot/reach"
 	"tamarackknot.example/tamarackknot/relay"
 	"tamarackknot.example/tamarackknot/share"
 )
@@ -56,6 +59,8 @@
 	store       tamarackknot.Store
 	control     tamarackknot.WeightControl
 	peers       tamarackknot.Peers
+	// dial opens connections to endpoints and to the callers' addresses of other hosts.
+	dial ingress.DialFunc
 	// clock returns the time since boot, including the time of suspension. Nil
 	// means the system's clock.
 	clock  func() time.Duration
@@ -76,6 +81,7 @@
 	shares         *share.Hosts
 	origins        *origin.Registry
 	crashes        *quarantine.List
+	reach          *reach.Monitor
 	publisher      *fleet.Publisher
 	fleet          *fleet.Client
 	planner        *planner.Controller
@@ -95,6 +101,7 @@
 		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
 		Streams: []tamarackknot.Stream{tamarackknot.StreamCatalog, tamarackknot.StreamEndpoints},
 	})
+	c.reach = reach.New(reach.Config{Dial: cfg.dial, Endpoints: c.endpointAddresses, OnChange: c.isolationChanged, Logger: cfg.logger})
 	c.buildStreamWatchers()
 	c.buildPlanning()
 	return c
@@ -104,12 +111,12 @@
 func (c *components) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
-		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.crashes.Run, c.crashes.RunStore, c.yieldLoop,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.crashes.Run, c.crashes.RunStore, c.reach.Run, c.yieldLoop,
 	}
 }
 
-// newCallerServer returns the handler for callers, which reaches endpoints by dial.
-func (c *components) newCallerServer(dial ingress.DialFunc, registry metrics.Registry) *ingress.Server {
+// newCallerServer returns the handler for callers.
+func (c *components) newCallerServer(registry metrics.Registry) *ingress.Server {
 	s := c.cfg.settings
 	return ingress.New(ingress.Config{
 		Catalog:   c.catalog.Current,
@@ -119,9 +126,10 @@
 		Origins:   c.origins,
 		Crashes:   c.crashes,
 		HostCount: c.shares.Count,
-		Dial:      dial,
-		Logger:    c.cfg.logger,
-		Metrics:   registry,
+		Host:      s.Host,
+		Dial:      c.cfg.dial, DialEndpoint: c.reach.Dial, Isolated: c.reach.Isolated, OtherHosts: c.reachingHosts,
+		Logger:  c.cfg.logger,
+		Metrics: registry,
 	})
 }
 
@@ -149,6 +157,7 @@
 		PlannerViewCurrent: func() bool { return c.fleet.PlannerAlive() },
 		OnModelWait:        func() { c.fleet.SendNow() },
 		Rejects:            func(service string, parts []string) bool { return c.crashes.Rejects(service, parts) },
+		Isolated:           c.reach.Isolated,
 		LimitShare:         func(endpoint string, perSecond float64) float64 { return c.shares.Rate(endpoint, perSecond) },
 		Logger:             logger,
 	})
@@ -212,7 +221,8 @@
 	c.shares = share.New(share.Config{Self: s.Host, Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
-		Demand: c.dispatch.Demand, OnView: c.dispatch.SetView,
+		Isolated: c.reach.Isolated,
+		Demand:   c.dispatch.Demand, OnView: c.dispatch.SetView,
 		CatalogVersion: c.catalogVersion, OnMembers: c.shares.Observe, OnStreamStates: c.updatePlannerStreams, OnStoreEra: store.AnnounceEra,
 		Promise: c.lease.Promise, OnPlannerLeft: c.lease.Wake, Clock: c.cfg.clock,
 	})
@@ -333,6 +343,62 @@
 	return out
 }
 
+// reachingHosts returns the other live hosts that reach endpoints, in random order, those
+// in the same failure domain first.
+func (c *components) reachingHosts() []tamarackknot.HostEntry {
+	var out []tamarackknot.HostEntry
+	for _, h := range c.fleet.Hosts() {
+		if h.Name != c.self.Name && !h.Isolated {
+			out = append(out, h)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b tamarackknot.HostEntry) int {
+		return cmp.Compare(c.distance(a), c.distance(b))
+	})
+	return out
+}
+
+// distance is 0 for a host in the same failure domain, 1 for another.
+func (c *components) distance(h tamarackknot.HostEntry) int {
+	if h.FailureDomain == c.self.FailureDomain {
+		return 0
+	}
+	return 1
+}
+
+// endpointAddresses returns the addresses of the endpoints that serve.
+func (c *components) endpointAddresses() []string {
+	snap := c.discovery.Current()
+	var out []string
+	for _, ids := range snap.ByService {
+		for _, id := range ids {
+			out = append(out, snap.Endpoints[id].Address)
+		}
+	}
+	return out
+}
+
+// isolationChanged tells the planner, or lets another host plan if this one reaches no
+// endpoint.
+func (c *components) isolationChanged() {
+	c.fleet.SendNow()
+	c.yieldIfOthersPlanBetter()
+}
+
+// yieldIfOthersPlanBetter yields the lease to a stronger host, or to one that reaches
+// endpoints if this host does not.
+func (c *components) yieldIfOthersPlanBetter() {
+	if !c.lease.Status().Held {
+		return
+	}
+	isolated := c.reach.Isolated() && len(c.reachingHosts()) > 0
+	if isolated || c.hasStrongerHost() {
+		c.cfg.logger.Info("lease yielded to another host", "strength", c.self.CPUCores, "isolated", isolated)
+		c.lease.Yield()
+	}
+}
+
 func (c *components) peerAddress(host string) (string, bool) {
 	if address, ok := c.fleet.PeerAddress(host); ok {
 		return address, true
@@ -341,9 +407,9 @@
 }
 
 // takeoverDelay returns how much longer this host waits before it takes the lease,
-// so that stronger hosts take it first.
+// so that stronger hosts, and those that reach endpoints, take it first.
 func (c *components) takeoverDelay() time.Duration {
-	if c.hasStrongerHost() {
+	if c.hasStrongerHost() || c.reach.Isolated() {
 		return weakerHostDelay
 	}
 	return 0
@@ -362,7 +428,7 @@
 	})
 }
 
-// yieldLoop yields the lease whenever there is a stronger host, until ctx ends.
+// yieldLoop yields the lease whenever another host plans better, until ctx ends.
 func (c *components) yieldLoop(ctx context.Context) {
 	tick := time.NewTicker(yieldCheckInterval)
 	defer tick.Stop()
@@ -372,9 +438,6 @@
 			return
 		case <-tick.C:
 		}
-		if c.lease.Status().Held && c.hasStrongerHost() {
-			c.cfg.logger.Info("lease yielded to a stronger host", "strength", c.self.CPUCores)
-			c.lease.Yield()
-		}
+		c.yieldIfOthersPlanBetter()
 	}
 }
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -102,8 +102,9 @@
 		settings: s, incarnation: incarnation, peers: d.mesh, logger: cfg.Logger,
 		store:   platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
 		control: platform.NewWeightClient(platform.Config{}),
+		dial:    platform.NewDialer().DialContext,
 	})
-	d.callers = d.newCallerServer(platform.NewDialer().DialContext, d.registry)
+	d.callers = d.newCallerServer(d.registry)
 	return d
 }
 
@@ -114,13 +115,17 @@
 
 // Addresses implements platform.Directory. It returns the addresses of hosts in
 // the caller's failure domain, or of all hosts if there is none in it, and the
-// time in seconds for which callers may cache them.
+// time in seconds for which callers may cache them. Hosts that reach no endpoint are
+// left out while there are others.
 func (d *Daemon) Addresses(failureDomain string) ([]string, float64) {
 	hosts := slices.Clone(d.fleet.Hosts())
 	hosts = slices.DeleteFunc(hosts, func(h tamarackknot.HostEntry) bool { return h.Name == d.self.Name })
 	if d.Ready() {
-		hosts = append(hosts, d.self)
+		self := d.self
+		self.Isolated = d.reach.Isolated()
+		hosts = append(hosts, self)
 	}
+	hosts = withoutIsolated(hosts)
 	ttl := min(maxAddressTTL, d.cfg.Settings.AddressTTL).Seconds()
 	var sameDomain, all []string
 	for _, h := range sampleByCPU(d.reducePlannerCPU(hosts), failureDomain) {
@@ -135,6 +140,20 @@
 	return all, ttl
 }
 
+// withoutIsolated returns the hosts that reach endpoints, or all if there is none.
+func withoutIsolated(hosts []tamarackknot.HostEntry) []tamarackknot.HostEntry {
+	var out []tamarackknot.HostEntry
+	for _, h := range hosts {
+		if !h.Isolated {
+			out = append(out, h)
+		}
+	}
+	if len(out) == 0 {
+		return hosts
+	}
+	return out
+}
+
 // reducePlannerCPU scales down the CPU cores of the planner in place if it plans
 // for many hosts, so that it gets fewer callers.
 func (d *Daemon) reducePlannerCPU(hosts []tamarackknot.HostEntry) []tamarackknot.HostEntry {
--- a/entry/hosted/isolation_test.go
+++ b/entry/hosted/isolation_test.go
@@ -41,13 +41,13 @@
 	for _, host := range hosts {
 		for _, r := range s.c.replicas {
 			if how == isolationHangs {
-				s.network.Cut(host, netName(r), on)
-				s.network.Cut(netName(r), host, on)
+				s.c.network.Cut(host, netName(r), on)
+				s.c.network.Cut(netName(r), host, on)
 				continue
 			}
-			s.network.Refuse(host, netName(r), on)
+			s.c.network.Refuse(host, netName(r), on)
 			if how == isolationResets && on {
-				s.network.Reset(host, netName(r))
+				s.c.network.Reset(host, netName(r))
 			}
 		}
 	}
--- a/entry/hosted/restore_test.go
+++ b/entry/hosted/restore_test.go
@@ -106,7 +106,7 @@
 func startCluster(enforced bool, output io.Writer, loops ...func(context.Context, *clusterHost)) (*cluster, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{
-		store: fake.NewStreams(), peers: fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond}),
+		store: fake.NewStreams(), peers: fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond}), network: fake.NewNetwork(),
 		engines: fake.NewWeightEngines(100 * time.Millisecond), enforced: enforced, output: output,
 		started: time.Now(), ctx: ctx, hosts: make(map[string]*clusterHost), replicas: make(map[string]*replica),
 		configTurn: make(chan struct{}, 1), lastOrder: make(map[string]sentOrder), tokens: make(map[int64]string), loops: loops,
--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,14 +13,12 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"tamarackknot.example/tamarackknot/fake"
 	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 const (
 	servingEndpoints = 8
-	connectTimeout   = 700 * time.Millisecond
 	// restartTime is how long an endpoint that crashed is away.
 	restartTime  = 4 * time.Second
 	prefillTime  = 100 * time.Millisecond
@@ -34,7 +31,6 @@
 // answer, and that crash when they begin to answer a prompt with a crashing part.
 type serving struct {
 	c       *cluster
-	network *fake.Network
 	crashes func(parts []string) bool
 
 	mu       sync.Mutex
@@ -63,11 +59,11 @@
 
 // startServing starts the cluster. loops run for each process of a host.
 func startServing(crashes func(parts []string) bool, output io.Writer, loops ...func(context.Context, *serving, *clusterHost)) (*serving, context.CancelFunc) {
-	s := &serving{network: fake.NewNetwork(), crashes: crashes, servers: make(map[string]*ingress.Server)}
+	s := &serving{crashes: crashes, servers: make(map[string]*ingress.Server)}
 	built := make(chan struct{})
 	c, cancel := startCluster(true, output, func(ctx context.Context, h *clusterHost) {
 		<-built
-		server := h.newCallerServer(s.dialer(h.name), metrics.NewRegistry())
+		server := h.newCallerServer(metrics.NewRegistry())
 		s.mu.Lock()
 		s.servers[h.name] = server
 		s.mu.Unlock()
@@ -94,7 +90,7 @@
 
 // serveCallers serves connections from other hosts until ctx ends.
 func (s *serving) serveCallers(ctx context.Context, h *clusterHost, handler http.Handler) {
-	l, err := s.network.Host(h.name).Listen(ctx, h.self.Address)
+	l, err := s.c.network.Host(h.name).Listen(ctx, h.self.Address)
 	if err != nil {
 		panic(err)
 	}
@@ -103,21 +99,12 @@
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 }
 
-// dialer returns the dial function of a host.
-func (s *serving) dialer(host string) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithDeadline(ctx, time.Now().Add(connectTimeout))
-		defer cancel()
-		return s.network.Host(host).Dial(ctx, network, address)
-	}
-}
-
 // netName returns the name of a start of an endpoint in the network.
 func netName(r *replica) string { return fmt.Sprintf("%s.%d", r.id, r.born.UnixMilli()) }
 
 // serve serves a start of an endpoint until it crashes.
 func (s *serving) serve(r *replica) {
-	l, err := s.network.Host(netName(r)).Listen(s.c.ctx, r.address)
+	l, err := s.c.network.Host(netName(r)).Listen(s.c.ctx, r.address)
 	if err != nil {
 		panic(err)
 	}
@@ -136,7 +123,7 @@
 	r.mu.Lock()
 	r.state = ""
 	r.mu.Unlock()
-	s.network.Kill(netName(r))
+	s.c.network.Kill(netName(r))
 	s.c.wg.Go(func() {
 		_ = server.Close()
 		if !wait.For(s.c.ctx, restartTime) {
--- a/fleet.go
+++ b/fleet.go
@@ -6,8 +6,10 @@
 type HostDemand struct {
 	Host    string
 	Leaving bool
-	Running []RunCount
-	Models  []ModelDemand
+	// Isolated says that the host reaches no endpoint.
+	Isolated bool
+	Running  []RunCount
+	Models   []ModelDemand
 	// Limits are the limits of endpoints that changed since the last report, or have not
 	// been reported for long.
 	Limits []EndpointLimit
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -44,6 +44,8 @@
 	// OnView is called for each message of the planner. The view holds the
 	// engines that the message names and all current forecasts.
 	OnView func(tamarackknot.FleetView)
+	// Isolated reports whether this host reaches no endpoint. Nil means that it does.
+	Isolated func() bool
 	// CatalogVersion returns the version of the configuration in force on this
 	// host.
 	CatalogVersion func() int64
@@ -333,6 +335,7 @@
 		}
 		d := c.cfg.Demand(all)
 		d.Host, d.Leaving = c.cfg.Self.Name, leaving
+		d.Isolated = c.cfg.Isolated != nil && c.cfg.Isolated()
 		running := runningCounts(d.Running)
 		due := time.Since(lastSent) >= maxDemandInterval
 		if !urgent && !due && !all && !behind && len(d.Models)+len(d.Limits) == 0 && maps.Equal(running, last) {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -16,11 +16,12 @@
 // demandMessage is sent by a host to the planner. Times are relative because the
 // clocks of hosts differ.
 type demandMessage struct {
-	Leaving bool                    `json:"leaving,omitempty"`
-	Full    bool                    `json:"all,omitempty"`
-	Running []tamarackknot.RunCount `json:"running,omitempty"`
-	Models  []modelDemandMessage    `json:"wants,omitempty"`
-	Limits  []limitMessage          `json:"limits,omitempty"`
+	Leaving  bool                    `json:"leaving,omitempty"`
+	Isolated bool                    `json:"isolated,omitempty"`
+	Full     bool                    `json:"all,omitempty"`
+	Running  []tamarackknot.RunCount `json:"running,omitempty"`
+	Models   []modelDemandMessage    `json:"wants,omitempty"`
+	Limits   []limitMessage          `json:"limits,omitempty"`
 	// Catalog is the version of the configuration in force on the host.
 	Catalog int64 `json:"catalog,omitempty"`
 	// Acknowledged is the sequence of the last message of the planner, with its
@@ -167,7 +168,7 @@
 }
 
 func encodeDemand(d tamarackknot.HostDemand, all, behind bool, catalog int64, now time.Time) demandMessage {
-	m := demandMessage{Leaving: d.Leaving, Full: all, Running: d.Running, Catalog: catalog, Behind: behind, Limits: encodeLimits(d.Limits, now)}
+	m := demandMessage{Leaving: d.Leaving, Isolated: d.Isolated, Full: all, Running: d.Running, Catalog: catalog, Behind: behind, Limits: encodeLimits(d.Limits, now)}
 	for _, w := range d.Models {
 		out := modelDemandMessage{
 			Service: w.Service, Model: w.Model, Waiting: w.Waiting, Tight: w.Tight, Adapters: w.Adapters,
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -121,6 +121,7 @@
 type hostState struct {
 	lastSeen time.Time
 	leaving  bool
+	isolated bool
 	running  []tamarackknot.RunCount
 	demands  map[[2]string]tamarackknot.ModelDemand // by service and model
 	// sent holds the state last sent for each engine, by index; forecasts holds
@@ -201,7 +202,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	s := p.state(from)
-	s.lastSeen, s.leaving, s.running, s.echoMs = now, m.Leaving, m.Running, m.SentMs
+	s.lastSeen, s.leaving, s.isolated, s.running, s.echoMs = now, m.Leaving, m.Isolated, m.Running, m.SentMs
 	if m.Full {
 		clear(s.demands)
 	}
@@ -460,6 +461,7 @@
 	for _, host := range registered {
 		s := p.hosts[host.Name]
 		if s != nil && !s.leaving && s.alive(now) {
+			host.Isolated = s.isolated
 			out = append(out, host)
 		}
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -53,7 +53,7 @@
 // dialEndpoint opens a connection to an endpoint and counts the failures since the last
 // success.
 func (s *Server) dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := s.cfg.Dial(ctx, network, address)
+	conn, err := s.cfg.DialEndpoint(ctx, network, address)
 	if err != nil {
 		if ctx.Err() == nil {
 			s.failedDials.Add(1)
--- /dev/null
+++ b/ingress/host.go
@@ -0,0 +1,136 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/dispatch"
+)
+
+const (
+	// headerForwardedBy names the host that forwards a caller's request to another host.
+	// Such a request is not forwarded again.
+	headerForwardedBy = "Entry-Forwarded-By"
+	// headerIsolated marks the response of a host that reaches no endpoint either.
+	headerIsolated = "Entry-Isolated"
+	// maxForwards is the number of hosts to which a request is forwarded until one
+	// can serve it.
+	maxForwards = 3
+	// isolatedRetryDelay is the Retry-After of a request that no host can forward.
+	isolatedRetryDelay = 500 * time.Millisecond
+	relayBufferBytes   = 4 << 10
+)
+
+// serveIsolated serves a request without reaching an endpoint: by another host or, if
+// there is none, with a refusal.
+func (x *exchange) serveIsolated() {
+	if x.forwardedBy != "" {
+		x.w.Header().Set(headerIsolated, "1")
+		x.refuse("this host reaches no endpoint", time.Time{})
+		return
+	}
+	hosts := x.server.cfg.OtherHosts()
+	for _, host := range hosts[:min(len(hosts), maxForwards)] {
+		resp, err := x.sendToHost(host)
+		switch {
+		case err == nil && resp.Header.Get(headerIsolated) == "":
+			x.relayFromHost(host, resp)
+			return
+		case err == nil:
+			_ = resp.Body.Close()
+			x.lastErr = "the other host reaches no endpoint"
+		case x.r.Context().Err() != nil:
+			x.abortCallerGone()
+		case errors.Is(err, errNotSent):
+			x.lastErr = err.Error()
+		default:
+			x.lastErr = err.Error()
+			x.possibleRuns++
+			x.respondFailed(nil, nil)
+			return
+		}
+		x.server.cfg.Logger.Info("cannot forward request to another host", "request", x.caller.ID, "to", host.Name, "error", x.lastErr)
+	}
+	x.respondFailed(&dispatch.Refusal{Reason: "this host reaches no endpoint", RetryAt: time.Now().Add(isolatedRetryDelay)}, nil)
+}
+
+// sendToHost forwards the caller's request to another host as it is, but for the time
+// that is left.
+func (x *exchange) sendToHost(host tamarackknot.HostEntry) (*http.Response, error) {
+	header := x.server.cfg.Dialect.Forward(x.r.Header, tamarackknot.EndpointAttempt{Deadline: x.deadline})
+	header.Set(headerForwardedBy, x.server.cfg.Host)
+	req := (&http.Request{
+		Method: x.r.Method, URL: &url.URL{Scheme: "http", Host: host.Address, Opaque: x.r.RequestURI}, Host: x.r.Host,
+		Header: header, Body: x.bodyReader(), ContentLength: int64(len(x.body)),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(x.r.Context())
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""}
+	}
+	return x.server.hostTransport.RoundTrip(req)
+}
+
+// relayFromHost sends the response of another host to the caller as it arrives.
+func (x *exchange) relayFromHost(host tamarackknot.HostEntry, resp *http.Response) {
+	stop := context.AfterFunc(x.r.Context(), func() { _ = resp.Body.Close() })
+	defer stop()
+	defer func() { _ = resp.Body.Close() }()
+	h := x.w.Header()
+	for name, values := range x.server.cfg.Dialect.Relay(resp.Header) {
+		h[name] = slices.Clone(values)
+	}
+	x.w.WriteHeader(resp.StatusCode)
+	x.server.counters.forwarded.Inc(1)
+	err := x.copyFromHost(resp.Body)
+	x.log("answered through another host", "host", host.Name, "status", resp.StatusCode, "error", err)
+	switch {
+	case err == nil:
+	case x.r.Context().Err() != nil:
+		x.abortCallerGone()
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) copyFromHost(body io.Reader) error {
+	rc := http.NewResponseController(x.w)
+	// A deadline left in place would fail later responses on the connection.
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	buf := make([]byte, relayBufferBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			// Connections in tests may not support write deadlines.
+			_ = rc.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+			if _, err := x.w.Write(buf[:n]); err != nil {
+				return err
+			}
+			if err := rc.Flush(); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// dialHost opens a connection to another host.
+func (s *Server) dialHost(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := s.cfg.Dial(ctx, network, address)
+	if err != nil {
+		return nil, errors.Mark(err, errNotSent)
+	}
+	return conn, nil
+}
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -5,8 +5,8 @@
 // counters holds the numbers of requests by outcome and histograms of latencies
 // in ms.
 type counters struct {
-	answered, refused, failed, callerLeft, repeated, retryDenied metrics.Counter
-	firstByte, waited                                            metrics.Histogram
+	answered, refused, failed, callerLeft, repeated, retryDenied, forwarded metrics.Counter
+	firstByte, waited                                                       metrics.Histogram
 }
 
 // sampleSize and sampleAlpha are the usual parameters of an exponentially
@@ -30,6 +30,7 @@
 		callerLeft:  metrics.NewRegisteredCounter("requests.callerLeft", r),
 		repeated:    metrics.NewRegisteredCounter("requests.repeated", r),
 		retryDenied: metrics.NewRegisteredCounter("requests.retryDenied", r),
+		forwarded:   metrics.NewRegisteredCounter("requests.forwarded", r),
 		firstByte:   histogram("requests.firstByteMs"),
 		waited:      histogram("requests.waitedMs"),
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -22,6 +22,10 @@
 // serve answers the request, with retries as far as the route allows.
 func (x *exchange) serve() {
 	defer x.cancelRetry()
+	if x.isolated() {
+		x.serveIsolated()
+		return
+	}
 	if x.route.Kind == tamarackknot.RouteStream {
 		x.serveStream()
 		return
@@ -29,6 +33,10 @@
 	var failure *bufferedResponse
 	for {
 		g, refusal := x.acquire()
+		if g == nil && x.isolated() {
+			x.serveIsolated()
+			return
+		}
 		if g == nil {
 			x.respondFailed(refusal, failure)
 			return
@@ -47,6 +55,10 @@
 			return
 		case outcomeNotRun, outcomeUnknown:
 		}
+		if x.isolated() {
+			x.serveIsolated()
+			return
+		}
 		if !x.allowRetry(o, g) {
 			x.respondFailed(nil, failure)
 			return
@@ -54,6 +66,10 @@
 	}
 }
 
+// isolated reports whether the request must be served by another host: no endpoint can be
+// reached, and none has received it.
+func (x *exchange) isolated() bool { return x.sent == 0 && x.server.cfg.Isolated() }
+
 // acquire waits for an endpoint with a free slot.
 func (x *exchange) acquire() (*dispatch.Grant, *dispatch.Refusal) {
 	g, refusal := x.server.cfg.Dispatch.Acquire(x.r.Context(), &x.request)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -59,10 +59,18 @@
 	Crashes tamarackknot.CrashRecords
 	// HostCount returns the number of entry hosts that share the retry budget.
 	HostCount func() int
-	// Dial opens connections to endpoints; nil uses TCP.
-	Dial    DialFunc
-	Logger  *log.Logger
-	Metrics metrics.Registry
+	// Host is the name of this host.
+	Host string
+	// Dial opens connections to other hosts, DialEndpoint those to endpoints. Nil uses
+	// TCP, or Dial.
+	Dial         DialFunc
+	DialEndpoint DialFunc
+	// Isolated reports whether this host reaches no endpoint, and OtherHosts returns the
+	// other hosts that do, the preferred ones first. Nil means that it reaches them.
+	Isolated   func() bool
+	OtherHosts func() []tamarackknot.HostEntry
+	Logger     *log.Logger
+	Metrics    metrics.Registry
 }
 
 // DialFunc opens a connection to an address.
@@ -73,6 +81,7 @@
 	cfg                Config
 	onceTransport      *http.Transport
 	keepAliveTransport *http.Transport
+	hostTransport      *http.Transport
 	draining           atomic.Bool
 	failedDials        atomic.Int64 // failed connections to endpoints since the last success
 	counters           counters
@@ -83,8 +92,15 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
 	}
+	if cfg.DialEndpoint == nil {
+		cfg.DialEndpoint = cfg.Dial
+	}
+	if cfg.Isolated == nil {
+		cfg.Isolated = func() bool { return false }
+	}
 	s := &Server{cfg: cfg, counters: newCounters(cfg.Metrics)}
 	s.onceTransport, s.keepAliveTransport = newTransport(s.dialEndpoint, false), newTransport(s.dialEndpoint, true)
+	s.hostTransport = newTransport(s.dialHost, false)
 	return s
 }
 
@@ -96,7 +112,8 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{server: s, w: w, r: r, arrived: time.Now()}
+	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), forwardedBy: r.Header.Get(headerForwardedBy)}
+	r.Header.Del(headerForwardedBy)
 	for _, filter := range []func(*exchange) bool{
 		(*exchange).selectRoute, (*exchange).readHeader, (*exchange).readBody, (*exchange).chooseService,
 	} {
@@ -113,12 +130,14 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived time.Time
-	version int64
-	limits  tamarackknot.CallerLimits
-	route   *tamarackknot.Route
-	caller  tamarackknot.CallerRequest
-	service string
-	body    []byte
+	// forwardedBy names the host that forwarded the request; empty for one of a caller.
+	forwardedBy string
+	version     int64
+	limits      tamarackknot.CallerLimits
+	route       *tamarackknot.Route
+	caller      tamarackknot.CallerRequest
+	service     string
+	body        []byte
 	// bodyRead is true once the request body has been read completely.
 	bodyRead bool
 	// deadline is when the caller or the route times out.
@@ -247,7 +266,10 @@
 	if pool, ok := x.server.cfg.Catalog().Catalog.Services[x.service]; !ok || pool.Engine == nil {
 		x.request.Model, x.request.Adapter = "", ""
 	}
-	x.server.cfg.Budget.RecordRequest(x.service)
+	if x.forwardedBy == "" {
+		// The host that forwards a request has counted it.
+		x.server.cfg.Budget.RecordRequest(x.service)
+	}
 	return true
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -55,6 +55,10 @@
 	var failure *bufferedResponse
 	for {
 		g, refusal := x.acquire()
+		if g == nil && x.isolated() {
+			x.serveIsolated()
+			return
+		}
 		if g == nil {
 			x.endFailedStream(refusal, failure)
 			return
@@ -75,6 +79,10 @@
 			return
 		case outcomeNotRun, outcomeUnknown:
 		}
+		if x.isolated() {
+			x.serveIsolated()
+			return
+		}
 		if !x.allowRetry(o, g) {
 			x.endFailedStream(nil, failure)
 			return
