--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,8 @@
 	// repeatInterval is the time between two messages with all records, each to one host,
 	// so that a host that missed a message learns of it.
 	repeatInterval = time.Second
+	// repeatTime is how long a loss under which no part is blamed is repeated.
+	repeatTime = 30 * time.Second
 	// pullInterval is the time between two questions for the records of another host
 	// until one answers.
 	pullInterval = 200 * time.Millisecond
@@ -96,7 +99,8 @@
 	return m
 }
 
-// all returns all losses, and the answers to the parts that occur in them.
+// all returns the losses within repeatTime and, of older ones, what supports a suspicion,
+// with the answers to their parts.
 func (l *List) all() spreadMessage {
 	if !l.active.Load() {
 		return spreadMessage{}
@@ -105,10 +109,16 @@
 	defer l.mu.Unlock()
 	l.prune()
 	var m spreadMessage
-	now, parts := l.cfg.Clock(), make(map[partID]bool)
+	now, parts, blamed := l.cfg.Clock(), make(map[partID]bool), make(map[partID]bool)
+	for _, s := range l.suspects {
+		maps.Copy(blamed, set(s.parts))
+	}
 	for s, lost := range l.losses {
-		open := make(map[partID]bool, len(lost.parts))
+		recent, open := now-lost.at <= repeatTime, make(map[partID]bool)
 		for p, unanswered := range lost.parts {
+			if !recent && !blamed[p] {
+				continue
+			}
 			if unanswered {
 				open[p] = true
 			}
@@ -117,7 +127,9 @@
 				m.Answers = append(m.Answers, answerMessage{p.String(), (now - at).Milliseconds()})
 			}
 		}
-		m.Losses = append(m.Losses, encodeLoss(s, lost, open, now))
+		if recent || len(open) > 0 {
+			m.Losses = append(m.Losses, encodeLoss(s, lost, open, now))
+		}
 	}
 	return m
 }
