Name what endpoints say of themselves by what it is to hold

Limits were the only thing that hosts tell each other of an endpoint. EndpointLimit, its lists and its state in dispatch become notices and signals, before leaving is added to them; the fields on the wire keep their names. No decision changes; the tests of dispatch, fleet and planner pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -137,7 +137,7 @@
 	forecasts map[target]time.Time
 	history   map[target]*requestHistory
 	affinity  map[affinityKey]string
-	limits    map[limitKey]*limitState
+	signals   map[startKey]*signalState
 	// versions holds when each version of a service's endpoints was last listed.
 	versions  map[string]map[string]time.Time
 	changed   map[target]bool // targets whose demand changed since the last report
@@ -177,7 +177,7 @@
 		forecasts: make(map[target]time.Time),
 		history:   make(map[target]*requestHistory),
 		affinity:  make(map[affinityKey]string),
-		limits:    make(map[limitKey]*limitState),
+		signals:   make(map[startKey]*signalState),
 		versions:  make(map[string]map[string]time.Time),
 		changed:   make(map[target]bool),
 		queueWake: make(chan struct{}, 1),
@@ -429,7 +429,7 @@
 		if e == preferred {
 			score -= preferredReplicaBonus
 		}
-		score += e.limit.penalty(now)
+		score += e.signals.penalty(now)
 		if best == nil || score < bestScore {
 			best, bestScore = e, score
 		}
@@ -444,7 +444,7 @@
 	if best == nil {
 		return nil, missing
 	}
-	best.limit.spend(now)
+	best.signals.spend(now)
 	best.own++
 	best.prefilling++
 	best.running[modelAdapter{req.Model, req.Adapter}]++
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -55,9 +55,9 @@
 
 // endpoint is the state that this host keeps for an endpoint.
 type endpoint struct {
-	entry tamarackknot.EndpointEntry
-	slots int
-	limit *limitState // nil if it has never named one
+	entry   tamarackknot.EndpointEntry
+	slots   int
+	signals *signalState // nil if it has said nothing
 	// own is the number of requests in flight from this host, others that from the
 	// other hosts as reported by the planner.
 	own        int
--- a/dispatch/limit.go
+++ b/dispatch/signals.go
@@ -13,23 +13,23 @@
 	// holds.
 	limitedPenalty     = 1.0
 	limitProbeInterval = 2 * time.Second
-	// limitRetention is how long the limit of an endpoint that is not listed is kept:
+	// signalRetention is how long the limit of an endpoint that is not listed is kept:
 	// its entry may come back.
-	limitRetention = time.Minute
-	// limitReportInterval is how long after the last report an unchanged limit is
+	signalRetention = time.Minute
+	// noticeInterval is how long after the last report an unchanged limit is
 	// reported again, so that the planner knows that it lasts.
-	limitReportInterval = time.Minute
+	noticeInterval = time.Minute
 )
 
-// limitKey identifies one start of an endpoint.
-type limitKey struct {
+// startKey identifies one start of an endpoint.
+type startKey struct {
 	endpoint string
 	born     int64 // Unix ms
 }
 
-// limitState is what is known of an endpoint's limit, and this host's part of it.
-type limitState struct {
-	tamarackknot.EndpointLimit
+// signalState is what is known of an endpoint's limit, and this host's part of it.
+type signalState struct {
+	tamarackknot.EndpointNotice
 	// tokens is the number of requests that this host may send, at tokensAt. It never
 	// exceeds 1, and a host that learns of the limit begins with none.
 	tokens     float64
@@ -40,14 +40,14 @@
 	unlistedAt time.Time // since when the endpoint has not been listed; zero if it is
 }
 
-func keyOf(e tamarackknot.EndpointEntry) limitKey { return limitKey{e.ID, e.Born.UnixMilli()} }
+func keyOf(e tamarackknot.EndpointEntry) startKey { return startKey{e.ID, e.Born.UnixMilli()} }
 
 // applies reports whether the endpoint names a limit; l may be nil.
-func (l *limitState) applies() bool { return l != nil && l.Limit.Limited }
+func (l *signalState) applies() bool { return l != nil && l.Limit.Limited }
 
 // allows reports whether this host, whose part of the limit is perSecond, may send a
 // request. A host that loses its part also loses what it has saved.
-func (l *limitState) allows(perSecond float64, now time.Time) bool {
+func (l *signalState) allows(perSecond float64, now time.Time) bool {
 	l.tokens = min(1, l.tokens+perSecond*now.Sub(l.tokensAt).Seconds())
 	l.tokensAt = now
 	if perSecond <= 0 {
@@ -57,7 +57,7 @@
 }
 
 // penalty returns what the limit adds to the endpoint's score.
-func (l *limitState) penalty(now time.Time) float64 {
+func (l *signalState) penalty(now time.Time) float64 {
 	switch {
 	case !l.applies():
 		return 0
@@ -69,7 +69,7 @@
 }
 
 // spend counts a request to the endpoint.
-func (l *limitState) spend(now time.Time) {
+func (l *signalState) spend(now time.Time) {
 	if l.applies() {
 		l.tokens--
 		l.sentAt = now
@@ -79,14 +79,14 @@
 // limitAllows reports whether this host may send a request to the endpoint under the
 // limit that the endpoint named. d.mu is held.
 func (d *Dispatcher) limitAllows(e *endpoint, now time.Time) bool {
-	if !e.limit.applies() {
+	if !e.signals.applies() {
 		return true
 	}
-	perSecond := e.limit.Limit.PerSecond
+	perSecond := e.signals.Limit.PerSecond
 	if d.cfg.LimitShare != nil {
 		perSecond = d.cfg.LimitShare(e.entry.ID, perSecond)
 	}
-	return e.limit.allows(perSecond, now)
+	return e.signals.allows(perSecond, now)
 }
 
 // ObserveLimit records the limit that an answer of the endpoint names, or that it names
@@ -94,22 +94,22 @@
 func (g *Grant) ObserveLimit(limit tamarackknot.RateLimit) {
 	g.d.mu.Lock()
 	defer g.d.mu.Unlock()
-	if l := g.d.limits[keyOf(g.Endpoint)]; l == nil && !limit.Limited {
+	if l := g.d.signals[keyOf(g.Endpoint)]; l == nil && !limit.Limited {
 		return
 	}
-	g.d.applyLimit(tamarackknot.EndpointLimit{Endpoint: g.Endpoint.ID, Born: g.Endpoint.Born, Limit: limit, At: time.Now()}, g.req.ID)
+	g.d.applyNotice(tamarackknot.EndpointNotice{Endpoint: g.Endpoint.ID, Born: g.Endpoint.Born, Limit: limit, At: time.Now()}, g.req.ID)
 }
 
-// applyLimit records the newest observation of an endpoint's limit, made by the answer
+// applyNotice records the newest observation of an endpoint's limit, made by the answer
 // to a request, or by another host if request is empty. d.mu is held.
-func (d *Dispatcher) applyLimit(n tamarackknot.EndpointLimit, request string) {
-	k := limitKey{n.Endpoint, n.Born.UnixMilli()}
-	l := d.limits[k]
+func (d *Dispatcher) applyNotice(n tamarackknot.EndpointNotice, request string) {
+	k := startKey{n.Endpoint, n.Born.UnixMilli()}
+	l := d.signals[k]
 	if l == nil {
-		l = &limitState{tokensAt: time.Now()}
-		d.limits[k] = l
+		l = &signalState{tokensAt: time.Now()}
+		d.signals[k] = l
 		if e := d.endpoints[n.Endpoint]; e != nil && keyOf(e.entry) == k {
-			e.limit = l
+			e.signals = l
 		}
 	}
 	if n.At.Before(l.At) {
@@ -124,35 +124,35 @@
 			l.tokens, l.tokensAt = 0, time.Now()
 		}
 	}
-	if request != "" && (n.Limit != l.Limit || n.At.Sub(l.reportedAt) > limitReportInterval) {
+	if request != "" && (n.Limit != l.Limit || n.At.Sub(l.reportedAt) > noticeInterval) {
 		l.due = true
 	}
-	l.EndpointLimit = n
+	l.EndpointNotice = n
 }
 
-// pruneLimits forgets the limits of endpoints that have not been listed for long. d.mu
+// pruneSignals forgets the limits of endpoints that have not been listed for long. d.mu
 // is held.
-func (d *Dispatcher) pruneLimits(now time.Time) {
-	for k, l := range d.limits {
+func (d *Dispatcher) pruneSignals(now time.Time) {
+	for k, l := range d.signals {
 		e := d.endpoints[k.endpoint]
 		switch {
 		case e != nil && keyOf(e.entry) == k:
 			l.unlistedAt = time.Time{}
 		case l.unlistedAt.IsZero():
 			l.unlistedAt = now
-		case now.Sub(l.unlistedAt) > limitRetention:
-			delete(d.limits, k)
+		case now.Sub(l.unlistedAt) > signalRetention:
+			delete(d.signals, k)
 		}
 	}
 }
 
-// reportLimits returns the limits that are to be reported, all known ones with all. d.mu
+// reportNotices returns the limits that are to be reported, all known ones with all. d.mu
 // is held.
-func (d *Dispatcher) reportLimits(all bool) []tamarackknot.EndpointLimit {
-	var out []tamarackknot.EndpointLimit
-	for _, l := range d.limits {
+func (d *Dispatcher) reportNotices(all bool) []tamarackknot.EndpointNotice {
+	var out []tamarackknot.EndpointNotice
+	for _, l := range d.signals {
 		if all || l.due {
-			out = append(out, l.EndpointLimit)
+			out = append(out, l.EndpointNotice)
 			l.due, l.reportedAt = false, time.Now()
 		}
 	}
--- a/dispatch/limit_test.go
+++ b/dispatch/signals_test.go
@@ -68,9 +68,9 @@
 		// A limit that lasts is reported now and then.
 		share = 1
 		h.Demand(false)
-		require.Empty(t, h.Demand(false).Limits)
+		require.Empty(t, h.Demand(false).Notices)
 		grantAndObserve := func() {
-			time.Sleep(limitReportInterval)
+			time.Sleep(noticeInterval)
 			h.mu.Lock()
 			_ = h.limitAllows(h.endpoints["e0"], time.Now())
 			h.mu.Unlock()
@@ -80,24 +80,24 @@
 			g.Done(ResultAnswered)
 		}
 		grantAndObserve()
-		require.Len(t, h.Demand(false).Limits, 1)
+		require.Len(t, h.Demand(false).Notices, 1)
 		share = 0
 		require.Empty(t, h.sendAll(t, 10*time.Second))
 
 		// An older observation of another host does not count, a newer one does.
 		entry := h.entries["e0"]
-		other := tamarackknot.EndpointLimit{Endpoint: "e0", Born: entry.Born, At: time.Now().Add(-time.Hour)}
-		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{other}})
+		other := tamarackknot.EndpointNotice{Endpoint: "e0", Born: entry.Born, At: time.Now().Add(-time.Hour)}
+		h.SetView(tamarackknot.FleetView{Notices: []tamarackknot.EndpointNotice{other}})
 		require.Empty(t, h.sendAll(t, time.Second))
-		require.Len(t, h.Demand(false).Limits, 1, "the planner must learn of the newer observation")
+		require.Len(t, h.Demand(false).Notices, 1, "the planner must learn of the newer observation")
 		other.At = time.Now()
-		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{other}})
+		h.SetView(tamarackknot.FleetView{Notices: []tamarackknot.EndpointNotice{other}})
 		require.Equal(t, 20, h.sendAll(t, time.Second)["e0"])
 
 		// A limit belongs to one start of the endpoint, also while its entry is away.
 		share = 0
 		other.Limit, other.At = limitOf(2), time.Now()
-		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{other}})
+		h.SetView(tamarackknot.FleetView{Notices: []tamarackknot.EndpointNotice{other}})
 		delete(h.entries, "e0")
 		h.publish()
 		h.entries["e0"] = entry
@@ -117,7 +117,7 @@
 		h := newHarness()
 		h.add("e0", "s", "z2", 4, "m")
 		h.add("e1", "s", "z1", 4, "m")
-		h.SetView(tamarackknot.FleetView{Limits: []tamarackknot.EndpointLimit{{Endpoint: "e0", Limit: limitOf(10), At: time.Now()}}})
+		h.SetView(tamarackknot.FleetView{Notices: []tamarackknot.EndpointNotice{{Endpoint: "e0", Limit: limitOf(10), At: time.Now()}}})
 		sent := h.sendAll(t, 20*time.Second)
 		require.InDelta(t, 20/limitProbeInterval.Seconds(), sent["e0"], 1)
 		require.Greater(t, sent["e1"], 350)
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -57,7 +57,7 @@
 				e.held = adaptersByModel(entry.Engine.Held)
 			}
 		}
-		e.entry, e.limit = entry, d.limits[keyOf(entry)]
+		e.entry, e.signals = entry, d.signals[keyOf(entry)]
 		e.slots = d.slotsOf(entry)
 		if useEntryModels && entry.Engine != nil {
 			e.held = adaptersByModel(entry.Engine.Held)
@@ -68,7 +68,7 @@
 			delete(d.endpoints, id)
 		}
 	}
-	d.pruneLimits(time.Now())
+	d.pruneSignals(time.Now())
 	d.recordVersions(time.Now())
 	clear(d.byService)
 	for service, ids := range byService {
@@ -133,8 +133,8 @@
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
 		}
 	}
-	for _, l := range v.Limits {
-		d.applyLimit(l, "")
+	for _, l := range v.Notices {
+		d.applyNotice(l, "")
 	}
 	clear(d.forecasts)
 	for _, f := range v.Forecasts {
@@ -149,7 +149,7 @@
 func (d *Dispatcher) Demand(all bool) tamarackknot.HostDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := tamarackknot.HostDemand{Limits: d.reportLimits(all)}
+	out := tamarackknot.HostDemand{Notices: d.reportNotices(all)}
 	for id, e := range d.endpoints {
 		for k, n := range e.running {
 			out.Running = append(out.Running, tamarackknot.RunCount{Endpoint: id, Model: k.model, Adapter: k.adapter, Count: n})
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -234,7 +234,7 @@
 		Catalog:         c.currentCatalog,
 		Endpoints:       func() map[string]tamarackknot.EndpointEntry { return c.discovery.Current().Endpoints },
 		Demands:         c.publisher.Demands,
-		Limited:         c.publisher.Limits,
+		Limited:         c.publisher.Limited,
 		Publish:         c.publisher.Publish,
 		FencingEnforced: s.EnginesEnforceFencing, LoadWindow: s.LoadWindow, LoadFactor: s.LoadFactor,
 		Logger: logger,
--- a/fleet.go
+++ b/fleet.go
@@ -10,14 +10,14 @@
 	Isolated bool
 	Running  []RunCount
 	Models   []ModelDemand
-	// Limits are the limits of endpoints that changed since the last report, or have not
-	// been reported for long.
-	Limits []EndpointLimit
+	// Notices are those of endpoints that changed since the last report, or have not been
+	// reported for long.
+	Notices []EndpointNotice
 }
 
-// EndpointLimit is the limit that one start of an endpoint named, or that it names none,
-// as observed by a host at a time.
-type EndpointLimit struct {
+// EndpointNotice is what one start of an endpoint says of itself to all hosts, as observed
+// by one of them at a time.
+type EndpointNotice struct {
 	Endpoint string
 	Born     time.Time
 	Limit    RateLimit
@@ -62,8 +62,8 @@
 	Engines map[string]EngineView
 	// Forecasts are the forecasts for the models that requests wait for.
 	Forecasts []ModelForecast
-	// Limits are the limits that endpoints named, if the message has them.
-	Limits []EndpointLimit
+	// Notices are what endpoints said of themselves, if the message has them.
+	Notices []EndpointNotice
 	// Hosts are the entry hosts that currently report to the planner.
 	Hosts []HostEntry
 }
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -286,7 +286,7 @@
 		clear(c.held)
 		clear(c.forecasts)
 	}
-	v := tamarackknot.FleetView{Limits: decodeLimits(m.Limits, now), Engines: make(map[string]tamarackknot.EngineView, len(m.Engines))}
+	v := tamarackknot.FleetView{Notices: decodeNotices(m.Notices, now), Engines: make(map[string]tamarackknot.EngineView, len(m.Engines))}
 	for _, e := range m.Engines {
 		if !e.HeldUnchanged {
 			c.held[e.ID] = decodeHeld(e.Held)
@@ -338,7 +338,7 @@
 		d.Isolated = c.cfg.Isolated != nil && c.cfg.Isolated()
 		running := runningCounts(d.Running)
 		due := time.Since(lastSent) >= maxDemandInterval
-		if !urgent && !due && !all && !behind && len(d.Models)+len(d.Limits) == 0 && maps.Equal(running, last) {
+		if !urgent && !due && !all && !behind && len(d.Models)+len(d.Notices) == 0 && maps.Equal(running, last) {
 			continue
 		}
 		m := encodeDemand(d, all, behind, c.cfg.CatalogVersion(), time.Now())
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -30,7 +30,7 @@
 	view   map[string]tamarackknot.EngineView
 
 	forecasts []tamarackknot.ModelForecast
-	limits    []tamarackknot.EndpointLimit
+	limits    []tamarackknot.EndpointNotice
 	cancels   []context.CancelFunc
 
 	acknowledgedAt time.Duration // the latest that OnAcknowledged was called with
@@ -92,7 +92,7 @@
 					n.view[id] = e
 				}
 				n.forecasts = v.Forecasts
-				n.limits = append(n.limits, v.Limits...)
+				n.limits = append(n.limits, v.Notices...)
 			},
 			CatalogVersion: func() int64 { return 1 },
 			Promise:        func(time.Duration) bool { return !n.keepsSilent.Load() },
@@ -406,18 +406,18 @@
 		time.Sleep(time.Second)
 		report := func(n *node, limited bool, at time.Time) {
 			n.mu.Lock()
-			n.demand.Limits = []tamarackknot.EndpointLimit{{
+			n.demand.Notices = []tamarackknot.EndpointNotice{{
 				Endpoint: "e", Born: time.UnixMilli(7), Limit: tamarackknot.RateLimit{Limited: limited, PerSecond: 2}, At: at,
 			}}
 			n.mu.Unlock()
 			n.client.SendNow()
 			time.Sleep(200 * time.Millisecond)
 			n.mu.Lock()
-			n.demand.Limits = nil
+			n.demand.Notices = nil
 			n.mu.Unlock()
 			time.Sleep(time.Second)
 		}
-		newest := func(n *node) tamarackknot.EndpointLimit {
+		newest := func(n *node) tamarackknot.EndpointNotice {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			return n.limits[len(n.limits)-1]
@@ -431,12 +431,12 @@
 			require.Equal(t, int64(7), l.Born.UnixMilli())
 			require.WithinDuration(t, reported, l.At, 10*time.Millisecond)
 		}
-		require.Contains(t, nodes[0].publisher.Limits(), "e")
+		require.Contains(t, nodes[0].publisher.Limited(), "e")
 		report(nodes[2], false, reported.Add(-time.Second))
 		require.True(t, newest(nodes[1]).Limit.Limited, "an older observation")
 		report(nodes[2], false, time.Now())
 		require.False(t, newest(nodes[1]).Limit.Limited)
-		require.Empty(t, nodes[0].publisher.Limits())
+		require.Empty(t, nodes[0].publisher.Limited())
 	})
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -21,7 +21,7 @@
 	Full     bool                    `json:"all,omitempty"`
 	Running  []tamarackknot.RunCount `json:"running,omitempty"`
 	Models   []modelDemandMessage    `json:"wants,omitempty"`
-	Limits   []limitMessage          `json:"limits,omitempty"`
+	Notices  []noticeMessage         `json:"limits,omitempty"`
 	// Catalog is the version of the configuration in force on the host.
 	Catalog int64 `json:"catalog,omitempty"`
 	// Acknowledged is the sequence of the last message of the planner, with its
@@ -61,9 +61,9 @@
 	Engines          []engineMessage   `json:"engines,omitempty"`
 	Forecasts        []forecastMessage `json:"forecasts,omitempty"`
 	RemovedForecasts []modelKey        `json:"settled,omitempty"`
-	// Limits holds all limits of endpoints; omitted if they are unchanged since the last
+	// Notices holds all notices of endpoints; omitted if they are unchanged since the last
 	// message.
-	Limits []limitMessage `json:"limits,omitempty"`
+	Notices []noticeMessage `json:"limits,omitempty"`
 	// Hosts is the encoded []HostEntry of the hosts that callers may be sent to;
 	// omitted if it is unchanged since the last message.
 	Hosts json.RawMessage `json:"hosts,omitempty"`
@@ -124,8 +124,8 @@
 	Adapters []string `json:"a,omitempty"`
 }
 
-// limitMessage is an EndpointLimit with the age of the observation.
-type limitMessage struct {
+// noticeMessage is an EndpointNotice with the age of the observation.
+type noticeMessage struct {
 	ID        string  `json:"id"`
 	BornMs    int64   `json:"bornMs"`
 	Limited   bool    `json:"limited,omitempty"`
@@ -133,10 +133,10 @@
 	AgeMs     int64   `json:"ageMs"`
 }
 
-func encodeLimits(limits []tamarackknot.EndpointLimit, now time.Time) []limitMessage {
-	out := make([]limitMessage, 0, len(limits))
-	for _, l := range limits {
-		out = append(out, limitMessage{
+func encodeNotices(notices []tamarackknot.EndpointNotice, now time.Time) []noticeMessage {
+	out := make([]noticeMessage, 0, len(notices))
+	for _, l := range notices {
+		out = append(out, noticeMessage{
 			ID: l.Endpoint, BornMs: l.Born.UnixMilli(), Limited: l.Limit.Limited, PerSecond: l.Limit.PerSecond,
 			AgeMs: now.Sub(l.At).Milliseconds(),
 		})
@@ -144,10 +144,10 @@
 	return out
 }
 
-func decodeLimits(messages []limitMessage, now time.Time) []tamarackknot.EndpointLimit {
-	out := make([]tamarackknot.EndpointLimit, 0, len(messages))
+func decodeNotices(messages []noticeMessage, now time.Time) []tamarackknot.EndpointNotice {
+	out := make([]tamarackknot.EndpointNotice, 0, len(messages))
 	for _, m := range messages {
-		out = append(out, tamarackknot.EndpointLimit{
+		out = append(out, tamarackknot.EndpointNotice{
 			Endpoint: m.ID, Born: time.UnixMilli(m.BornMs), At: now.Add(-time.Duration(m.AgeMs) * time.Millisecond),
 			Limit: tamarackknot.RateLimit{Limited: m.Limited, PerSecond: m.PerSecond},
 		})
@@ -168,7 +168,7 @@
 }
 
 func encodeDemand(d tamarackknot.HostDemand, all, behind bool, catalog int64, now time.Time) demandMessage {
-	m := demandMessage{Leaving: d.Leaving, Isolated: d.Isolated, Full: all, Running: d.Running, Catalog: catalog, Behind: behind, Limits: encodeLimits(d.Limits, now)}
+	m := demandMessage{Leaving: d.Leaving, Isolated: d.Isolated, Full: all, Running: d.Running, Catalog: catalog, Behind: behind, Notices: encodeNotices(d.Notices, now)}
 	for _, w := range d.Models {
 		out := modelDemandMessage{
 			Service: w.Service, Model: w.Model, Waiting: w.Waiting, Tight: w.Tight, Adapters: w.Adapters,
--- /dev/null
+++ b/fleet/notices.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// noticeRetention is how long a notice is kept after its last observation. Hosts that send
+// requests to the endpoint report theirs again long before.
+const noticeRetention = 10 * time.Minute
+
+// noticeList holds the newest notices of endpoints, by endpoint; those
+// of a later start of an endpoint replace those of an earlier one.
+type noticeList struct {
+	byEndpoint map[string]tamarackknot.EndpointNotice
+	version    int64 // counts the changes
+}
+
+// merge adds the observations of a host.
+func (l *noticeList) merge(notices []tamarackknot.EndpointNotice, now time.Time) {
+	for _, n := range notices {
+		if l.byEndpoint == nil {
+			l.byEndpoint = make(map[string]tamarackknot.EndpointNotice)
+		}
+		old, known := l.byEndpoint[n.Endpoint]
+		if known && (n.Born.Before(old.Born) || n.Born.Equal(old.Born) && n.At.Before(old.At)) {
+			continue
+		}
+		l.byEndpoint[n.Endpoint] = n
+		l.version++
+	}
+	for id, n := range l.byEndpoint {
+		if now.Sub(n.At) > noticeRetention {
+			delete(l.byEndpoint, id)
+		}
+	}
+}
+
+// all returns the observations, ordered by endpoint.
+func (l *noticeList) all() []tamarackknot.EndpointNotice {
+	out := make([]tamarackknot.EndpointNotice, 0, len(l.byEndpoint))
+	for _, n := range l.byEndpoint {
+		out = append(out, n)
+	}
+	slices.SortFunc(out, func(a, b tamarackknot.EndpointNotice) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Limited returns the endpoints that name a limit, and since which start.
+func (p *Publisher) Limited() map[string]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]time.Time)
+	for id, l := range p.notices.byEndpoint {
+		if l.Limit.Limited {
+			out[id] = l.Born
+		}
+	}
+	return out
+}
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -114,7 +114,7 @@
 	// changes.
 	members        []string
 	membersVersion int64
-	limits         limitList
+	notices        noticeList
 }
 
 // hostState is the last demand of a host and the state that was last sent to it.
@@ -133,7 +133,7 @@
 	sequence        int64
 	hostListVersion int64
 	membersVersion  int64
-	limitsVersion   int64
+	noticesVersion  int64
 	fence           int64
 	// sends holds the newest messages whose acknowledgement is outstanding, oldest
 	// first, and acknowledgedAt when the newest acknowledged one was sent; zero
@@ -213,7 +213,7 @@
 	if m.Acknowledged > 0 && m.Fence == s.fence {
 		s.acknowledge(m.Acknowledged)
 	}
-	p.limits.merge(decodeLimits(m.Limits, now), now)
+	p.notices.merge(decodeNotices(m.Notices, now), now)
 	waiting := false
 	for _, w := range m.Models {
 		s.demands[[2]string{w.Service, w.Model}] = decodeModelDemand(w, now)
@@ -505,7 +505,7 @@
 		}
 		r.fullViewsLeft--
 		m.Full, m.Planner = true, &p.cfg.Self
-		s.fence, s.fullViewAt, s.hostListVersion, s.membersVersion, s.limitsVersion = r.fence, r.now, 0, 0, 0
+		s.fence, s.fullViewAt, s.hostListVersion, s.membersVersion, s.noticesVersion = r.fence, r.now, 0, 0, 0
 		clear(s.sent)
 		clear(s.forecasts)
 	}
@@ -517,9 +517,9 @@
 		s.membersVersion = p.membersVersion
 		m.Members = p.members
 	}
-	if s.limitsVersion != p.limits.version {
-		s.limitsVersion = p.limits.version
-		m.Limits = encodeLimits(p.limits.all(), r.now)
+	if s.noticesVersion != p.notices.version {
+		s.noticesVersion = p.notices.version
+		m.Notices = encodeNotices(p.notices.all(), r.now)
 	}
 	p.addEngines(s, &m, r.totals)
 	s.addForecasts(&m, r.forecasts, r.now)
