Heed what endpoints say of themselves: leaving, pauses, brittle

An endpoint that left was known from its entry alone, one that asked for a pause was asked again at once, and brittle ones were made to decline until they fell over.

Change: what an answer says of its endpoint is decoded once, in the platform's folder, into one value; dispatch keeps one state of it for each start of an endpoint and reads it at each choice, so for what waits, is retried or resumed as well. - Leaving: nothing more goes there, streams end in peace; hosts tell the planner, which tells all and takes it for an engine that drains. It never ends for that start. - Pause: nothing goes there until its end, then one request at a time until one is served, since all that waited would be declined at once. It is this host's alone. If all endpoints of a service pause beyond a request's objective, the caller is refused at once, with the time at which the first is back.

Brittleness kept for each endpoint failed still: a host that learns of a new copy of a model sends all that waits there before its first answer; so the others of a service count as brittle too.

Not done of the issue: silence of a second, TCP_USER_TIMEOUT on both sides.

--- a/callerrequest.go
+++ b/callerrequest.go
@@ -78,15 +78,8 @@
 	// Misplaced says that another endpoint has the address, or that the
 	// endpoint lacks the model.
 	Misplaced bool
-	// Limit is the rate that the endpoint says it can take.
-	Limit RateLimit
-}
-
-// RateLimit is the number of requests a second that an endpoint takes from all entry
-// hosts together. The zero value means no limit.
-type RateLimit struct {
-	Limited   bool
-	PerSecond float64 // 0 or more
+	// Signals is what the endpoint says of itself.
+	Signals EndpointSignals
 }
 
 // Dialect translates the headers of requests and responses between callers and
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,6 +106,8 @@
 	// HostIndex returns this host's index among the entry hosts. Without it the
 	// host prefers no replica of a model.
 	HostIndex func() int
+	// HostCount returns the number of live entry hosts. Nil means one.
+	HostCount func() int
 	// PlannerViewCurrent reports whether the planner's view is current.
 	PlannerViewCurrent func() bool
 	// OnModelWait is called when a request starts to wait for a model, so that the
@@ -138,6 +140,7 @@
 	history   map[target]*requestHistory
 	affinity  map[affinityKey]string
 	signals   map[startKey]*signalState
+	brittle   map[string]brittleness // by service
 	// versions holds when each version of a service's endpoints was last listed.
 	versions  map[string]map[string]time.Time
 	changed   map[target]bool // targets whose demand changed since the last report
@@ -178,6 +181,7 @@
 		history:   make(map[target]*requestHistory),
 		affinity:  make(map[affinityKey]string),
 		signals:   make(map[startKey]*signalState),
+		brittle:   make(map[string]brittleness),
 		versions:  make(map[string]map[string]time.Time),
 		changed:   make(map[target]bool),
 		queueWake: make(chan struct{}, 1),
@@ -361,6 +365,9 @@
 	if remaining := req.Deadline.Sub(now); remaining < minServiceTime {
 		return &Refusal{Reason: "no time is left"}
 	}
+	if at := d.pausedUntil(req.Service, now); at.After(req.Objective) {
+		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: at}
+	}
 	if req.Pinned && !d.canContinue(req) {
 		return &Refusal{Reason: "no other endpoint of the stream's version is in service"}
 	}
@@ -381,6 +388,29 @@
 	return nil
 }
 
+// pausedUntil returns when the first endpoint of a service is back if all of them have
+// asked for a pause, zero otherwise.
+func (d *Dispatcher) pausedUntil(service string, now time.Time) time.Time {
+	var first time.Time
+	for _, e := range d.byService[service] {
+		if e.signals == nil || !now.Before(e.signals.pausedUntil) {
+			return time.Time{}
+		}
+		if first.IsZero() || e.signals.pausedUntil.Before(first) {
+			first = e.signals.pausedUntil
+		}
+	}
+	return first
+}
+
+// hostCount returns the number of live entry hosts, at least one.
+func (d *Dispatcher) hostCount() int {
+	if d.cfg.HostCount == nil {
+		return 1
+	}
+	return max(d.cfg.HostCount(), 1)
+}
+
 // CanContinue reports whether an endpoint of the version of a pinned request is in service
 // other than the excluded ones. It may still have to load the model.
 func (d *Dispatcher) CanContinue(req *Request) bool {
@@ -392,7 +422,8 @@
 // canContinue is CanContinue with d.mu held.
 func (d *Dispatcher) canContinue(req *Request) bool {
 	return slices.ContainsFunc(d.byService[req.Service], func(e *endpoint) bool {
-		return e.runsVersionFor(req) && !slices.Contains(req.Exclude, e.entry.ID)
+		leaves := e.signals != nil && e.signals.Leaving
+		return !leaves && e.runsVersionFor(req) && !slices.Contains(req.Exclude, e.entry.ID)
 	})
 }
 
@@ -416,9 +447,9 @@
 		missing = lackSlot
 	}
 	affinity := d.affinityEndpoint(req)
-	preferred := d.preferredReplica(req)
+	preferred, maxOwn := d.preferredReplica(req), d.maxOwnRequests(req.Service)
 	for _, e := range d.byService[req.Service] {
-		if !e.accepts(req, now) || !d.limitAllows(e, now) {
+		if !e.accepts(req, now) || e.own >= maxOwn(e) || !d.limitAllows(e, now) {
 			missing = min(missing, e.lacks(req))
 			continue
 		}
@@ -547,6 +578,6 @@
 	if e.running[k]--; e.running[k] <= 0 {
 		delete(e.running, k)
 	}
-	e.recordResult(r, g.req, now)
+	e.recordResult(r, g.req, g.d.declinePause(e), now)
 	g.d.changed[target{g.req.Service, g.req.Model}] = true
 }
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -79,7 +79,7 @@
 
 // accepts reports whether the request may be sent to the endpoint now.
 func (e *endpoint) accepts(req *Request, now time.Time) bool {
-	if now.Before(e.backoffUntil) || e.own+e.others >= e.maxRequests(req) {
+	if now.Before(e.backoffUntil) || e.own+e.others >= e.maxRequests(req) || e.signals.refusesAll(e.own, now) {
 		return false
 	}
 	if !e.entry.GoneAt.IsZero() && e.entry.GoneAt.Sub(now) < removalMargin {
@@ -136,17 +136,21 @@
 	return e.failureRate / (1 + halfLives*halfLives)
 }
 
-// recordResult updates the failure rate and the backoff after an attempt.
-func (e *endpoint) recordResult(r Result, req *Request, now time.Time) {
+// recordResult updates the failure rate and the backoff after an attempt. declinePause is
+// the least backoff after the endpoint declined a request because it was full.
+func (e *endpoint) recordResult(r Result, req *Request, declinePause time.Duration, now time.Time) {
 	rate := e.decayedFailureRate(now)
 	switch r {
 	case ResultAnswered:
 		e.backoffs, e.declines = 0, 0
+		if e.signals != nil {
+			e.signals.resuming = false
+		}
 		e.failureRate = rate * (1 - failureAverageWeight)
 	case ResultFailed:
 		e.failureRate = rate*(1-failureAverageWeight) + failureAverageWeight
 	case ResultFull:
-		e.backoffUntil = now.Add(fullBackoff << min(e.declines, maxFullDoublings))
+		e.backoffUntil = now.Add(max(fullBackoff<<min(e.declines, maxFullDoublings), declinePause))
 		e.declines++
 		return
 	case ResultMisplaced:
--- a/dispatch/signals.go
+++ b/dispatch/signals.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -19,6 +20,9 @@
 	// noticeInterval is how long after the last report an unchanged limit is
 	// reported again, so that the planner knows that it lasts.
 	noticeInterval = time.Minute
+	// brittleMemory is how long after the last answer that says so the endpoints of a
+	// service count as brittle although others do not say so.
+	brittleMemory = 2 * time.Second
 )
 
 // startKey identifies one start of an endpoint.
@@ -27,9 +31,14 @@
 	born     int64 // Unix ms
 }
 
-// signalState is what is known of an endpoint's limit, and this host's part of it.
+// signalState is what an endpoint says of itself, and this host's part of its limit.
 type signalState struct {
 	tamarackknot.EndpointNotice
+	// pausedUntil is until when the endpoint wants no request from this host.
+	pausedUntil time.Time
+	// resuming is set from a pause until the endpoint serves a request again: it gets one
+	// at a time.
+	resuming bool
 	// tokens is the number of requests that this host may send, at tokensAt. It never
 	// exceeds 1, and a host that learns of the limit begins with none.
 	tokens     float64
@@ -42,6 +51,12 @@
 
 func keyOf(e tamarackknot.EndpointEntry) startKey { return startKey{e.ID, e.Born.UnixMilli()} }
 
+// refusesAll reports whether the endpoint leaves, has asked this host for a pause, or has
+// one of its own requests after that; l may be nil.
+func (l *signalState) refusesAll(own int, now time.Time) bool {
+	return l != nil && (l.Leaving || now.Before(l.pausedUntil) || l.resuming && own > 0)
+}
+
 // applies reports whether the endpoint names a limit; l may be nil.
 func (l *signalState) applies() bool { return l != nil && l.Limit.Limited }
 
@@ -89,15 +104,69 @@
 	return e.signals.allows(perSecond, now)
 }
 
-// ObserveLimit records the limit that an answer of the endpoint names, or that it names
-// none.
-func (g *Grant) ObserveLimit(limit tamarackknot.RateLimit) {
+// Observe records what an answer of the endpoint says of the endpoint.
+func (g *Grant) Observe(s tamarackknot.EndpointSignals) {
 	g.d.mu.Lock()
 	defer g.d.mu.Unlock()
-	if l := g.d.signals[keyOf(g.Endpoint)]; l == nil && !limit.Limited {
+	g.d.observeBrittle(g.Endpoint, s, time.Now())
+	k := keyOf(g.Endpoint)
+	if g.d.signals[k] == nil && !s.Limit.Limited && !s.Leaving && s.PauseUntil.IsZero() {
+		return
+	}
+	g.d.applyNotice(tamarackknot.EndpointNotice{
+		Endpoint: g.Endpoint.ID, Born: g.Endpoint.Born, Limit: s.Limit, Leaving: s.Leaving, At: time.Now(),
+	}, g.req.ID)
+	l := g.d.signals[k]
+	if s.PauseUntil.After(l.pausedUntil) {
+		l.pausedUntil, l.resuming = s.PauseUntil, true
+		g.d.cfg.Logger.Info("endpoint asks for a pause", "endpoint", g.Endpoint.ID, "request", g.req.ID, "seconds", time.Until(s.PauseUntil).Seconds())
+	}
+}
+
+// brittleness is what endpoints of a service last said of their being brittle.
+type brittleness struct {
+	maxDeclines int
+	at          time.Time
+}
+
+// observeBrittle records whether an endpoint says that it is brittle. d.mu is held.
+func (d *Dispatcher) observeBrittle(e tamarackknot.EndpointEntry, s tamarackknot.EndpointSignals, now time.Time) {
+	old, known := d.brittle[e.Service]
+	switch {
+	case s.Brittle:
+		d.brittle[e.Service] = brittleness{s.MaxDeclines, now}
+	case known && now.Sub(old.at) > brittleMemory:
+		delete(d.brittle, e.Service)
+	default:
 		return
 	}
-	g.d.applyNotice(tamarackknot.EndpointNotice{Endpoint: g.Endpoint.ID, Born: g.Endpoint.Born, Limit: limit, At: time.Now()}, g.req.ID)
+	if known != s.Brittle {
+		d.cfg.Logger.Info("endpoints brittle", "service", e.Service, "endpoint", e.ID, "brittle", s.Brittle, "maxDeclines", s.MaxDeclines)
+	}
+}
+
+// maxOwnRequests returns the number of requests that this host may have in flight at each
+// endpoint of a service. The hosts divide the slots of brittle endpoints, because each learns of the
+// others' requests too late to keep them from having to decline some. An endpoint that
+// has not answered this host yet is taken for as brittle as the others of its service.
+// d.mu is held.
+func (d *Dispatcher) maxOwnRequests(service string) func(*endpoint) int {
+	if _, brittle := d.brittle[service]; !brittle {
+		return func(*endpoint) int { return math.MaxInt }
+	}
+	hosts := d.hostCount()
+	return func(e *endpoint) int { return max(e.slots/hosts, 1) }
+}
+
+// declinePause is how long at least an endpoint gets no request after it declined one.
+// All hosts together then cause a brittle one to decline at most as many a second as it
+// bears. d.mu is held.
+func (d *Dispatcher) declinePause(e *endpoint) time.Duration {
+	b, brittle := d.brittle[e.entry.Service]
+	if !brittle {
+		return 0
+	}
+	return time.Duration(float64(d.hostCount()) / float64(max(b.maxDeclines, 1)) * float64(time.Second))
 }
 
 // applyNotice records the newest observation of an endpoint's limit, made by the answer
@@ -112,6 +181,12 @@
 			e.signals = l
 		}
 	}
+	if n.Leaving && !l.Leaving {
+		d.cfg.Logger.Info("endpoint says it leaves", "endpoint", n.Endpoint, "request", request)
+		l.Leaving, l.due = true, l.due || request != ""
+	}
+	// An endpoint that leaves does so for good.
+	n.Leaving = l.Leaving
 	if n.At.Before(l.At) {
 		// The planner has an older observation than this host.
 		l.due = l.due || n.Limit != l.Limit
--- a/dispatch/signals_test.go
+++ b/dispatch/signals_test.go
@@ -46,7 +46,7 @@
 			return g
 		}
 		g := grant()
-		g.ObserveLimit(limitOf(2))
+		g.Observe(tamarackknot.EndpointSignals{Limit: limitOf(2)})
 		g.Done(ResultAnswered)
 		require.Nil(t, grant(), "a host that learns of a limit must not begin with a request in hand")
 		atMost := func(limit int) {
@@ -76,7 +76,7 @@
 			h.mu.Unlock()
 			time.Sleep(time.Second)
 			g := grant()
-			g.ObserveLimit(limitOf(2))
+			g.Observe(tamarackknot.EndpointSignals{Limit: limitOf(2)})
 			g.Done(ResultAnswered)
 		}
 		grantAndObserve()
@@ -123,3 +123,26 @@
 		require.Greater(t, sent["e1"], 350)
 	})
 }
+
+// TestAllEndpointsPause guards against callers that wait although all endpoints of the
+// service have asked for a pause, and that are not told when the first is back.
+func TestAllEndpointsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		h.add("e0", "s", "z1", 4, "m")
+		h.add("e1", "s", "z1", 4, "m")
+		back := time.Now().Add(3 * time.Second)
+		for _, until := range []time.Time{back.Add(time.Second), back} {
+			g, _ := h.Acquire(t.Context(), request("s", "m"))
+			g.Observe(tamarackknot.EndpointSignals{PauseUntil: until})
+			g.Done(ResultFull)
+			time.Sleep(fullBackoff)
+		}
+		g, refusal := h.Acquire(t.Context(), request("s", "m"))
+		require.Nil(t, g)
+		require.Equal(t, back, refusal.RetryAt)
+		time.Sleep(3 * time.Second)
+		g, _ = h.Acquire(t.Context(), request("s", "m"))
+		require.NotNil(t, g)
+	})
+}
--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -136,7 +136,7 @@
 		settings: platform.SiteSettings{
 			Host: name, FailureDomain: "z1", CallerAddress: callerAddress(name), PeerAddress: name, FirstStart: first, CPUCores: 1,
 			OrderGap: orderGap, RecoveryTime: 3 * time.Second, EnginesEnforceFencing: c.enforced,
-			RetryWindow: retryWindow, LoadWindow: 5 * time.Second, LoadFactor: 1.1,
+			RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, LoadWindow: 5 * time.Second, LoadFactor: 1.1,
 		},
 		incarnation: incarnation,
 		store:       &gatedStore{Store: c.store.Client(name), gatedHost: gate},
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -154,6 +154,7 @@
 	c.dispatch = dispatch.New(dispatch.Config{
 		FailureDomain:      s.FailureDomain,
 		HostIndex:          c.hostIndex,
+		HostCount:          func() int { return len(c.fleet.Hosts()) },
 		PlannerViewCurrent: func() bool { return c.fleet.PlannerAlive() },
 		OnModelWait:        func() { c.fleet.SendNow() },
 		Rejects:            func(service string, parts []string) bool { return c.crashes.Rejects(service, parts) },
@@ -235,6 +236,7 @@
 		Endpoints:       func() map[string]tamarackknot.EndpointEntry { return c.discovery.Current().Endpoints },
 		Demands:         c.publisher.Demands,
 		Limited:         c.publisher.Limited,
+		Leaving:         c.publisher.Leaving,
 		Publish:         c.publisher.Publish,
 		FencingEnforced: s.EnginesEnforceFencing, LoadWindow: s.LoadWindow, LoadFactor: s.LoadFactor,
 		Logger: logger,
--- a/entry/hosted/crash_test.go
+++ b/entry/hosted/crash_test.go
@@ -41,7 +41,7 @@
 		began := time.Now()
 		calm := began.Add(warmUp - calmTime)
 		since := began.Add(warmUp)
-		s, cancel := startServing(func(parts []string) bool { return slices.Contains(parts, crashingPart) }, output,
+		s, cancel := startServing(&serving{crashes: func(parts []string) bool { return slices.Contains(parts, crashingPart) }}, output,
 			func(ctx context.Context, s *serving, h *clusterHost) {
 				wait.For(ctx, time.Until(calm))
 				for n := 0; wait.For(ctx, 100*time.Millisecond); n++ {
--- a/entry/hosted/isolation_test.go
+++ b/entry/hosted/isolation_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		began := time.Now().Add(warmUp)
-		s, cancel := startServing(func([]string) bool { return false }, io.Discard, func(ctx context.Context, s *serving, h *clusterHost) {
+		s, cancel := startServing(&serving{}, io.Discard, func(ctx context.Context, s *serving, h *clusterHost) {
 			wait.For(ctx, time.Until(began.Add(-2*time.Second)))
 			for n := 0; wait.For(ctx, 100*time.Millisecond); n++ {
 				s.c.wg.Go(func() { s.call(ctx, h.name, "sound", commonPart, fmt.Sprintf("subject%d", n%subjects)) })
--- a/entry/hosted/limit_test.go
+++ b/entry/hosted/limit_test.go
@@ -67,7 +67,7 @@
 			gate.pass()
 			limit := l.arrive(h.self.Incarnation, grant.Endpoint.ID)
 			if wait.For(ctx, 50*time.Millisecond) {
-				grant.ObserveLimit(limit)
+				grant.Observe(tamarackknot.EndpointSignals{Limit: limit})
 			}
 		})
 	}
--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -32,6 +32,9 @@
 type serving struct {
 	c       *cluster
 	crashes func(parts []string) bool
+	// behave lets an endpoint say something of itself and reports whether it declines the
+	// request, or falls over. Nil means that all serve.
+	behave func(s *serving, endpoint, host string, w http.ResponseWriter) (declines, falls bool)
 
 	mu       sync.Mutex
 	servers  map[string]*ingress.Server // by host
@@ -58,8 +61,8 @@
 }
 
 // startServing starts the cluster. loops run for each process of a host.
-func startServing(crashes func(parts []string) bool, output io.Writer, loops ...func(context.Context, *serving, *clusterHost)) (*serving, context.CancelFunc) {
-	s := &serving{crashes: crashes, servers: make(map[string]*ingress.Server)}
+func startServing(s *serving, output io.Writer, loops ...func(context.Context, *serving, *clusterHost)) (*serving, context.CancelFunc) {
+	s.servers = make(map[string]*ingress.Server)
 	built := make(chan struct{})
 	c, cancel := startCluster(true, output, func(ctx context.Context, h *clusterHost) {
 		<-built
@@ -110,7 +113,7 @@
 	}
 	server := &http.Server{ReadHeaderTimeout: time.Minute}
 	crash := sync.OnceFunc(func() { s.crash(r, server) })
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { s.answer(w, req, crash) })
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { s.answer(r, w, req, crash) })
 	s.c.wg.Go(func() { _ = server.Serve(l) })
 	context.AfterFunc(s.c.ctx, func() { _ = server.Close() })
 }
@@ -138,14 +141,27 @@
 }
 
 // answer streams an answer.
-func (s *serving) answer(w http.ResponseWriter, req *http.Request, crash func()) {
+func (s *serving) answer(r *replica, w http.ResponseWriter, req *http.Request, crash func()) {
 	_, _ = io.Copy(io.Discard, req.Body)
+	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
+	if s.behave != nil {
+		declines, falls := s.behave(s, r.id, req.Header.Get("Sender"), w)
+		switch {
+		case falls:
+			crash()
+			panic(http.ErrAbortHandler)
+		case declines:
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
 	var parts []string
 	for _, part := range strings.Split(req.Header.Get("X-Prompt-Prefix"), ",") {
 		id, _, _ := strings.Cut(part, ":")
 		parts = append(parts, id)
 	}
-	bad := s.crashes(parts)
+	bad := s.crashes != nil && s.crashes(parts)
 	if bad {
 		s.mu.Lock()
 		s.arrivals = append(s.arrivals, servingArrival{time.Now(), s.inTouch(req.Header.Get("Sender"))})
@@ -158,7 +174,6 @@
 		crash()
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
 	w.Header().Set("X-Server-Stamp", "s")
 	for i := range answerEvents {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i); err != nil || http.NewResponseController(w).Flush() != nil {
--- /dev/null
+++ b/entry/hosted/signals_test.go
@@ -0,0 +1,191 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot/internal/wait"
+)
+
+const (
+	// An endpoint gets no request from a host later than drainTime after it told the host
+	// that it leaves, and at most maxDuringPause between toldTime after it asked the host
+	// for a pause and the end of the pause.
+	drainTime      = 2 * time.Second
+	pauseTime      = 3 * time.Second
+	maxDuringPause = 2
+	// A brittle endpoint falls over when it has to decline more than maxDeclines requests
+	// in a second. Endpoints fall over at most fallSlack times and a tenth of their number.
+	maxDeclines = 4
+	fallSlack   = 2
+	signalTime  = 12 * time.Second
+)
+
+// signalTrial records what endpoints tell hosts and what they get afterwards.
+type signalTrial struct {
+	mu       sync.Mutex
+	first    []string
+	told     map[[2]string]time.Time // by endpoint and host
+	during   map[[2]string]int       // requests that reach an endpoint too soon
+	late     int                     // requests that reach an endpoint that leaves
+	inFlight map[string]int
+	declines map[string][]time.Time
+	falls    int
+	// brittleFrom is when endpoints let nobody wait any more.
+	brittleFrom time.Time
+}
+
+// observe records a request that reaches an endpoint, and returns when the endpoint first
+// told the host something; zero if it does so now.
+func (tr *signalTrial) observe(endpoint, host string) time.Time {
+	key := [2]string{endpoint, host}
+	at := tr.told[key]
+	if at.IsZero() {
+		tr.told[key] = time.Now()
+	}
+	return at
+}
+
+// chosen reports whether an endpoint is one of the first two that got a request.
+func (tr *signalTrial) chosen(endpoint string) bool {
+	if len(tr.first) < 2 && !slices.Contains(tr.first, endpoint) {
+		tr.first = append(tr.first, endpoint)
+	}
+	return slices.Contains(tr.first, endpoint)
+}
+
+// leaving makes two endpoints say that they leave; they go on serving.
+func (tr *signalTrial) leaving(_ *serving, endpoint, host string, w http.ResponseWriter) (declines, falls bool) {
+	if !tr.chosen(endpoint) {
+		return false, false
+	}
+	w.Header().Set("Server-Leaving", "1")
+	if at := tr.observe(endpoint, host); !at.IsZero() && time.Since(at) > drainTime {
+		tr.late++
+	}
+	return false, false
+}
+
+// pausing makes two endpoints decline everything and ask for a pause.
+func (tr *signalTrial) pausing(_ *serving, endpoint, host string, w http.ResponseWriter) (declines, falls bool) {
+	if !tr.chosen(endpoint) {
+		return false, false
+	}
+	w.Header().Set("Retry-After", fmt.Sprint(pauseTime.Seconds()))
+	key := [2]string{endpoint, host}
+	at := tr.observe(endpoint, host)
+	switch since := time.Since(at); {
+	case at.IsZero():
+	case since >= pauseTime:
+		tr.told[key] = time.Now()
+	case since > toldTime:
+		tr.during[key]++
+	}
+	return true, false
+}
+
+// brittle makes all endpoints say that they are brittle. From adaptTime on they let nobody
+// wait, and fall over when they have to decline too much.
+func (tr *signalTrial) brittle(s *serving, endpoint, _ string, w http.ResponseWriter) (declines, falls bool) {
+	w.Header().Set("Server-Brittle", fmt.Sprint(maxDeclines))
+	if tr.brittleFrom.IsZero() {
+		tr.brittleFrom = time.Now().Add(adaptTime)
+	}
+	if tr.inFlight[endpoint] < brittleSlots || time.Now().Before(tr.brittleFrom) {
+		tr.inFlight[endpoint]++
+		s.c.wg.Go(func() {
+			// The slot is free when the last event is sent, before the host can send again.
+			wait.For(s.c.ctx, prefillTime+(answerEvents-1)*eventPause)
+			tr.mu.Lock()
+			defer tr.mu.Unlock()
+			tr.inFlight[endpoint]--
+		})
+		return false, false
+	}
+	now := time.Now()
+	tr.declines[endpoint] = append(tr.declines[endpoint], now)
+	if between(tr.declines[endpoint], now.Add(-time.Second), now.Add(1)) <= maxDeclines {
+		return true, false
+	}
+	tr.falls++
+	tr.declines[endpoint] = nil
+	return false, true
+}
+
+// brittleSlots is what an endpoint takes at once: its slots, with nobody waiting.
+const brittleSlots = 8
+
+// play runs a cluster whose endpoints behave so, and returns the share of the requests that
+// began to be answered.
+func (tr *signalTrial) play(t *testing.T, behave func(*signalTrial, *serving, string, string, http.ResponseWriter) (bool, bool), pause time.Duration) (began float64) {
+	t.Helper()
+	tr.told, tr.during = make(map[[2]string]time.Time), make(map[[2]string]int)
+	tr.inFlight, tr.declines = make(map[string]int), make(map[string][]time.Time)
+	synctest.Test(t, func(*testing.T) {
+		from := time.Now().Add(warmUp)
+		s := &serving{behave: func(s *serving, endpoint, host string, w http.ResponseWriter) (bool, bool) {
+			tr.mu.Lock()
+			defer tr.mu.Unlock()
+			return behave(tr, s, endpoint, host, w)
+		}}
+		s, cancel := startServing(s, io.Discard, func(ctx context.Context, s *serving, h *clusterHost) {
+			wait.For(ctx, time.Until(from))
+			for n := 0; wait.For(ctx, pause); n++ {
+				s.c.wg.Go(func() { s.call(ctx, h.name, "sound", commonPart, fmt.Sprintf("subject%d", n%subjects)) })
+			}
+		})
+		wait.For(s.c.ctx, warmUp+signalTime)
+		ended := time.Now()
+		s.stop(cancel)
+		began, _ = s.share("sound", from, ended.Add(-callTimeout), nil)
+	})
+	return began
+}
+
+// TestEndpointThatSaysItLeaves guards against requests to an endpoint that has told the
+// host that it leaves, although its entry says that it serves.
+func TestEndpointThatSaysItLeaves(t *testing.T) {
+	var tr signalTrial
+	began := tr.play(t, (*signalTrial).leaving, 50*time.Millisecond)
+	require.NotEmpty(t, tr.told)
+	require.Zero(t, tr.late)
+	require.Greater(t, began, 0.95)
+}
+
+// TestEndpointThatAsksForPause guards against requests to an endpoint within the time for
+// which it has asked the host to wait.
+func TestEndpointThatAsksForPause(t *testing.T) {
+	var tr signalTrial
+	began := tr.play(t, (*signalTrial).pausing, 50*time.Millisecond)
+	require.NotEmpty(t, tr.told)
+	for key, n := range tr.during {
+		require.LessOrEqual(t, n, maxDuringPause, "%v", key)
+	}
+	require.Greater(t, began, minBegunRatio)
+}
+
+// TestBrittleEndpoints guards against hosts that together make endpoints decline so much
+// that they fall over, although these say that they are brittle.
+func TestBrittleEndpoints(t *testing.T) {
+	for name, pause := range map[string]time.Duration{
+		"usual load":       50 * time.Millisecond,
+		"twice the slots":  11 * time.Millisecond,
+		"a burst of calls": 3 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tr signalTrial
+			began := tr.play(t, (*signalTrial).brittle, pause)
+			t.Logf("falls %d, begun %.3f", tr.falls, began)
+			require.LessOrEqual(t, float64(tr.falls), fallSlack+servingEndpoints/10.0)
+		})
+	}
+}
--- a/fleet.go
+++ b/fleet.go
@@ -21,7 +21,9 @@
 	Endpoint string
 	Born     time.Time
 	Limit    RateLimit
-	At       time.Time
+	// Leaving does not end before the endpoint does.
+	Leaving bool
+	At      time.Time
 }
 
 // RunCount is the number of requests for one target that a host has running at
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -440,6 +440,33 @@
 	})
 }
 
+// TestLeavingNotices guards against an endpoint that says that it leaves and is forgotten,
+// for a later or an older answer, and against a later start that is taken for it.
+func TestLeavingNotices(t *testing.T) {
+	now := time.Now()
+	notice := func(born int64, leaving bool, age time.Duration) tamarackknot.EndpointNotice {
+		return tamarackknot.EndpointNotice{Endpoint: "e", Born: time.UnixMilli(born), Leaving: leaving, At: now.Add(-age)}
+	}
+	for name, tt := range map[string]struct {
+		notices []tamarackknot.EndpointNotice
+		leaving bool
+	}{
+		"says so":                 {[]tamarackknot.EndpointNotice{notice(1, true, 0)}, true},
+		"a later answer does not": {[]tamarackknot.EndpointNotice{notice(1, true, time.Second), notice(1, false, 0)}, true},
+		"heard late":              {[]tamarackknot.EndpointNotice{notice(1, false, 0), notice(1, true, time.Second)}, true},
+		"the next start":          {[]tamarackknot.EndpointNotice{notice(1, true, time.Second), notice(2, false, 0)}, false},
+		"the start before":        {[]tamarackknot.EndpointNotice{notice(2, false, time.Second), notice(1, true, 0)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l noticeList
+			for _, n := range tt.notices {
+				l.merge([]tamarackknot.EndpointNotice{n}, now)
+			}
+			require.Equal(t, tt.leaving, l.byEndpoint["e"].Leaving)
+		})
+	}
+}
+
 // TestMembersAgeOfSuspendedPlanner guards against a planner that is suspended in the
 // middle of a round and then sends a list as new that it read before.
 func TestMembersAgeOfSuspendedPlanner(t *testing.T) {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -130,6 +130,7 @@
 	BornMs    int64   `json:"bornMs"`
 	Limited   bool    `json:"limited,omitempty"`
 	PerSecond float64 `json:"perSecond,omitempty"`
+	Leaving   bool    `json:"leaving,omitempty"`
 	AgeMs     int64   `json:"ageMs"`
 }
 
@@ -137,7 +138,7 @@
 	out := make([]noticeMessage, 0, len(notices))
 	for _, l := range notices {
 		out = append(out, noticeMessage{
-			ID: l.Endpoint, BornMs: l.Born.UnixMilli(), Limited: l.Limit.Limited, PerSecond: l.Limit.PerSecond,
+			ID: l.Endpoint, BornMs: l.Born.UnixMilli(), Limited: l.Limit.Limited, PerSecond: l.Limit.PerSecond, Leaving: l.Leaving,
 			AgeMs: now.Sub(l.At).Milliseconds(),
 		})
 	}
@@ -149,7 +150,7 @@
 	for _, m := range messages {
 		out = append(out, tamarackknot.EndpointNotice{
 			Endpoint: m.ID, Born: time.UnixMilli(m.BornMs), At: now.Add(-time.Duration(m.AgeMs) * time.Millisecond),
-			Limit: tamarackknot.RateLimit{Limited: m.Limited, PerSecond: m.PerSecond},
+			Limit: tamarackknot.RateLimit{Limited: m.Limited, PerSecond: m.PerSecond}, Leaving: m.Leaving,
 		})
 	}
 	return out
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -26,9 +26,15 @@
 			l.byEndpoint = make(map[string]tamarackknot.EndpointNotice)
 		}
 		old, known := l.byEndpoint[n.Endpoint]
-		if known && (n.Born.Before(old.Born) || n.Born.Equal(old.Born) && n.At.Before(old.At)) {
-			continue
+		sameStart := known && n.Born.Equal(old.Born)
+		leaves := sameStart && n.Leaving && !old.Leaving
+		if known && (n.Born.Before(old.Born) || sameStart && n.At.Before(old.At)) {
+			if !leaves {
+				continue
+			}
+			n = old
 		}
+		n.Leaving = n.Leaving || leaves || sameStart && old.Leaving
 		l.byEndpoint[n.Endpoint] = n
 		l.version++
 	}
@@ -51,12 +57,22 @@
 
 // Limited returns the endpoints that name a limit, and since which start.
 func (p *Publisher) Limited() map[string]time.Time {
+	return p.startsWith(func(n tamarackknot.EndpointNotice) bool { return n.Limit.Limited })
+}
+
+// Leaving returns the endpoints that say that they leave, and which start does.
+func (p *Publisher) Leaving() map[string]time.Time {
+	return p.startsWith(func(n tamarackknot.EndpointNotice) bool { return n.Leaving })
+}
+
+// startsWith returns the starts of the endpoints whose notices match, by endpoint.
+func (p *Publisher) startsWith(match func(tamarackknot.EndpointNotice) bool) map[string]time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]time.Time)
-	for id, l := range p.notices.byEndpoint {
-		if l.Limit.Limited {
-			out[id] = l.Born
+	for id, n := range p.notices.byEndpoint {
+		if match(n) {
+			out[id] = n.Born
 		}
 	}
 	return out
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -235,7 +235,7 @@
 	a := x.server.cfg.Dialect.Answer(resp.StatusCode, resp.Header)
 	x.sent++
 	if a.RequestID == x.caller.ID && !a.Misplaced && (a.NotRun || a.Signed) {
-		g.ObserveLimit(a.Limit)
+		g.Observe(a.Signals)
 	}
 	switch {
 	case a.NotRun && a.Misplaced:
--- a/ingress/host.go
+++ b/ingress/host.go
@@ -87,6 +87,9 @@
 	for name, values := range x.server.cfg.Dialect.Relay(resp.Header) {
 		h[name] = slices.Clone(values)
 	}
+	if after := resp.Header.Get("Retry-After"); after != "" {
+		h.Set("Retry-After", after)
+	}
 	x.w.WriteHeader(resp.StatusCode)
 	x.server.counters.forwarded.Inc(1)
 	err := x.copyFromHost(resp.Body)
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -102,6 +102,9 @@
 	// Limited returns the engines that name a limit, with the start that does so. Nil
 	// means none.
 	Limited func() map[string]time.Time
+	// Leaving returns the engines that say that they leave, with the start that does so. Nil
+	// means that none does.
+	Leaving func() map[string]time.Time
 	// Demands returns the demand of each entry host.
 	Demands func() []tamarackknot.HostDemand
 	// Publish sends the state of the engines to the hosts, without delay if now
@@ -459,18 +462,21 @@
 			s.Models[key.model] = demand.state
 		}
 	}
-	var limited map[string]time.Time
+	var limited, leaving map[string]time.Time
 	if c.cfg.Limited != nil {
 		limited = c.cfg.Limited()
 	}
+	if c.cfg.Leaving != nil {
+		leaving = c.cfg.Leaving()
+	}
 	for _, e := range c.engines {
 		if e.service != service {
 			continue
 		}
 		e.updateLoad(now)
+		e.saysItLeaves = e.isStart(leaving)
 		state := e.state(now)
-		born, named := limited[e.id]
-		state.Limited = named && born.UnixMilli() == e.entry.Born.UnixMilli()
+		state.Limited = e.isStart(limited)
 		s.Engines = append(s.Engines, state)
 		if e.move != nil && e.move.Tier == tamarackknot.TierRemote {
 			s.ColdLoads++
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -24,7 +24,9 @@
 	address string
 	service string
 	entry   tamarackknot.EndpointEntry
-	spec    *tamarackknot.EngineSpec
+	// saysItLeaves is set when its answers say that it leaves, whatever the entry says.
+	saysItLeaves bool
+	spec         *tamarackknot.EngineSpec
 	// orderMu serialises the orders to the engine, so that each carries the
 	// sequence that follows the previous one.
 	orderMu sync.Mutex
@@ -167,7 +169,13 @@
 
 // draining reports whether the engine is being drained or removed.
 func (e *engine) draining() bool {
-	return e.entry.State != tamarackknot.EndpointReady || !e.entry.GoneAt.IsZero()
+	return e.entry.State != tamarackknot.EndpointReady || !e.entry.GoneAt.IsZero() || e.saysItLeaves
+}
+
+// isStart reports whether the map names this start of the engine.
+func (e *engine) isStart(starts map[string]time.Time) bool {
+	born, named := starts[e.id]
+	return named && born.UnixMilli() == e.entry.Born.UnixMilli()
 }
 
 // updateLoad updates the average number of requests at the engine.
