Take a host for isolated after eight endpoints that fail, not three

Seen in one of three runs of TestPartThatCrashesEndpoints (a host is cut off), traced with its log: four of eight endpoints had crashed, the planner met three of them, took itself for isolated and yielded the lease to the host that was cut off from all others; they had no planner for 6 s.

Cause: three failed connections are likely where a third of the endpoints is down. Eight at random, those first that have not failed yet, all of them down although half are up, are not (1 in 256). Failures at the same time as a success no longer count.

--- a/reach/reach.go
+++ b/reach/reach.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,15 +20,14 @@
 const (
 	// minFailed is the number of endpoints to which connections must have failed since the
 	// last one that succeeded, fewer if there are fewer endpoints.
-	minFailed = 3
+	minFailed = 8
 	// trials is the number of endpoints that are tried at the same time.
-	trials = 3
+	trials = minFailed
 	// trialInterval is the pause between two trials.
 	trialInterval = 250 * time.Millisecond
 	// trialTimeout limits a connection of a trial.
 	trialTimeout = time.Second
-	// recentSuccess is how long after a successful connection a failed one is not looked
-	// into.
+	// recentSuccess is how long after a successful connection failed ones are ignored.
 	recentSuccess = 300 * time.Millisecond
 )
 
@@ -91,8 +91,8 @@
 func (m *Monitor) fail(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failed[address] = true
 	if time.Since(m.succeededAt) > recentSuccess {
+		m.failed[address] = true
 		wait.Wake(m.wake)
 	}
 }
@@ -128,15 +128,14 @@
 	return len(m.failed) > 0
 }
 
-// try opens connections to a few endpoints and closes them.
+// try opens connections to some endpoints and closes them.
 func (m *Monitor) try(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(trialTimeout))
 	defer cancel()
-	addresses := m.cfg.Endpoints()
 	var running sync.WaitGroup
-	for _, i := range rand.Perm(len(addresses))[:min(len(addresses), trials)] {
+	for _, address := range m.choose() {
 		running.Go(func() {
-			if conn, err := m.Dial(ctx, "tcp", addresses[i]); err == nil {
+			if conn, err := m.Dial(ctx, "tcp", address); err == nil {
 				_ = conn.Close()
 			}
 		})
@@ -144,6 +143,18 @@
 	running.Wait()
 }
 
+// choose returns the endpoints of a trial, at random, those first that have not failed.
+func (m *Monitor) choose() []string {
+	addresses := slices.Clone(m.cfg.Endpoints())
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	untried := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return m.failed[a] })
+	failed := slices.DeleteFunc(addresses, func(a string) bool { return !m.failed[a] })
+	all := append(untried, failed...)
+	return all[:min(len(all), trials)]
+}
+
 // decide concludes from the failed connections whether this host is isolated.
 func (m *Monitor) decide() {
 	endpoints := len(m.cfg.Endpoints())
