Reject a part after two crashes, for five seconds

Change: two endpoints that crash under a part which no endpoint has answered are enough to reject it for 5 s; then one host tries it. A third crash bans it for a minute, as before. Parts with the same crashes are still rejected together only.

TestBlame: two crashes now reject; the case of an endpoint that answers after its loss uses two endpoints, so that it still tests that one crash is left. The cases for companions have one more, in flight at the first two crashes.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -67,16 +67,18 @@
 		steps            string
 		rejected, served []string
 	}{
-		"two crashes":                       {"e1:bad e2:bad", nil, []string{"bad"}},
+		"one crash":                         {"e1:bad", nil, []string{"bad"}},
+		"two crashes":                       {"e1:bad e2:bad", []string{"bad"}, []string{"x"}},
 		"three crashes":                     {"e1:bad e2:bad e3:bad", []string{"bad", "c,bad", "bad,x"}, []string{"c", "x"}},
 		"three breaks of one endpoint":      {"e1:bad e1:bad e1:bad", nil, []string{"bad"}},
-		"an endpoint answers after":         {"e1:bad e2:bad e3:bad e3", nil, []string{"bad"}},
+		"an endpoint answers after":         {"e1:bad e2:bad e2", nil, []string{"bad"}},
 		"the next start answers":            {"e1:bad e2:bad e3:bad 2s e3", []string{"bad"}, nil},
 		"common part answered":              {"+e9:c " + threeBad + "+e9:c", []string{"c,bad", "bad"}, []string{"c", "c,x"}},
 		"companion never answered":          {threeBad, []string{"c,bad", "c,x,bad"}, []string{"c", "c,x", "bad,x"}},
 		"companion alone crashes":           {threeBad + "e4:c,x", []string{"c,bad", "c,x", "c"}, []string{"bad,x"}},
 		"companion of some":                 {"e1:v,bad e2:v,bad e3:v,bad e4:bad", []string{"v,bad", "bad"}, []string{"v", "v,x"}},
 		"in flight at crashed endpoints":    {"e1:v,own1 e1:bad e2:v,own2 e2:bad e3:v,own3 e3:bad e4:bad", []string{"bad"}, []string{"v", "v,own1"}},
+		"in flight at the first two":        {"e1:v,bad e2:v,bad", []string{"v,bad"}, []string{"v", "v,x", "bad"}},
 		"answered before, five crashes":     {"+e9:c e1:c e2:c e3:c e4:c e5:c", nil, []string{"c"}},
 		"answered before, six crashes":      {"+e9:c e1:c e2:c e3:c e4:c e5:c e6:c", []string{"c"}, nil},
 		"answered in between":               {"e1:c e2:c +e9:c e3:c", nil, []string{"c"}},
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -11,15 +11,16 @@
 	// minCrashes is the number of endpoints that must have crashed under a part which no
 	// endpoint is known to have answered, minCrashesAnswered that under one which was
 	// answered before.
-	minCrashes         = 3
+	minCrashes         = 2
 	minCrashesAnswered = 6
-	// banTime is how long after the last crash a part that was never answered is
-	// rejected everywhere; it doubles with each further crash up to maxBanDoublings
-	// times. After it the part is on probation.
+	// firstBanTime is how long after the last crash a part is rejected everywhere that is
+	// blamed for the least number of crashes, or that was answered before. After a ban the
+	// part is on probation.
+	firstBanTime = 5 * time.Second
+	// banTime is the same after a further crash under a part that was never answered; it
+	// doubles with each one after that, up to maxBanDoublings times.
 	banTime         = time.Minute
 	maxBanDoublings = 3
-	// banTimeAnswered is the same for a part that was answered before.
-	banTimeAnswered = 5 * time.Second
 	// aliveMargin is how long after its loss an endpoint must have answered for the loss
 	// not to count: hosts notice it at slightly different times.
 	aliveMargin = 250 * time.Millisecond
@@ -163,14 +164,11 @@
 	for s := range crashes {
 		last = max(last, losses[s].at)
 	}
-	ban, least := banTime, minCrashes
-	if answered {
-		ban, least = banTimeAnswered, minCrashesAnswered
-	}
-	return suspicion{
-		parts: group, crashes: len(crashes),
-		bannedUntil: last + ban<<min(len(crashes)-least, maxBanDoublings),
+	ban := firstBanTime
+	if further := len(crashes) - minCrashes - 1; further >= 0 && !answered {
+		ban = banTime << min(further, maxBanDoublings)
 	}
+	return suspicion{parts: group, crashes: len(crashes), bannedUntil: last + ban}
 }
 
 // applies reports whether a prompt holds all parts of the group, so that whichever of
