Let a request that tries a part wait for an endpoint

Found by reading the change: a request with a part on probation is asked about at each look at the queue. The first permitted it, the next rejected it, so that where endpoints are full no request ever tried the part, and a part that was banned by mistake stayed so.

Change: the permission belongs to the request, known by its prompt's own part.

Result: TestProbation has the case, which failed before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -72,10 +72,16 @@
 	// unsentLosses and unsentAnswers name the records that changed since the last message.
 	unsentLosses  map[start]map[partID]bool
 	unsentAnswers map[partID]bool
-	probedAt      map[partID]time.Duration
+	probes        map[partID]probe
 	logged        map[partID]bool // parts of which a rejection is logged
 }
 
+// probe is the last request of this host with a part on probation.
+type probe struct {
+	at  time.Duration
+	own string // the last part of its prompt
+}
+
 // New returns an empty List and registers its handlers with cfg.Peers.
 func New(cfg Config) *List {
 	if cfg.Clock == nil {
@@ -84,7 +90,7 @@
 	l := &List{
 		cfg: cfg, wake: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), losses: make(map[start]*loss),
 		unsentLosses: make(map[start]map[partID]bool), unsentAnswers: make(map[partID]bool),
-		probedAt: make(map[partID]time.Duration), logged: make(map[partID]bool),
+		probes: make(map[partID]probe), logged: make(map[partID]bool),
 	}
 	cfg.Peers.Handle(methodSpread, l.handleSpread)
 	cfg.Peers.Handle(methodPull, l.handlePull)
@@ -124,7 +130,7 @@
 	now := l.cfg.Clock()
 	for i := range l.suspects {
 		s := &l.suspects[i]
-		if !s.applies(ids) || now >= s.bannedUntil && l.mayProbe(s.parts[0], now) {
+		if !s.applies(ids) || now >= s.bannedUntil && l.mayProbe(s.parts[0], parts[len(parts)-1], now) {
 			continue
 		}
 		if !l.logged[s.parts[0]] {
@@ -137,16 +143,17 @@
 	return false
 }
 
-// mayProbe reports whether this host may send a request with a part on probation: one
-// host at a time tries whether the part still crashes endpoints. l.mu is held.
-func (l *List) mayProbe(p partID, now time.Duration) bool {
-	if at, probed := l.probedAt[p]; probed && now-at < probeInterval {
-		return false
+// mayProbe reports whether this host may send a request with a part on probation, whose
+// prompt ends with own: one host at a time tries whether the part still crashes endpoints.
+// A request that waits for an endpoint asks again and again. l.mu is held.
+func (l *List) mayProbe(p partID, own string, now time.Duration) bool {
+	if last, probed := l.probes[p]; probed && now-last.at < probeInterval {
+		return own == last.own
 	}
 	if !l.responsible(p) {
 		return false
 	}
-	l.probedAt[p] = now
+	l.probes[p] = probe{now, own}
 	l.cfg.Logger.Info("trying a part that crashed endpoints", "part", p)
 	return true
 }
@@ -299,7 +306,7 @@
 		})
 		delete(l.losses, oldest)
 	}
-	maps.DeleteFunc(l.probedAt, func(_ partID, at time.Duration) bool { return now-at > lossRetention })
+	maps.DeleteFunc(l.probes, func(_ partID, last probe) bool { return now-last.at > lossRetention })
 }
 
 func set(ids []partID) map[partID]bool {
