Count connections that fail at one moment as one for the backoff

Seen in TestSilentEndpoint, with an endpoint that is silent for 1.2 s and alone holds a model: requests were refused up to 0.6 s after it was back.

Cause: each failed connection doubles the backoff. A host that sends fifteen requests at once to a silent endpoint goes from no backoff to 4 s at one moment.

Change: failures within a backoff don't extend it; after one the endpoint gets one request at a time until it has begun an answer, so that a dead one costs one request each time in place of many.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -542,6 +542,9 @@
 func (g *Grant) Started() {
 	g.d.mu.Lock()
 	defer g.d.mu.Unlock()
+	if e := g.d.endpoints[g.Endpoint.ID]; e != nil {
+		e.backoffs = 0
+	}
 	g.markStarted()
 }
 
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -82,6 +82,10 @@
 	if now.Before(e.backoffUntil) || e.own+e.others >= e.maxRequests(req) || e.signals.refusesAll(e.own, now) {
 		return false
 	}
+	if e.backoffs > 0 && e.prefilling > 0 {
+		// One request at a time finds out whether the endpoint is back.
+		return false
+	}
 	if !e.entry.GoneAt.IsZero() && e.entry.GoneAt.Sub(now) < removalMargin {
 		return false
 	}
@@ -165,6 +169,10 @@
 		return
 	case ResultUnreachable:
 		e.failureRate = rate*(1-failureAverageWeight) + failureAverageWeight
+		if now.Before(e.backoffUntil) {
+			// Another request of the same moment has failed before.
+			break
+		}
 		e.backoffUntil = now.Add(min(unreachableBackoff<<min(e.backoffs, 8), maxUnreachableBackoff))
 		e.backoffs++
 	case ResultDisconnected:
--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -41,6 +41,7 @@
 	ends     []time.Time                // when endpoints crashed
 	arrivals []servingArrival           // of requests with a crashing part
 	calls    []servingCall
+	requests map[string]int // by endpoint
 	nextID   int
 }
 
@@ -62,7 +63,7 @@
 
 // startServing starts the cluster. loops run for each process of a host.
 func startServing(s *serving, output io.Writer, loops ...func(context.Context, *serving, *clusterHost)) (*serving, context.CancelFunc) {
-	s.servers = make(map[string]*ingress.Server)
+	s.servers, s.requests = make(map[string]*ingress.Server), make(map[string]int)
 	built := make(chan struct{})
 	c, cancel := startCluster(true, output, func(ctx context.Context, h *clusterHost) {
 		<-built
@@ -143,6 +144,9 @@
 // answer streams an answer.
 func (s *serving) answer(r *replica, w http.ResponseWriter, req *http.Request, crash func()) {
 	_, _ = io.Copy(io.Discard, req.Body)
+	s.mu.Lock()
+	s.requests[r.id]++
+	s.mu.Unlock()
 	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
 	if s.behave != nil {
 		declines, falls := s.behave(s, r.id, req.Header.Get("Sender"), w)
@@ -185,6 +189,26 @@
 	}
 }
 
+// received returns the number of requests that an endpoint got.
+func (s *serving) received(endpoint string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[endpoint]
+}
+
+// busiest returns the endpoint that got the most requests.
+func (s *serving) busiest() *replica {
+	var out *replica
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	for _, r := range s.c.replicas {
+		if out == nil || s.received(r.id) > s.received(out.id) {
+			out = r
+		}
+	}
+	return out
+}
+
 // inTouch reports whether a host was undisturbed for adaptTime.
 func (s *serving) inTouch(name string) bool {
 	h := s.c.host(name)
--- a/entry/hosted/signals_test.go
+++ b/entry/hosted/signals_test.go
@@ -189,3 +189,57 @@
 		})
 	}
 }
+
+// TestSilentEndpoint guards against a sound endpoint that is silent for a while and whose
+// answers are given up, and against a silent one that takes requests until their deadline.
+func TestSilentEndpoint(t *testing.T) {
+	for name, tt := range map[string]struct {
+		silence time.Duration
+		broken  int // most requests that fail other than by a refusal
+		reached int // most requests that go there from one second of silence on
+	}{
+		"a second":            {1200 * time.Millisecond, 0, 0},
+		"to the end of trial": {signalTime, 40, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var complete, broken, all, reached int
+			synctest.Test(t, func(*testing.T) {
+				from := time.Now().Add(warmUp)
+				var silent *replica
+				s := &serving{}
+				s, cancel := startServing(s, io.Discard, func(ctx context.Context, s *serving, h *clusterHost) {
+					wait.For(ctx, time.Until(from))
+					for n := 0; wait.For(ctx, 50*time.Millisecond); n++ {
+						s.c.wg.Go(func() { s.call(ctx, h.name, "sound", commonPart, fmt.Sprintf("subject%d", n%subjects)) })
+					}
+				})
+				wait.For(s.c.ctx, time.Until(from.Add(time.Second)))
+				silent = s.busiest()
+				s.c.network.Freeze(netName(silent), true)
+				wait.For(s.c.ctx, time.Second)
+				before := s.received(silent.id)
+				wait.For(s.c.ctx, tt.silence-time.Second)
+				s.c.network.Freeze(netName(silent), false)
+				reached = s.received(silent.id) - before
+				wait.For(s.c.ctx, signalTime-tt.silence)
+				ended := time.Now()
+				s.stop(cancel)
+				for _, call := range s.calls {
+					if call.at.Before(ended.Add(-callTimeout)) {
+						all++
+						switch {
+						case call.complete:
+							complete++
+						case call.status != http.StatusServiceUnavailable:
+							broken++
+						}
+					}
+				}
+			})
+			t.Logf("complete %d of %d, broken %d, reached %d", complete, all, broken, reached)
+			require.Greater(t, float64(complete), minBegunRatio*float64(all))
+			require.LessOrEqual(t, broken, tt.broken)
+			require.LessOrEqual(t, reached, tt.reached)
+		})
+	}
+}
