--- a/reach/reach.go
+++ b/reach/reach.go
@@ -151,7 +151,7 @@
 	defer m.mu.Unlock()
 	untried := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return m.failed[a] })
 	failed := slices.DeleteFunc(addresses, func(a string) bool { return !m.failed[a] })
-	all := append(untried, failed...)
+	all := slices.Concat(untried, failed)
 	return all[:min(len(all), trials)]
 }
 
