Give up a forwarded request at its deadline

Found by reading the change: a request that an isolated host forwards to a host which does not answer, such as a suspended one, was held until the caller left.

Change: the forwarded request ends with the deadline of the caller or the route, with 504 if nothing has been sent to the caller, else with a stream that is broken off.

Result: TestForwardToOtherHost, eleven cases, hung in the case without an answer before and passes.

--- a/ingress/host.go
+++ b/ingress/host.go
@@ -37,12 +37,14 @@
 		x.refuse("this host reaches no endpoint", time.Time{})
 		return
 	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline.Add(responseGrace))
+	defer cancel()
 	hosts := x.server.cfg.OtherHosts()
 	for _, host := range hosts[:min(len(hosts), maxForwards)] {
-		resp, err := x.sendToHost(host)
+		resp, err := x.sendToHost(ctx, host)
 		switch {
 		case err == nil && resp.Header.Get(headerIsolated) == "":
-			x.relayFromHost(host, resp)
+			x.relayFromHost(ctx, host, resp)
 			return
 		case err == nil:
 			_ = resp.Body.Close()
@@ -64,23 +66,24 @@
 
 // sendToHost forwards the caller's request to another host as it is, but for the time
 // that is left.
-func (x *exchange) sendToHost(host tamarackknot.HostEntry) (*http.Response, error) {
+func (x *exchange) sendToHost(ctx context.Context, host tamarackknot.HostEntry) (*http.Response, error) {
 	header := x.server.cfg.Dialect.Forward(x.r.Header, tamarackknot.EndpointAttempt{Deadline: x.deadline})
 	header.Set(headerForwardedBy, x.server.cfg.Host)
 	req := (&http.Request{
 		Method: x.r.Method, URL: &url.URL{Scheme: "http", Host: host.Address, Opaque: x.r.RequestURI}, Host: x.r.Host,
 		Header: header, Body: x.bodyReader(), ContentLength: int64(len(x.body)),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}).WithContext(x.r.Context())
+	}).WithContext(ctx)
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""}
 	}
 	return x.server.hostTransport.RoundTrip(req)
 }
 
-// relayFromHost sends the response of another host to the caller as it arrives.
-func (x *exchange) relayFromHost(host tamarackknot.HostEntry, resp *http.Response) {
-	stop := context.AfterFunc(x.r.Context(), func() { _ = resp.Body.Close() })
+// relayFromHost sends the response of another host to the caller as it arrives, until ctx
+// ends.
+func (x *exchange) relayFromHost(ctx context.Context, host tamarackknot.HostEntry, resp *http.Response) {
+	stop := context.AfterFunc(ctx, func() { _ = resp.Body.Close() })
 	defer stop()
 	defer func() { _ = resp.Body.Close() }()
 	h := x.w.Header()
--- /dev/null
+++ b/ingress/host_test.go
@@ -0,0 +1,94 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// TestForwardToOtherHost guards against an isolated host that fails what other hosts can
+// serve, that holds requests past their deadline, or that passes them on for ever.
+func TestForwardToOtherHost(t *testing.T) {
+	answer := func(status int, header, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if header != "" {
+				w.Header().Set(header, "1")
+			}
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("From", r.Header.Get(headerForwardedBy)+r.Header.Get("Endpoint"))
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	unreachable := httptest.NewServer(nil)
+	unreachable.Close()
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, event(0))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	for name, tt := range map[string]struct {
+		hosts     []http.HandlerFunc // nil: unreachable
+		forwarded bool
+		status    int
+		body      string
+		broken    bool
+		retry     string
+		isolated  string
+	}{
+		"served":                     {[]http.HandlerFunc{answer(200, "", "x")}, false, 200, "x", false, "", ""},
+		"a failure":                  {[]http.HandlerFunc{answer(500, "", "x"), answer(200, "", "y")}, false, 500, "x", false, "", ""},
+		"refused, with a time":       {[]http.HandlerFunc{answer(503, "Retry-After", "x")}, false, 503, "x", false, "1", ""},
+		"unreachable, the next":      {[]http.HandlerFunc{nil, answer(200, "", "x")}, false, 200, "x", false, "", ""},
+		"isolated as well, the next": {[]http.HandlerFunc{answer(503, headerIsolated, "x"), answer(200, "", "y")}, false, 200, "y", false, "", ""},
+		"connection lost, no other":  {[]http.HandlerFunc{resetConn, answer(200, "", "y")}, false, 502, "", false, "", ""},
+		"all unreachable":            {[]http.HandlerFunc{nil, nil, nil, answer(200, "", "x")}, false, 503, "", false, "0.50", ""},
+		"no other host":              {nil, false, 503, "", false, "0.50", ""},
+		"no answer":                  {[]http.HandlerFunc{silent}, false, 504, "", false, "", ""},
+		"stream cut off":             {[]http.HandlerFunc{cut}, false, 200, event(0), true, "", ""},
+		"forwarded to this host":     {[]http.HandlerFunc{answer(200, "", "x")}, true, 503, "", false, "", "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, tamarackknot.Route{Kind: stream, Resumable: true, Attempts: 2}, events(5, nil))
+			var hosts []tamarackknot.HostEntry
+			for _, handler := range tt.hosts {
+				address := unreachable.Listener.Addr().String()
+				if handler != nil {
+					s := httptest.NewServer(handler)
+					t.Cleanup(s.Close)
+					address = s.Listener.Addr().String()
+				}
+				hosts = append(hosts, tamarackknot.HostEntry{Address: address})
+			}
+			h.server.cfg.Host = "h"
+			h.server.cfg.Isolated = func() bool { return true }
+			h.server.cfg.OtherHosts = func() []tamarackknot.HostEntry { return hosts }
+			header := map[string]string{"Patience": "600ms"}
+			if tt.forwarded {
+				header[headerForwardedBy] = "i"
+			}
+			began := time.Now()
+			resp, body, err := h.do(call{header: header})
+			require.Less(t, time.Since(began), time.Second)
+			require.NotNil(t, resp)
+			require.Equal(t, tt.broken, err != nil)
+			require.Equal(t, tt.status, resp.StatusCode, body)
+			require.Equal(t, tt.retry, resp.Header.Get("Retry-After"))
+			require.Equal(t, tt.isolated, resp.Header.Get(headerIsolated))
+			if tt.body != "" {
+				require.Equal(t, tt.body, body)
+			}
+			if tt.status == http.StatusOK && !tt.broken {
+				require.Equal(t, "h", resp.Header.Get("From"), "marked, and not for an endpoint")
+			}
+			require.Empty(t, h.reached())
+		})
+	}
+}
