Don't judge requests that no host in touch could serve

Trace: h3, the only host that reached endpoints, is the planner and is restarted at 45.0, and the store is restored at the same moment. It has no configuration until 48.1 and refuses what the others forward, as it refuses its own callers.

Change: the oracle leaves out requests during which no host in touch reached endpoints, at isolated hosts and at the others alike.

--- a/entry/hosted/isolation_test.go
+++ b/entry/hosted/isolation_test.go
@@ -36,6 +36,12 @@
 
 // isolate cuts hosts off from all endpoints, or ends that.
 func (s *serving) isolate(how isolation, on bool, hosts ...string) {
+	s.mu.Lock()
+	s.isolated = nil
+	if on {
+		s.isolated = hosts
+	}
+	s.mu.Unlock()
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	for _, host := range hosts {
