--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -98,8 +98,12 @@
 // serveCallers serves connections from other hosts until ctx ends.
 func (s *serving) serveCallers(ctx context.Context, h *clusterHost, handler http.Handler) {
 	l, err := s.c.network.Host(h.name).Listen(ctx, h.self.Address)
-	if err != nil {
-		panic(err)
+	for err != nil {
+		// The process before this one is about to close its listener.
+		if !wait.For(ctx, 10*time.Millisecond) {
+			return
+		}
+		l, err = s.c.network.Host(h.name).Listen(ctx, h.self.Address)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	s.c.wg.Go(func() { _ = server.Serve(l) })
