Count a broken answer only if its endpoint can't be reached

Cause: endpoints that fail part of their answers break many a second and go on.

Change: the host that sees a broken answer opens a connection to the endpoint before it counts. A crashed one refuses it for seconds; at a host that is cut off it fails as well, and other hosts speak for the endpoint as before.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -111,7 +111,7 @@
 func (c *components) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
-		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.crashes.Run, c.crashes.RunStore, c.reach.Run, c.yieldLoop,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.crashes.Run, c.crashes.RunStore, c.crashes.RunChecks, c.reach.Run, c.yieldLoop,
 	}
 }
 
@@ -217,7 +217,7 @@
 	})
 	c.origins = origin.New(origin.Config{Peers: c.cfg.peers, Others: c.otherHosts, Logger: logger})
 	c.crashes = quarantine.New(quarantine.Config{
-		Self: s.Host, Peers: c.cfg.peers, Store: store, Others: c.otherHosts, Clock: c.cfg.clock, Logger: logger,
+		Self: s.Host, Peers: c.cfg.peers, Store: store, Others: c.otherHosts, Reachable: c.endpointReachable, Clock: c.cfg.clock, Logger: logger,
 	})
 	c.shares = share.New(share.Config{Self: s.Host, Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
@@ -381,6 +381,16 @@
 	return out
 }
 
+// endpointReachable reports whether a connection to an endpoint can be made.
+func (c *components) endpointReachable(ctx context.Context, address string) bool {
+	conn, err := c.reach.Dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // isolationChanged tells the planner, or lets another host plan if this one reaches no
 // endpoint.
 func (c *components) isolationChanged() {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 package quarantine
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
@@ -45,6 +46,9 @@
 	Store tamarackknot.Store
 	// Others returns the names of the other live hosts.
 	Others func() []string
+	// Reachable reports whether a connection to an endpoint can be made. A broken answer
+	// counts only if it can't. Nil means that it never can.
+	Reachable func(ctx context.Context, address string) bool
 	// Clock returns the time since boot, including the time of suspension. Nil means the
 	// system's clock.
 	Clock  func() time.Duration
@@ -58,6 +62,7 @@
 	cfg       Config
 	wake      chan struct{}
 	wakeStore chan struct{}
+	checks    chan check
 	// active is true while there are losses; the hot path reads nothing else without them.
 	active atomic.Bool
 
@@ -88,7 +93,7 @@
 		cfg.Clock = times.SinceBoot
 	}
 	l := &List{
-		cfg: cfg, wake: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), losses: make(map[start]*loss),
+		cfg: cfg, wake: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), checks: make(chan check, maxChecks), losses: make(map[start]*loss),
 		unsentLosses: make(map[start]map[partID]bool), unsentAnswers: make(map[partID]bool),
 		probes: make(map[partID]probe), logged: make(map[partID]bool),
 	}
@@ -173,9 +178,22 @@
 	if len(ids) == 0 {
 		return
 	}
+	c := check{startOf(e), e.Address, loss{at: l.cfg.Clock(), parts: set(ids)}}
+	if l.cfg.Reachable == nil {
+		l.addLoss(c)
+		return
+	}
+	select {
+	case l.checks <- c:
+	default:
+		l.cfg.Logger.Warn("broken answer not looked into, too many wait", "endpoint", e.ID)
+	}
+}
+
+func (l *List) addLoss(c check) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.mergeLoss(startOf(e), loss{at: l.cfg.Clock(), parts: set(ids)})
+	l.mergeLoss(c.start, c.loss)
 	l.update()
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -135,6 +136,31 @@
 	require.Equal(t, 1, probing)
 }
 
+// TestReachableEndpoint guards against single broken answers of endpoints that go on, which
+// are taken for crashes and spread to all hosts.
+func TestReachableEndpoint(t *testing.T) {
+	for name, reachable := range map[string]bool{"goes on": true, "crashed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := newTrial()
+				tr.cfg.Reachable = func(_ context.Context, address string) bool {
+					require.Contains(t, address, "address of e")
+					return reachable
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go tr.RunChecks(ctx)
+				for _, id := range []string{"e1", "e2"} {
+					tr.RecordLoss(tamarackknot.EndpointEntry{ID: id, Service: "s", Address: "address of " + id}, []string{"bad", "own"})
+				}
+				synctest.Wait()
+				require.Equal(t, !reachable, tr.rejects("bad"))
+				require.Equal(t, reachable, len(tr.changes().Losses) == 0)
+			})
+		})
+	}
+}
+
 // TestBounds guards against records without limit, and against message parts that can't
 // be read.
 func TestBounds(t *testing.T) {
