Merge notices of endpoints with one condition for each case

Found when the change was read again: whether a start leaves was derived in three expressions that repeated each other. The order of the cases and their outcomes are as before; TestLimits and TestLeavingNotices pass.

--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -26,15 +26,19 @@
 			l.byEndpoint = make(map[string]tamarackknot.EndpointNotice)
 		}
 		old, known := l.byEndpoint[n.Endpoint]
-		sameStart := known && n.Born.Equal(old.Born)
-		leaves := sameStart && n.Leaving && !old.Leaving
-		if known && (n.Born.Before(old.Born) || sameStart && n.At.Before(old.At)) {
-			if !leaves {
-				continue
+		switch {
+		case known && n.Born.Before(old.Born):
+			continue
+		case known && n.Born.Equal(old.Born):
+			leaving := n.Leaving || old.Leaving
+			if n.At.Before(old.At) {
+				if leaving == old.Leaving {
+					continue
+				}
+				n = old
 			}
-			n = old
+			n.Leaving = leaving
 		}
-		n.Leaving = n.Leaving || leaves || sameStart && old.Leaving
 		l.byEndpoint[n.Endpoint] = n
 		l.version++
 	}
