Build, relay and write requests in one place for endpoints and other hosts

Found when the change was read again: the code that forwards to another host repeated how a request is built, how headers are relayed, how a write to the caller is limited and flushed, and how failed connections are marked. Each stands once now (outgoing, relayHeader, writeNow, newTransport), the second of them also for its two older twins. No decision changes.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -41,7 +41,13 @@
 // the request ran.
 func newTransport(dial DialFunc, keepAlive bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, errors.Mark(err, errNotSent)
+			}
+			return conn, nil
+		},
 		DisableCompression:     true,
 		DisableKeepAlives:      !keepAlive,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
@@ -58,7 +64,7 @@
 		if ctx.Err() == nil {
 			s.failedDials.Add(1)
 		}
-		return nil, errors.Mark(err, errNotSent)
+		return nil, err
 	}
 	s.failedDials.Store(0)
 	return conn, nil
@@ -76,20 +82,7 @@
 // send forwards the request to an endpoint and returns once the response
 // headers have arrived.
 func (x *exchange) send(ctx context.Context, e tamarackknot.EndpointEntry, a tamarackknot.EndpointAttempt) (*http.Response, error) {
-	target := &url.URL{Scheme: "http", Host: e.Address, Opaque: x.r.RequestURI}
-	req := (&http.Request{
-		Method:        x.r.Method,
-		URL:           target,
-		Host:          x.r.Host,
-		Header:        x.server.cfg.Dialect.Forward(x.r.Header, a),
-		Body:          x.bodyReader(),
-		ContentLength: int64(len(x.body)),
-		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}).WithContext(ctx)
-	if _, ok := req.Header["User-Agent"]; !ok {
-		// An empty value keeps the transport from adding its own User-Agent.
-		req.Header["User-Agent"] = []string{""}
-	}
+	req := x.outgoing(ctx, e.Address, a)
 	transport := x.server.onceTransport
 	if x.route.Kind == tamarackknot.RouteRepeatable && (len(x.body) > 0 || slices.Contains(bodylessMethods(), x.r.Method)) {
 		transport = x.server.keepAliveTransport
@@ -106,6 +99,24 @@
 	return resp, err
 }
 
+// outgoing returns the request as it is sent to an address.
+func (x *exchange) outgoing(ctx context.Context, address string, a tamarackknot.EndpointAttempt) *http.Request {
+	req := (&http.Request{
+		Method:        x.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: address, Opaque: x.r.RequestURI},
+		Host:          x.r.Host,
+		Header:        x.server.cfg.Dialect.Forward(x.r.Header, a),
+		Body:          x.bodyReader(),
+		ContentLength: int64(len(x.body)),
+		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		// An empty value keeps the transport from adding its own User-Agent.
+		req.Header["User-Agent"] = []string{""}
+	}
+	return req
+}
+
 // retrySent returns a function that counts a retry as sent. The transport calls it on
 // a goroutine of its own.
 func (*exchange) retrySent(retry *dispatch.Retry) func(httptrace.WroteRequestInfo) {
--- a/ingress/host.go
+++ b/ingress/host.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/url"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,16 +64,8 @@
 // sendToHost forwards the caller's request to another host as it is, but for the time
 // that is left.
 func (x *exchange) sendToHost(ctx context.Context, host tamarackknot.HostEntry) (*http.Response, error) {
-	header := x.server.cfg.Dialect.Forward(x.r.Header, tamarackknot.EndpointAttempt{Deadline: x.deadline})
-	header.Set(headerForwardedBy, x.server.cfg.Host)
-	req := (&http.Request{
-		Method: x.r.Method, URL: &url.URL{Scheme: "http", Host: host.Address, Opaque: x.r.RequestURI}, Host: x.r.Host,
-		Header: header, Body: x.bodyReader(), ContentLength: int64(len(x.body)),
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}).WithContext(ctx)
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = []string{""}
-	}
+	req := x.outgoing(ctx, host.Address, tamarackknot.EndpointAttempt{Deadline: x.deadline})
+	req.Header.Set(headerForwardedBy, x.server.cfg.Host)
 	return x.server.hostTransport.RoundTrip(req)
 }
 
@@ -86,12 +75,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = resp.Body.Close() })
 	defer stop()
 	defer func() { _ = resp.Body.Close() }()
-	h := x.w.Header()
-	for name, values := range x.server.cfg.Dialect.Relay(resp.Header) {
-		h[name] = slices.Clone(values)
-	}
+	x.relayHeader(resp.Header)
 	if after := resp.Header.Get("Retry-After"); after != "" {
-		h.Set("Retry-After", after)
+		x.w.Header().Set("Retry-After", after)
 	}
 	x.w.WriteHeader(resp.StatusCode)
 	x.server.counters.forwarded.Inc(1)
@@ -114,12 +100,7 @@
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			// Connections in tests may not support write deadlines.
-			_ = rc.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
-			if _, err := x.w.Write(buf[:n]); err != nil {
-				return err
-			}
-			if err := rc.Flush(); err != nil {
+			if err := x.writeNow(rc, buf[:n]); err != nil {
 				return err
 			}
 		}
@@ -131,12 +112,3 @@
 		}
 	}
 }
-
-// dialHost opens a connection to another host.
-func (s *Server) dialHost(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := s.cfg.Dial(ctx, network, address)
-	if err != nil {
-		return nil, errors.Mark(err, errNotSent)
-	}
-	return conn, nil
-}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -175,14 +175,20 @@
 	panic(http.ErrAbortHandler)
 }
 
-// relay sends the response of an endpoint to the caller.
-func (x *exchange) relay(resp *bufferedResponse) {
+// relayHeader sets the headers of a response to the caller to those of an endpoint or
+// another host.
+func (x *exchange) relayHeader(from http.Header) {
 	h := x.w.Header()
-	for name, values := range x.server.cfg.Dialect.Relay(resp.header) {
+	for name, values := range x.server.cfg.Dialect.Relay(from) {
 		h[name] = slices.Clone(values)
 	}
+}
+
+// relay sends the response of an endpoint to the caller.
+func (x *exchange) relay(resp *bufferedResponse) {
+	x.relayHeader(resp.header)
 	if x.r.Method != http.MethodHead && resp.status != http.StatusNoContent && resp.status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
 	}
 	x.w.WriteHeader(resp.status)
 	// An error means that the caller has disconnected.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -100,7 +100,7 @@
 	}
 	s := &Server{cfg: cfg, counters: newCounters(cfg.Metrics)}
 	s.onceTransport, s.keepAliveTransport = newTransport(s.dialEndpoint, false), newTransport(s.dialEndpoint, true)
-	s.hostTransport = newTransport(s.dialHost, false)
+	s.hostTransport = newTransport(cfg.Dial, false)
 	return s
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -210,11 +210,8 @@
 	if x.headerSent {
 		return
 	}
-	h := x.w.Header()
-	for name, values := range x.server.cfg.Dialect.Relay(endpoint) {
-		h[name] = slices.Clone(values)
-	}
-	h.Del("Content-Length")
+	x.relayHeader(endpoint)
+	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(http.StatusOK)
 	x.headerSent = true
 }
@@ -283,9 +280,14 @@
 		x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
 	}
 	x.lastEventAt = now
+	return x.writeNow(rc, event)
+}
+
+// writeNow sends data to the caller at once. The error is marked with errCallerWrite.
+func (x *exchange) writeNow(rc *http.ResponseController, data []byte) error {
 	// Connections in tests may not support write deadlines.
-	_ = rc.SetWriteDeadline(now.Add(eventWriteTimeout))
-	if _, err := x.w.Write(event); err != nil {
+	_ = rc.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	if _, err := x.w.Write(data); err != nil {
 		return errors.Mark(err, errCallerWrite)
 	}
 	if err := rc.Flush(); err != nil {
