Log which lost answers belong to the same request

What operators saw: endpoints of mould-api end again and again, and no line tells whether one request does it, since each attempt of a caller has an id of its own.

Change: "answer lost" names a hash of what the caller asks for (credentials, method, host, path, query, model, body). Nothing decides by it yet.

--- a/callerrequest.go
+++ b/callerrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net/http"
 	"time"
 )
@@ -14,6 +15,8 @@
 	Timeout time.Duration
 	Model   string
 	Adapter string
+	// Credentials prove who the caller is; empty if it names none.
+	Credentials string
 	// Parts are the ids of the prompt's parts in order.
 	Parts []string
 	// LastEvent is the id of the last event that the caller received of a
@@ -24,6 +27,11 @@
 	Resumes string
 }
 
+// ContentID identifies what a request asks for, whichever attempt of its caller it is.
+type ContentID [8]byte
+
+func (c ContentID) String() string { return hex.EncodeToString(c[:]) }
+
 // StreamOrigin says what began a stream: the service, and the version of its endpoints'
 // software.
 type StreamOrigin struct{ Service, Version string }
--- /dev/null
+++ b/ingress/content.go
@@ -0,0 +1,25 @@
+package ingress
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"tamarackknot.example/tamarackknot"
+)
+
+// contentID returns the id of what the caller asks for: its credentials, the method, host,
+// path and query, the model and the body.
+func (x *exchange) contentID() tamarackknot.ContentID {
+	h := sha256.New()
+	var size [8]byte
+	for _, field := range [][]byte{
+		[]byte(x.service), []byte(x.caller.Credentials), []byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI),
+		[]byte(x.caller.Model), []byte(x.caller.Adapter), x.body,
+	} {
+		// The size keeps neighbouring fields apart.
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		_, _ = h.Write(size[:])
+		_, _ = h.Write(field)
+	}
+	return tamarackknot.ContentID(h.Sum(nil)[:len(tamarackknot.ContentID{})])
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -213,7 +213,7 @@
 // events was received. err is nil if the answer is too long.
 func (x *exchange) recordLost(g *dispatch.Grant, events int, err error) {
 	x.server.cfg.Logger.Info("answer lost", "request", x.caller.ID, "service", x.service, "model", x.caller.Model,
-		"parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
+		"content", x.contentID(), "parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
 		"events", events, "error", err)
 	if events < provenEvents && connectionLost(err) {
 		x.server.cfg.Crashes.RecordLoss(g.Endpoint, x.caller.Parts)
