Test that a request which crashes endpoints is not sent to further ones

The trial of crashing parts now takes its load as a value and counts late requests by body; its cases and bounds are as before.

--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	clusterHosts     = 4
 	clusterEngines   = 3
 	clusterModels    = 12
+	// Endpoints of the plain service have ids that begin with its name.
+	plainService = "p"
+	plainPrefix  = "/plain/"
 )
 
 // cluster runs the components of several hosts on a fake store, fake links and
@@ -64,6 +68,7 @@
 	replicas   map[string]*replica // by endpoint id, those of today and of before
 	version    int64
 	quiet      bool                 // no more requests are sent
+	plain      bool                 // the configuration has a plain service
 	lastOrder  map[string]sentOrder // by engine address
 	tokens     map[int64]string     // host by fencing token
 	violations []string
@@ -112,6 +117,14 @@
 	goneAt time.Time                  // when the store accepted that it has left; zero before
 }
 
+// service returns the service of the endpoint.
+func (r *replica) service() string {
+	if strings.HasPrefix(r.id, plainService) {
+		return plainService
+	}
+	return "s"
+}
+
 func (r *replica) key() startKey { return startKey{r.id, r.born.UnixMilli()} }
 
 func (c *cluster) violate(format string, args ...any) {
@@ -421,9 +434,9 @@
 	for c.ctx.Err() == nil {
 		c.configTurn <- struct{}{}
 		c.mu.Lock()
-		version := c.version
+		version, plain := c.version, c.plain
 		c.mu.Unlock()
-		_, err := c.store.Put(c.ctx, tamarackknot.StreamCatalog, "config", configRecord(version))
+		_, err := c.store.Put(c.ctx, tamarackknot.StreamCatalog, "config", configRecord(version, plain))
 		<-c.configTurn
 		if err == nil {
 			return
@@ -432,19 +445,24 @@
 	}
 }
 
-// configRecord returns a version of the configuration in the platform's format.
-func configRecord(version int64) []byte {
+// configRecord returns a version of the configuration in the platform's format, with a
+// plain service if plain is set.
+func configRecord(version int64, plain bool) []byte {
 	models := make([]map[string]any, 0, clusterModels)
 	for i := range clusterModels {
 		models = append(models, map[string]any{"name": modelName(i), "weightsMb": 70000, "loadS": 1.5, "warmS": 0.2, "diskS": 0.6})
 	}
-	data, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes":  []map[string]any{{"name": "r", "host": "a", "pathPrefix": "/", "kind": "streaming", "svc": "s", "attempts": 1}},
-		"services": []map[string]any{{"name": "s", "engine": map[string]any{
-			"slots": 8, "weightsMb": 220000, "loraSlots": 4, "hostMb": 150000, "diskMb": 1500000, "loadsPerS": 4, "models": models,
-		}}},
-	})
+	routes := []map[string]any{{"name": "r", "host": "a", "pathPrefix": "/", "kind": "streaming", "svc": "s", "attempts": 1}}
+	services := []map[string]any{{"name": "s", "engine": map[string]any{
+		"slots": 8, "weightsMb": 220000, "loraSlots": 4, "hostMb": 150000, "diskMb": 1500000, "loadsPerS": 4, "models": models,
+	}}}
+	if plain {
+		routes = append(routes, map[string]any{
+			"name": "q", "host": "a", "pathPrefix": plainPrefix, "kind": "idempotent", "svc": plainService, "attempts": 2, "sloMs": 150, "timeoutMs": 2500,
+		})
+		services = append(services, map[string]any{"name": plainService})
+	}
+	data, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services})
 	if err != nil {
 		panic(err)
 	}
@@ -513,9 +531,11 @@
 }
 
 func (r *replica) entry(state tamarackknot.EndpointState) []byte {
-	data, err := json.Marshal(map[string]any{
-		"svc": "s", "addr": r.address, "zone": "z1", "slots": 8, "state": state, "born": r.born.UnixMilli(), "phase": "colocated",
-	})
+	fields := map[string]any{"svc": r.service(), "addr": r.address, "zone": "z1", "slots": 8, "state": state, "born": r.born.UnixMilli()}
+	if r.service() != plainService {
+		fields["phase"] = "colocated"
+	}
+	data, err := json.Marshal(fields)
 	if err != nil {
 		panic(err)
 	}
--- a/entry/hosted/crash_test.go
+++ b/entry/hosted/crash_test.go
@@ -31,27 +31,60 @@
 	calmTime = 8 * time.Second
 )
 
-// crashTrial runs a cluster that gets requests with a part that crashes endpoints beside
-// sound ones, and faults meanwhile. It returns the requests with the part that reached
-// endpoints later than allowed, the number of crashes, and the shares of the sound
-// requests that began before and after.
-func crashTrial(t *testing.T, output io.Writer, faults func(c *cluster)) (late, crashes int, before, after float64) {
+// crashLoad is what callers send to a cluster in which some requests crash endpoints.
+type crashLoad struct {
+	plain   bool
+	crashes func(r servingRequest) bool
+	// sound and crashing return the n-th request that callers send at a host.
+	sound, crashing func(host string, n int) servingRequest
+	counted         int // the crash from which on late arrivals count
+}
+
+// crashingParts is a load in which one part of prompts crashes endpoints, and no two such
+// requests are alike.
+func crashingParts() crashLoad {
+	return crashLoad{
+		crashes: func(r servingRequest) bool { return slices.Contains(r.parts, crashingPart) },
+		sound:   soundPrompt,
+		crashing: func(_ string, n int) servingRequest {
+			return servingRequest{path: "/x", body: "x", parts: []string{commonPart, crashingPart, fmt.Sprintf("with%d", n)}}
+		},
+		counted: countedCrashes,
+	}
+}
+
+func soundPrompt(_ string, n int) servingRequest {
+	return servingRequest{path: "/x", body: "x", parts: []string{commonPart, fmt.Sprintf("subject%d", n%subjects)}}
+}
+
+// crashOutcome is what a trial with crashing requests ends with.
+type crashOutcome struct {
+	// late is the number of requests that reached endpoints later than allowed, of the
+	// crashing body with most of them.
+	late, crashes int
+	// before and after are the shares of the sound requests that began.
+	before, after float64
+}
+
+// crashTrial runs a cluster that gets crashing requests beside sound ones, and faults
+// meanwhile.
+func crashTrial(t *testing.T, load crashLoad, output io.Writer, faults func(c *cluster)) (out crashOutcome) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		began := time.Now()
 		calm := began.Add(warmUp - calmTime)
 		since := began.Add(warmUp)
-		s, cancel := startServing(&serving{crashes: func(parts []string) bool { return slices.Contains(parts, crashingPart) }}, output,
+		s, cancel := startServing(&serving{plain: load.plain, crashes: load.crashes}, output,
 			func(ctx context.Context, s *serving, h *clusterHost) {
 				wait.For(ctx, time.Until(calm))
 				for n := 0; wait.For(ctx, 100*time.Millisecond); n++ {
-					s.c.wg.Go(func() { s.call(ctx, h.name, "sound", commonPart, fmt.Sprintf("subject%d", n%subjects)) })
+					s.c.wg.Go(func() { s.send(ctx, h.name, "sound", load.sound(h.name, n)) })
 				}
 			},
 			func(ctx context.Context, s *serving, h *clusterHost) {
 				wait.For(ctx, time.Until(since))
 				for n := 0; wait.For(ctx, 400*time.Millisecond); n++ {
-					s.c.wg.Go(func() { s.call(ctx, h.name, "crashing", commonPart, crashingPart, fmt.Sprintf("with%d", n)) })
+					s.c.wg.Go(func() { s.send(ctx, h.name, "crashing", load.crashing(h.name, n)) })
 				}
 			})
 		wait.For(s.c.ctx, time.Until(since))
@@ -59,28 +92,62 @@
 		wait.For(s.c.ctx, time.Until(since.Add(crashingTime)))
 		ended := time.Now()
 		s.stop(cancel)
-		crashes = len(s.ends)
+		out.crashes = len(s.ends)
 		last := since
-		if len(s.ends) > 0 {
-			last = s.ends[min(len(s.ends), countedCrashes)-1]
-		}
-		for _, a := range s.arrivals {
-			if a.inTouch && a.at.After(last.Add(adaptTime)) {
-				late++
+		for body, at := range s.countedFrom(load.counted) {
+			out.late = max(out.late, s.late(body, at.Add(adaptTime)))
+			if at.After(last) {
+				last = at
 			}
 		}
-		before, _ = s.share("sound", calm, since, nil)
-		after, _ = s.share("sound", last.Add(2*adaptTime), ended, nil)
+		out.before, _ = s.share("sound", calm, since, nil)
+		out.after, _ = s.share("sound", last.Add(2*adaptTime), ended, nil)
 	})
-	return late, crashes, before, after
+	return out
+}
+
+// countedFrom returns, by the body of the requests, when they crashed an endpoint for the
+// n-th time, or for the last time if there were fewer crashes.
+func (s *serving) countedFrom(n int) map[string]time.Time {
+	crashes, at := make(map[string]int), make(map[string]time.Time)
+	for _, end := range s.ends {
+		if crashes[end.body]++; crashes[end.body] <= n {
+			at[end.body] = end.at
+		}
+	}
+	return at
+}
+
+// late returns the number of requests with a body that hosts in touch sent to endpoints
+// after a time.
+func (s *serving) late(body string, after time.Time) int {
+	n := 0
+	for _, a := range s.arrivals {
+		if a.inTouch && a.body == body && a.at.After(after) {
+			n++
+		}
+	}
+	return n
 }
 
 // TestPartThatCrashesEndpoints guards against requests with one part in their prompts
 // that crash one endpoint after the other, and against rejecting sound requests that
 // share their other parts, also while hosts are killed, cut off, suspended and replaced.
 func TestPartThatCrashesEndpoints(t *testing.T) {
+	for name, faults := range crashFaults() {
+		t.Run(name, func(t *testing.T) {
+			out := crashTrial(t, crashingParts(), io.Discard, faults)
+			t.Logf("late %d, crashes %d, sound requests begun %.3f before, %.3f after", out.late, out.crashes, out.before, out.after)
+			require.LessOrEqual(t, out.late, maxLateArrivals)
+			require.GreaterOrEqual(t, out.after, minBegunRatio*out.before)
+		})
+	}
+}
+
+// crashFaults returns the faults of hosts under which crashing requests are played.
+func crashFaults() map[string]func(c *cluster) {
 	all := []string{"h0", "h1", "h2", "h3"}
-	cases := map[string]func(c *cluster){
+	return map[string]func(c *cluster){
 		"no fault":                  func(*cluster) {},
 		"the planner is killed":     func(c *cluster) { c.restart(1, (*clusterHost).stop, c.holder().name) },
 		"all hosts are killed":      func(c *cluster) { c.restart(1, (*clusterHost).stop, all...) },
@@ -91,25 +158,17 @@
 		"the planner is suspended":  func(c *cluster) { c.begin(fault{kind: "pause", target: int(c.holder().name[1] - '0'), lastsMs: 6000}) },
 		"the store does not answer": func(c *cluster) { c.begin(fault{kind: "outage", lastsMs: 10000}) },
 	}
-	for name, faults := range cases {
-		t.Run(name, func(t *testing.T) {
-			late, crashes, before, after := crashTrial(t, io.Discard, faults)
-			t.Logf("late %d, crashes %d, sound requests begun %.3f before, %.3f after", late, crashes, before, after)
-			require.LessOrEqual(t, late, maxLateArrivals)
-			require.GreaterOrEqual(t, after, minBegunRatio*before)
-		})
-	}
 }
 
 // TestPartThatCrashesEndpointsFaults guards against the same in random series of faults.
 func TestPartThatCrashesEndpointsFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := drawHostFaults(rt)
-		late, _, before, after := crashTrial(t, io.Discard, func(c *cluster) { c.play(faults) })
-		if late > maxLateArrivals || after < minBegunRatio*before {
-			t.Logf("faults=%v: late %d, begun %.3f before, %.3f after", faults, late, before, after)
+		out := crashTrial(t, crashingParts(), io.Discard, func(c *cluster) { c.play(faults) })
+		if out.late > maxLateArrivals || out.after < minBegunRatio*out.before {
+			t.Logf("faults=%v: %+v", faults, out)
 		}
-		require.LessOrEqual(rt, late, maxLateArrivals)
-		require.GreaterOrEqual(rt, after, minBegunRatio*before)
+		require.LessOrEqual(rt, out.late, maxLateArrivals)
+		require.GreaterOrEqual(rt, out.after, minBegunRatio*out.before)
 	})
 }
--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -20,6 +20,9 @@
 
 const (
 	servingEndpoints = 8
+	// plainEndpoints is the number of endpoints of the plain service, if there is one.
+	plainEndpoints = 3
+	plainTime      = 30 * time.Millisecond
 	// restartTime is how long an endpoint that crashed is away.
 	restartTime  = 4 * time.Second
 	prefillTime  = 100 * time.Millisecond
@@ -28,28 +31,45 @@
 	callTimeout  = 5 * time.Second
 )
 
+// servingRequest is what a caller asks for.
+type servingRequest struct {
+	path, body string
+	parts      []string // of the prompt; nil for the plain service
+}
+
+// plain reports whether the request is for the plain service.
+func (r servingRequest) plain() bool { return strings.HasPrefix(r.path, plainPrefix) }
+
 // serving runs a cluster whose hosts serve callers over connections to endpoints that
-// answer, and that crash when they begin to answer a prompt with a crashing part.
+// answer, and that crash when they begin to answer a crashing request.
 type serving struct {
 	c       *cluster
-	crashes func(parts []string) bool
+	crashes func(r servingRequest) bool
+	plain   bool // there is a plain service
 	// behave lets an endpoint say something of itself and reports whether it declines the
 	// request, or falls over. Nil means that all serve.
 	behave func(s *serving, endpoint, host string, w http.ResponseWriter) (declines, falls bool)
 
 	mu       sync.Mutex
 	servers  map[string]*ingress.Server // by host
-	ends     []time.Time                // when endpoints crashed
-	arrivals []servingArrival           // of requests with a crashing part
+	ends     []servingEnd               // crashes of endpoints
+	arrivals []servingArrival           // of crashing requests
 	calls    []servingCall
 	requests map[string]int // by endpoint
 	isolated []string       // hosts that reach no endpoint
 	nextID   int
 }
 
-// servingArrival is a request with a crashing part that reached an endpoint.
+// servingEnd is a crash of an endpoint under a request.
+type servingEnd struct {
+	at   time.Time
+	body string // of the request
+}
+
+// servingArrival is a crashing request that reached an endpoint.
 type servingArrival struct {
 	at      time.Time
+	body    string
 	inTouch bool // the host that sent it
 }
 
@@ -88,6 +108,15 @@
 			c.startReplica(id)
 		}
 	}
+	if s.plain {
+		for i := range plainEndpoints {
+			c.startReplica(fmt.Sprintf("%s%d", plainService, servingEndpoints+i))
+		}
+		c.mu.Lock()
+		c.plain = true
+		c.mu.Unlock()
+		c.configure()
+	}
 	for _, r := range c.replicas {
 		s.serve(r)
 	}
@@ -120,16 +149,17 @@
 		panic(err)
 	}
 	server := &http.Server{ReadHeaderTimeout: time.Minute}
-	crash := sync.OnceFunc(func() { s.crash(r, server) })
+	var once sync.Once
+	crash := func(body string) { once.Do(func() { s.crash(r, server, body) }) }
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { s.answer(r, w, req, crash) })
 	s.c.wg.Go(func() { _ = server.Serve(l) })
 	context.AfterFunc(s.c.ctx, func() { _ = server.Close() })
 }
 
-// crash ends a start of an endpoint; the next one follows after restartTime.
-func (s *serving) crash(r *replica, server *http.Server) {
+// crash ends a start of an endpoint under a request; the next one follows after restartTime.
+func (s *serving) crash(r *replica, server *http.Server, body string) {
 	s.mu.Lock()
-	s.ends = append(s.ends, time.Now())
+	s.ends = append(s.ends, servingEnd{time.Now(), body})
 	s.mu.Unlock()
 	r.mu.Lock()
 	r.state = ""
@@ -149,8 +179,11 @@
 }
 
 // answer streams an answer.
-func (s *serving) answer(r *replica, w http.ResponseWriter, req *http.Request, crash func()) {
-	_, _ = io.Copy(io.Discard, req.Body)
+func (s *serving) answer(r *replica, w http.ResponseWriter, req *http.Request, crash func(body string)) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
 	s.mu.Lock()
 	s.requests[r.id]++
 	s.mu.Unlock()
@@ -159,7 +192,7 @@
 		declines, falls := s.behave(s, r.id, req.Header.Get("Sender"), w)
 		switch {
 		case falls:
-			crash()
+			crash(string(body))
 			panic(http.ErrAbortHandler)
 		case declines:
 			w.Header().Set("X-Not-Run", "1")
@@ -167,25 +200,33 @@
 			return
 		}
 	}
-	var parts []string
+	asked := servingRequest{path: req.URL.Path, body: string(body)}
 	for _, part := range strings.Split(req.Header.Get("X-Prompt-Prefix"), ",") {
 		id, _, _ := strings.Cut(part, ":")
-		parts = append(parts, id)
+		asked.parts = append(asked.parts, id)
 	}
-	bad := s.crashes != nil && s.crashes(parts)
+	bad := s.crashes != nil && s.crashes(asked)
 	if bad {
 		s.mu.Lock()
-		s.arrivals = append(s.arrivals, servingArrival{time.Now(), s.inTouch(req.Header.Get("Sender"))})
+		s.arrivals = append(s.arrivals, servingArrival{time.Now(), asked.body, s.inTouch(req.Header.Get("Sender"))})
 		s.mu.Unlock()
 	}
-	if !wait.For(req.Context(), prefillTime) {
+	work := prefillTime
+	if asked.plain() {
+		work = plainTime
+	}
+	if !wait.For(req.Context(), work) {
 		return
 	}
 	if bad {
-		crash()
+		crash(asked.body)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Server-Stamp", "s")
+	if asked.plain() {
+		_, _ = io.WriteString(w, plainAnswer)
+		return
+	}
 	for i := range answerEvents {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i); err != nil || http.NewResponseController(w).Flush() != nil {
 			return
@@ -196,6 +237,9 @@
 	}
 }
 
+// plainAnswer is what endpoints of the plain service answer.
+const plainAnswer = "found"
+
 // received returns the number of requests that an endpoint got.
 func (s *serving) received(endpoint string) int {
 	s.mu.Lock()
@@ -233,20 +277,27 @@
 	return slices.ContainsFunc(names, func(name string) bool { return !slices.Contains(isolated, name) && s.inTouch(name) })
 }
 
-// call sends a caller's request to a host and records the outcome. Its prompt has the
-// parts and one of its own.
+// call sends a caller's prompt to a host and records the outcome. The prompt has the parts
+// and one of its own.
 func (s *serving) call(ctx context.Context, host, kind string, parts ...string) servingCall {
+	return s.send(ctx, host, kind, servingRequest{path: "/x", body: "x", parts: parts})
+}
+
+// send sends a caller's request to a host and records the outcome.
+func (s *serving) send(ctx context.Context, host, kind string, r servingRequest) servingCall {
 	s.mu.Lock()
 	s.nextID++
 	id, server := fmt.Sprintf("r%d", s.nextID), s.servers[host]
 	s.mu.Unlock()
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(callTimeout))
 	defer cancel()
-	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://a/x", strings.NewReader("x"))
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://a"+r.path, strings.NewReader(r.body))
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Model", modelName(0))
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
-	req.Header.Set("X-Prompt-Prefix", strings.Join(append(slices.Clone(parts), id), ":100,")+":100")
+	if !r.plain() {
+		req.Header.Set("X-Model", modelName(0))
+		req.Header.Set("X-Prompt-Prefix", strings.Join(append(slices.Clone(r.parts), id), ":100,")+":100")
+	}
 	req.Header.Set("Sender", host)
 	out := servingCall{kind: kind, host: host, at: time.Now(), inTouch: s.inTouch(host), servable: s.servable()}
 	w := httptest.NewRecorder()
@@ -260,6 +311,10 @@
 	}()
 	events := strings.Count(w.Body.String(), "id: ")
 	out.status, out.began, out.complete = w.Code, events > 0, events == answerEvents
+	if r.plain() {
+		out.began = w.Code == http.StatusOK && w.Body.String() == plainAnswer
+		out.complete = out.began
+	}
 	s.mu.Lock()
 	s.calls = append(s.calls, out)
 	s.mu.Unlock()
