Recognise a whole request that crashes endpoints

Cause: crashes are related to the shared parts of prompts only. A request without a prompt left no record (RecordLoss returned at once), and the last part of a prompt, the body and the path did not count. Class of fault: evidence is keyed by one kind of cause, and others leave none.

Change: the request itself, known by a hash of credentials, method, host, path, query, model and body, is one more cause beside the parts, in the same records, verdicts, messages and stored records. From the third crash on it is banned for the longest time at once, as its ban affects nothing else. A request that tries a cause on probation is not sent again once it is lost. Answers to requests are remembered apart from those to parts, so that many requests don't displace parts. Whole answers count as a sign of life, which only events did.

Ruled out: endpoints that fall over when they start, since one content is common to all crashes in the test's logs; our retries alone, which double the crashes but end with them.

--- a/callerrequest.go
+++ b/callerrequest.go
@@ -46,17 +46,30 @@
 	Find(ctx context.Context, id string) (o StreamOrigin, found, complete bool)
 }
 
-// CrashRecords relates crashes of endpoints to the parts of prompts that cause them. The
-// last part of a prompt belongs to its request alone and is not considered.
+// RequestIdentity is that of a request by which it, or a part of its prompt, is recognised
+// when it comes again.
+type RequestIdentity struct {
+	// ID is that of the caller's attempt.
+	ID      string
+	Service string
+	// Content is zero if it is not known.
+	Content ContentID
+	// Parts are the ids of the prompt's parts in order.
+	Parts []string
+}
+
+// CrashRecords relates crashes of endpoints to the requests, and the parts of prompts,
+// that cause them. The last part of a prompt belongs to its request alone and is not
+// considered.
 type CrashRecords interface {
-	// Rejects reports whether a request must not be sent, since endpoints crash under a
-	// part of its prompt.
-	Rejects(service string, parts []string) bool
-	// RecordLoss records that an endpoint broke off the answer to a prompt before it had
-	// properly begun.
-	RecordLoss(e EndpointEntry, parts []string)
-	// RecordAnswer records that an endpoint properly began to answer a prompt.
-	RecordAnswer(e EndpointEntry, parts []string)
+	// Rejects reports whether a request must not be sent, since endpoints crash under it
+	// or under a part of its prompt.
+	Rejects(r RequestIdentity) bool
+	// RecordLoss records that an endpoint broke off its answer before it had properly
+	// begun.
+	RecordLoss(e EndpointEntry, r RequestIdentity)
+	// RecordAnswer records that an endpoint properly began to answer a request.
+	RecordAnswer(e EndpointEntry, r RequestIdentity)
 	// RecordAlive records that an endpoint sent something.
 	RecordAlive(e EndpointEntry)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	// PromptParts are the ids of the prompt's parts in order. All but the last may
 	// be shared with other requests.
 	PromptParts []string
+	// Content is what the request asks for; zero if it is not known.
+	Content tamarackknot.ContentID
 	// Exclude lists the ids of endpoints that must not get the request.
 	Exclude []string
 	// Pinned means that only endpoints of Version may get the request: it goes on with
@@ -61,6 +63,11 @@
 	Version string
 }
 
+// Identity returns by what the request is recognised when it comes again.
+func (r *Request) Identity() tamarackknot.RequestIdentity {
+	return tamarackknot.RequestIdentity{ID: r.ID, Service: r.Service, Content: r.Content, Parts: r.PromptParts}
+}
+
 // Refusal says why a request cannot be sent and when to retry.
 type Refusal struct {
 	Reason string
@@ -116,9 +123,9 @@
 	// LimitShare returns the rate, in requests a second, that this host may send to an
 	// endpoint which takes perSecond from all hosts together. Nil means all of it.
 	LimitShare func(endpoint string, perSecond float64) float64
-	// Rejects reports whether endpoints of a service crash under a part of a prompt. Nil
+	// Rejects reports whether endpoints crash under a request or a part of its prompt. Nil
 	// means that they do not.
-	Rejects func(service string, parts []string) bool
+	Rejects func(r tamarackknot.RequestIdentity) bool
 	// Isolated reports whether this host reaches no endpoint; no request then waits for
 	// one. Nil means that it does.
 	Isolated func() bool
@@ -344,12 +351,12 @@
 	d.waiting = kept
 }
 
-// rejected returns a refusal if endpoints crash under a part of the request's prompt.
+// rejected returns a refusal if endpoints crash under the request or a part of its prompt.
 func (d *Dispatcher) rejected(req *Request) *Refusal {
-	if d.cfg.Rejects == nil || !d.cfg.Rejects(req.Service, req.PromptParts) {
+	if d.cfg.Rejects == nil || !d.cfg.Rejects(req.Identity()) {
 		return nil
 	}
-	return &Refusal{Reason: "endpoints crash under a part of the prompt"}
+	return &Refusal{Reason: "endpoints crash under the request or a part of its prompt"}
 }
 
 // unmeetable returns a refusal if the request is not expected to be answered by
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -157,7 +157,7 @@
 		HostCount:          func() int { return len(c.fleet.Hosts()) },
 		PlannerViewCurrent: func() bool { return c.fleet.PlannerAlive() },
 		OnModelWait:        func() { c.fleet.SendNow() },
-		Rejects:            func(service string, parts []string) bool { return c.crashes.Rejects(service, parts) },
+		Rejects:            func(r tamarackknot.RequestIdentity) bool { return c.crashes.Rejects(r) },
 		Isolated:           c.reach.Isolated,
 		LimitShare:         func(endpoint string, perSecond float64) float64 { return c.shares.Rate(endpoint, perSecond) },
 		Logger:             logger,
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -169,6 +169,7 @@
 		x.lastErr = "the endpoint broke off its answer"
 		return x.adjustOutcome(outcomeUnknown), nil
 	}
+	x.server.cfg.Crashes.RecordAlive(g.Endpoint)
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		g.Done(dispatch.ResultFailed)
@@ -176,7 +177,7 @@
 		return outcomeFailed, buffered
 	}
 	g.Done(dispatch.ResultAnswered)
-	x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.caller.Parts)
+	x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.request.Identity())
 	return outcomeDone, buffered
 }
 
@@ -213,10 +214,10 @@
 // events was received. err is nil if the answer is too long.
 func (x *exchange) recordLost(g *dispatch.Grant, events int, err error) {
 	x.server.cfg.Logger.Info("answer lost", "request", x.caller.ID, "service", x.service, "model", x.caller.Model,
-		"content", x.contentID(), "parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
+		"content", x.request.Content, "parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
 		"events", events, "error", err)
 	if events < provenEvents && connectionLost(err) {
-		x.server.cfg.Crashes.RecordLoss(g.Endpoint, x.caller.Parts)
+		x.server.cfg.Crashes.RecordLoss(g.Endpoint, x.request.Identity())
 	}
 }
 
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -77,16 +77,16 @@
 	losses, answered []string
 }
 
-func (*testCrashes) Rejects(string, []string) bool          { return false }
-func (*testCrashes) RecordAlive(tamarackknot.EndpointEntry) {}
+func (*testCrashes) Rejects(tamarackknot.RequestIdentity) bool { return false }
+func (*testCrashes) RecordAlive(tamarackknot.EndpointEntry)    {}
 
-func (c *testCrashes) RecordLoss(e tamarackknot.EndpointEntry, _ []string) {
+func (c *testCrashes) RecordLoss(e tamarackknot.EndpointEntry, _ tamarackknot.RequestIdentity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.losses = append(c.losses, e.ID)
 }
 
-func (c *testCrashes) RecordAnswer(e tamarackknot.EndpointEntry, _ []string) {
+func (c *testCrashes) RecordAnswer(e tamarackknot.EndpointEntry, _ tamarackknot.RequestIdentity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered = append(c.answered, e.ID)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -261,7 +261,7 @@
 	x.request = dispatch.Request{
 		ID: x.caller.ID, Service: x.service, Model: x.caller.Model, Adapter: x.caller.Adapter,
 		Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline,
-		Objective: x.arrived.Add(x.route.Objective), PromptParts: x.caller.Parts,
+		Objective: x.arrived.Add(x.route.Objective), PromptParts: x.caller.Parts, Content: x.contentID(),
 	}
 	if pool, ok := x.server.cfg.Catalog().Catalog.Services[x.service]; !ok || pool.Engine == nil {
 		x.request.Model, x.request.Adapter = "", ""
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -131,7 +131,7 @@
 		events++
 		x.server.cfg.Crashes.RecordAlive(g.Endpoint)
 		if events == provenEvents {
-			x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.caller.Parts)
+			x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.request.Identity())
 		}
 		if movable {
 			stall.Reset(x.stallTimeout())
@@ -146,7 +146,7 @@
 	case err == nil:
 		x.writeStreamHeader(resp.Header)
 		g.Done(dispatch.ResultAnswered)
-		x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.caller.Parts)
+		x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.request.Identity())
 		return outcomeDone, nil
 	case x.r.Context().Err() != nil || errors.Is(err, errCallerWrite):
 		g.Done(dispatch.ResultDisconnected)
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -12,7 +12,7 @@
 const (
 	// readInterval is the pause between two attempts to read the stored records.
 	readInterval = time.Second
-	// writeDelay is the time from the first suspicion of a part to its record, in which
+	// writeDelay is the time from the first suspicion of a cause to its record, in which
 	// the records of further crashes arrive.
 	writeDelay = 300 * time.Millisecond
 	// checkInterval is the time between two checks whether the stored records are those
@@ -20,7 +20,7 @@
 	checkInterval = 5 * time.Second
 )
 
-// storedSuspicion is the record of a suspicion in the store: the crashes under its parts,
+// storedSuspicion is the record of a suspicion in the store: the crashes under its causes,
 // with ages as of WrittenMs.
 type storedSuspicion struct {
 	WrittenMs int64         `json:"writtenMs"` // Unix time in ms
@@ -37,7 +37,7 @@
 	}
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
-	stored := make(map[partID]int) // crashes in the record, by the first part
+	stored := make(map[causeID]int) // crashes in the record, by the first cause
 	for {
 		select {
 		case <-ctx.Done():
@@ -67,7 +67,7 @@
 		}
 		var s storedSuspicion
 		if err := json.Unmarshal(rec.Value, &s); err != nil {
-			l.cfg.Logger.Warn("invalid record of crashes", "part", rec.Key, "error", err)
+			l.cfg.Logger.Warn("invalid record of crashes", "cause", rec.Key, "error", err)
 			continue
 		}
 		age := max(now.Sub(time.UnixMilli(s.WrittenMs)), 0)
@@ -88,13 +88,13 @@
 
 // save writes the suspicions for which this host is responsible and that changed, and
 // deletes those that ended.
-func (l *List) save(ctx context.Context, stored map[partID]int) {
+func (l *List) save(ctx context.Context, stored map[causeID]int) {
 	now := time.Now()
 	changed, ended := l.unsaved(stored)
 	for p, losses := range changed {
 		value, err := json.Marshal(storedSuspicion{WrittenMs: now.UnixMilli(), Losses: losses})
 		if err != nil {
-			l.cfg.Logger.Error("cannot encode a record of crashes", "part", p, "error", err)
+			l.cfg.Logger.Error("cannot encode a record of crashes", "cause", p, "error", err)
 			continue
 		}
 		if l.put(ctx, p.String(), value) {
@@ -108,23 +108,23 @@
 	}
 }
 
-// unsaved returns the crashes of the suspicions to be written, by the first part, and the
-// parts of stored ones that ended.
-func (l *List) unsaved(stored map[partID]int) (changed map[partID][]lossMessage, ended []partID) {
+// unsaved returns the crashes of the suspicions to be written, by the first cause, and
+// the causes of stored ones that ended.
+func (l *List) unsaved(stored map[causeID]int) (changed map[causeID][]lossMessage, ended []causeID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed, now := make(map[partID][]lossMessage), l.cfg.Clock()
-	current := make(map[partID]bool)
+	changed, now := make(map[causeID][]lossMessage), l.cfg.Clock()
+	current := make(map[causeID]bool)
 	for _, s := range l.suspects {
-		p := s.parts[0]
+		p := s.causes[0]
 		current[p] = true
 		if stored[p] == s.crashes || !l.responsible(p) {
 			continue
 		}
-		parts := set(s.parts)
+		causes := set(s.causes)
 		for key, lost := range l.losses {
-			if lost.crashed() && lost.parts[p] {
-				changed[p] = append(changed[p], encodeLoss(key, lost, parts, now))
+			if lost.crashed() && lost.causes[p] {
+				changed[p] = append(changed[p], encodeLoss(key, lost, causes, now))
 			}
 		}
 	}
@@ -139,7 +139,7 @@
 // put writes a record, and reports whether the store accepted it.
 func (l *List) put(ctx context.Context, key string, value []byte) bool {
 	if _, err := l.cfg.Store.Put(ctx, tamarackknot.StreamCrashes, key, value); err != nil {
-		l.cfg.Logger.Warn("cannot write a record of crashes", "part", key, "error", err)
+		l.cfg.Logger.Warn("cannot write a record of crashes", "cause", key, "error", err)
 		return false
 	}
 	return true
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,13 +1,12 @@
-// Package quarantine finds the parts of prompts that crash endpoints, and rejects
-// requests that contain them. Every host records which endpoints broke off answers that
-// had hardly begun, which prompts these were, and which parts are answered elsewhere. The
-// hosts spread these records, and each derives from them which parts are to blame.
+// Package quarantine finds the requests and the parts of prompts that crash endpoints, and
+// rejects such requests. Every host records which endpoints broke off answers that had
+// hardly begun, to which requests and prompts, and which of these are answered elsewhere.
+// The hosts spread these records, and each derives from them which causes are to blame.
 package quarantine
 
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
 	"maps"
 	"slices"
 	"sync"
@@ -25,15 +24,15 @@
 const (
 	// lossRetention is how long a loss is kept, longer than the longest ban.
 	lossRetention = 15 * time.Minute
-	// maxLosses and maxLossParts limit the losses, the oldest of which are dropped, and
-	// the parts of one.
-	maxLosses    = 64
-	maxLossParts = 128
-	// answerRetention is how long an answered part or a live endpoint is remembered at
-	// least, unless there are more than maxAnswers of them.
+	// maxLosses and maxLossCauses limit the losses, the oldest of which are dropped, and
+	// the causes of one.
+	maxLosses     = 64
+	maxLossCauses = 128
+	// answerRetention is how long an answered part, an answered request or a live endpoint
+	// is remembered at least, unless there are more than maxAnswers of them.
 	answerRetention = time.Minute
 	maxAnswers      = 8192
-	// probeInterval is the least time between two requests of this host with a part on
+	// probeInterval is the least time between two requests of this host with a cause on
 	// probation.
 	probeInterval = 10 * time.Second
 )
@@ -69,22 +68,26 @@
 	mu       sync.Mutex
 	losses   map[start]*loss
 	suspects []suspicion
-	// answers holds when each part was last answered: those of this host, and those of
-	// others for parts that occur in losses.
-	answers generations[partID]
+	// answers holds when each part was last answered, requestAnswers when each request was:
+	// those of this host, and those of others for causes that occur in losses. Many
+	// different requests don't displace the parts.
+	answers        generations[causeID]
+	requestAnswers generations[causeID]
 	// alive holds when each start of an endpoint last answered this host.
 	alive generations[start]
 	// unsentLosses and unsentAnswers name the records that changed since the last message.
-	unsentLosses  map[start]map[partID]bool
-	unsentAnswers map[partID]bool
-	probes        map[partID]probe
-	logged        map[partID]bool // parts of which a rejection is logged
+	unsentLosses  map[start]map[causeID]bool
+	unsentAnswers map[causeID]bool
+	probes        map[causeID]probe
+	logged        map[causeID]bool // causes of which a rejection is logged
 }
 
-// probe is the last request of this host with a part on probation.
+// probe is the last request of this host with a cause on probation.
 type probe struct {
-	at  time.Duration
-	own string // the last part of its prompt
+	at time.Duration
+	id string // of the request
+	// lost is set once an endpoint did not answer it; it is not sent to another one.
+	lost bool
 }
 
 // New returns an empty List and registers its handlers with cfg.Peers.
@@ -94,36 +97,37 @@
 	}
 	l := &List{
 		cfg: cfg, wake: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), checks: make(chan check, maxChecks), losses: make(map[start]*loss),
-		unsentLosses: make(map[start]map[partID]bool), unsentAnswers: make(map[partID]bool),
-		probes: make(map[partID]probe), logged: make(map[partID]bool),
+		unsentLosses: make(map[start]map[causeID]bool), unsentAnswers: make(map[causeID]bool),
+		probes: make(map[causeID]probe), logged: make(map[causeID]bool),
 	}
 	cfg.Peers.Handle(methodSpread, l.handleSpread)
 	cfg.Peers.Handle(methodPull, l.handlePull)
 	return l
 }
 
-func newPartID(service, part string) partID {
+func newPartID(service, part string) causeID {
 	sum := sha256.Sum256([]byte(service + "\x00" + part))
-	return partID(sum[:len(partID{})])
+	return causeID{hash: tamarackknot.ContentID(sum[:len(tamarackknot.ContentID{})])}
 }
 
-func (p partID) String() string { return hex.EncodeToString(p[:]) }
-
 func startOf(e tamarackknot.EndpointEntry) start { return start{e.ID, e.Born.UnixMilli()} }
 
-// sharedParts returns the ids of the parts of a prompt but the last, which belongs to the
-// request itself.
-func sharedParts(service string, parts []string) []partID {
-	out := make([]partID, 0, len(parts))
-	for _, part := range parts[:max(len(parts)-1, 0)] {
-		out = append(out, newPartID(service, part))
+// causesOf returns the request itself and the parts of its prompt but the last, which
+// belongs to the request alone.
+func causesOf(r tamarackknot.RequestIdentity) []causeID {
+	out := make([]causeID, 0, len(r.Parts)+1)
+	for _, part := range r.Parts[:max(len(r.Parts)-1, 0)] {
+		out = append(out, newPartID(r.Service, part))
+	}
+	if r.Content != (tamarackknot.ContentID{}) {
+		out = append(out, causeID{hash: r.Content, request: true})
 	}
 	return out
 }
 
 // Rejects implements tamarackknot.CrashRecords.
-func (l *List) Rejects(service string, parts []string) bool {
-	if !l.active.Load() || len(parts) < 2 {
+func (l *List) Rejects(r tamarackknot.RequestIdentity) bool {
+	if !l.active.Load() {
 		return false
 	}
 	l.mu.Lock()
@@ -131,54 +135,68 @@
 	if len(l.suspects) == 0 {
 		return false
 	}
-	ids := sharedParts(service, parts)
+	causes := causesOf(r)
 	now := l.cfg.Clock()
 	for i := range l.suspects {
 		s := &l.suspects[i]
-		if !s.applies(ids) || now >= s.bannedUntil && l.mayProbe(s.parts[0], parts[len(parts)-1], now) {
+		if !s.applies(causes) || now >= s.bannedUntil && l.mayProbe(s.causes[0], r.ID, now) {
 			continue
 		}
-		if !l.logged[s.parts[0]] {
-			l.logged[s.parts[0]] = true
-			l.cfg.Logger.Info("rejecting requests with a part that crashes endpoints", "part", s.parts[0], "service", service,
-				"parts", parts, "crashes", s.crashes, "bannedFor", s.bannedUntil-now)
+		if !l.logged[s.causes[0]] {
+			l.logged[s.causes[0]] = true
+			l.cfg.Logger.Info("rejecting requests that crash endpoints", "cause", s.causes[0], "service", r.Service, "request", r.ID,
+				"content", r.Content, "parts", r.Parts, "crashes", s.crashes, "bannedFor", s.bannedUntil-now)
 		}
 		return true
 	}
 	return false
 }
 
-// mayProbe reports whether this host may send a request with a part on probation, whose
-// prompt ends with own: one host at a time tries whether the part still crashes endpoints.
-// A request that waits for an endpoint asks again and again. l.mu is held.
-func (l *List) mayProbe(p partID, own string, now time.Duration) bool {
-	if last, probed := l.probes[p]; probed && now-last.at < probeInterval {
-		return own == last.own
+// mayProbe reports whether this host may send a request whose cause is on probation: one
+// host at a time tries whether it still crashes endpoints. A request that waits for an
+// endpoint asks again and again. l.mu is held.
+func (l *List) mayProbe(c causeID, id string, now time.Duration) bool {
+	if last, probed := l.probes[c]; probed && now-last.at < probeInterval {
+		return id == last.id && !last.lost
 	}
-	if !l.responsible(p) {
+	if !l.responsible(c) {
 		return false
 	}
-	l.probes[p] = probe{now, own}
-	l.cfg.Logger.Info("trying a part that crashed endpoints", "part", p)
+	l.probes[c] = probe{at: now, id: id}
+	l.cfg.Logger.Info("trying a request that crashed endpoints", "cause", c, "request", id)
 	return true
 }
 
-// responsible reports whether this host acts for all hosts in the matter of a part.
-func (l *List) responsible(p partID) bool {
-	self := hostRank(p, l.cfg.Self)
-	return !slices.ContainsFunc(l.cfg.Others(), func(host string) bool { return hostRank(p, host) < self })
+// endProbes ends the probes that a request is, since an endpoint did not answer it. l.mu is
+// held.
+func (l *List) endProbes(causes []causeID, id string) {
+	for _, c := range causes {
+		if last, probed := l.probes[c]; probed && last.id == id {
+			last.lost = true
+			l.probes[c] = last
+		}
+	}
 }
 
-// hostRank orders the hosts for a part.
-func hostRank(p partID, host string) uint64 { return xxhash.Sum64String(string(p[:]) + host) }
+// responsible reports whether this host acts for all hosts in the matter of a cause.
+func (l *List) responsible(c causeID) bool {
+	self := hostRank(c, l.cfg.Self)
+	return !slices.ContainsFunc(l.cfg.Others(), func(host string) bool { return hostRank(c, host) < self })
+}
+
+// hostRank orders the hosts for a cause.
+func hostRank(c causeID, host string) uint64 { return xxhash.Sum64String(string(c.hash[:]) + host) }
 
 // RecordLoss implements tamarackknot.CrashRecords.
-func (l *List) RecordLoss(e tamarackknot.EndpointEntry, parts []string) {
-	ids := sharedParts(e.Service, parts)
+func (l *List) RecordLoss(e tamarackknot.EndpointEntry, r tamarackknot.RequestIdentity) {
+	ids := causesOf(r)
 	if len(ids) == 0 {
 		return
 	}
-	c := check{startOf(e), e.Address, loss{at: l.cfg.Clock(), parts: set(ids)}}
+	l.mu.Lock()
+	l.endProbes(ids, r.ID)
+	l.mu.Unlock()
+	c := check{startOf(e), e.Address, loss{at: l.cfg.Clock(), causes: set(ids)}}
 	if l.cfg.Reachable == nil {
 		l.addLoss(c)
 		return
@@ -198,16 +216,16 @@
 }
 
 // RecordAnswer implements tamarackknot.CrashRecords.
-func (l *List) RecordAnswer(e tamarackknot.EndpointEntry, parts []string) {
-	ids := sharedParts(e.Service, parts)
+func (l *List) RecordAnswer(e tamarackknot.EndpointEntry, r tamarackknot.RequestIdentity) {
+	ids := causesOf(r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock()
-	changed := false
-	for _, p := range ids {
-		l.answers.put(p, now)
-		if l.isOpen(p) {
-			l.unsentAnswers[p] = true
+	changed := l.markAlive(startOf(e), now)
+	for _, c := range ids {
+		l.answersOf(c).put(c, now)
+		if l.isOpen(c) {
+			l.unsentAnswers[c] = true
 			changed = true
 		}
 	}
@@ -216,23 +234,43 @@
 	}
 }
 
+// answersOf returns the answers to requests or to parts.
+func (l *List) answersOf(c causeID) *generations[causeID] {
+	if c.request {
+		return &l.requestAnswers
+	}
+	return &l.answers
+}
+
+// lastAnswer returns when a cause was last answered, 0 if it is not known. l.mu is held.
+func (l *List) lastAnswer(c causeID) time.Duration { return l.answersOf(c).last(c) }
+
 // RecordAlive implements tamarackknot.CrashRecords.
 func (l *List) RecordAlive(e tamarackknot.EndpointEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s, now := startOf(e), l.cfg.Clock()
-	l.alive.put(s, now)
-	if lost := l.losses[s]; lost != nil && lost.crashed() && lost.refutedBy(now) {
-		lost.aliveAt = now
-		l.markUnsent(s, nil)
+	if l.markAlive(startOf(e), l.cfg.Clock()) {
 		l.update()
 	}
 }
 
-// isOpen reports whether a part occurs in a loss and was not answered since. l.mu is held.
-func (l *List) isOpen(p partID) bool {
+// markAlive records that an endpoint answered, and reports whether that refutes a crash.
+// l.mu is held.
+func (l *List) markAlive(s start, now time.Duration) bool {
+	l.alive.put(s, now)
+	lost := l.losses[s]
+	if lost == nil || !lost.crashed() || !lost.refutedBy(now) {
+		return false
+	}
+	lost.aliveAt = now
+	l.markUnsent(s, nil)
+	return true
+}
+
+// isOpen reports whether a cause occurs in a loss and was not answered since. l.mu is held.
+func (l *List) isOpen(c causeID) bool {
 	for _, lost := range l.losses {
-		if lost.parts[p] {
+		if lost.causes[c] {
 			return true
 		}
 	}
@@ -245,17 +283,17 @@
 	old := l.losses[s]
 	isNew := old == nil
 	if isNew {
-		old = &loss{at: n.at, parts: make(map[partID]bool)}
+		old = &loss{at: n.at, causes: make(map[causeID]bool)}
 		l.losses[s] = old
 	}
-	var added []partID
-	for p := range n.parts {
-		if _, known := old.parts[p]; known || len(old.parts) >= maxLossParts {
+	var added []causeID
+	for p := range n.causes {
+		if _, known := old.causes[p]; known || len(old.causes) >= maxLossCauses {
 			continue
 		}
-		old.parts[p] = true
+		old.causes[p] = true
 		added = append(added, p)
-		if l.answers.last(p) > 0 {
+		if l.lastAnswer(p) > 0 {
 			l.unsentAnswers[p] = true
 		}
 	}
@@ -275,9 +313,9 @@
 }
 
 // markUnsent records a change of a loss that other hosts must hear of. l.mu is held.
-func (l *List) markUnsent(s start, added []partID) {
+func (l *List) markUnsent(s start, added []causeID) {
 	if l.unsentLosses[s] == nil {
-		l.unsentLosses[s] = make(map[partID]bool)
+		l.unsentLosses[s] = make(map[causeID]bool)
 	}
 	for _, p := range added {
 		l.unsentLosses[s][p] = true
@@ -289,25 +327,26 @@
 func (l *List) update() {
 	l.prune()
 	for _, lost := range l.losses {
-		for p, open := range lost.parts {
-			if open && l.answers.last(p) > lost.at {
-				lost.parts[p] = false
+		for p, open := range lost.causes {
+			if open && l.lastAnswer(p) > lost.at {
+				lost.causes[p] = false
 			}
 		}
 	}
 	before := l.suspects
-	l.suspects = blame(l.losses, l.answers.last)
+	l.suspects = blame(l.losses, l.lastAnswer)
 	l.active.Store(len(l.losses) > 0)
 	for _, s := range l.suspects {
-		if !slices.ContainsFunc(before, func(o suspicion) bool { return slices.Equal(o.parts, s.parts) }) {
+		if !slices.ContainsFunc(before, func(o suspicion) bool { return slices.Equal(o.causes, s.causes) }) {
 			wait.Wake(l.wakeStore)
-			l.cfg.Logger.Info("endpoints crash under a part of prompts", "part", s.parts[0], "alternatives", len(s.parts)-1, "crashes", s.crashes)
+			l.cfg.Logger.Info("endpoints crash under requests", "cause", s.causes[0], "wholeRequest", s.causes[0].request,
+				"alternatives", len(s.causes)-1, "crashes", s.crashes)
 		}
 	}
 	for _, o := range before {
-		if !slices.ContainsFunc(l.suspects, func(s suspicion) bool { return slices.Contains(s.parts, o.parts[0]) }) {
-			delete(l.logged, o.parts[0])
-			l.cfg.Logger.Info("part of prompts no longer blamed for crashes", "part", o.parts[0])
+		if !slices.ContainsFunc(l.suspects, func(s suspicion) bool { return slices.Contains(s.causes, o.causes[0]) }) {
+			delete(l.logged, o.causes[0])
+			l.cfg.Logger.Info("no longer blamed for crashes", "cause", o.causes[0])
 		}
 	}
 	if len(l.unsentLosses)+len(l.unsentAnswers) > 0 {
@@ -328,11 +367,11 @@
 		})
 		delete(l.losses, oldest)
 	}
-	maps.DeleteFunc(l.probes, func(_ partID, last probe) bool { return now-last.at > lossRetention })
+	maps.DeleteFunc(l.probes, func(_ causeID, last probe) bool { return now-last.at > lossRetention })
 }
 
-func set(ids []partID) map[partID]bool {
-	out := make(map[partID]bool, len(ids))
+func set(ids []causeID) map[causeID]bool {
+	out := make(map[causeID]bool, len(ids))
 	for _, p := range ids {
 		out[p] = true
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -33,32 +34,46 @@
 	return tr
 }
 
-// play records, from a step each second: "e1:a,b" an endpoint that broke off the answer to
-// a prompt with these parts, "+e1:a" one that answered it, "e1" one that sent something
-// one second after its loss, "60s" a pause.
+// identity returns the request of a text like "a,b,#x": a prompt with the parts a and b and
+// one of its own, or none, in a request with the content x, if it is given.
+func identity(text string) tamarackknot.RequestIdentity {
+	r := tamarackknot.RequestIdentity{ID: "own", Service: "s"}
+	for _, name := range strings.Split(text, ",") {
+		if content, ok := strings.CutPrefix(name, "#"); ok {
+			copy(r.Content[:], content)
+		} else {
+			r.Parts = append(r.Parts, name)
+		}
+	}
+	if len(r.Parts) > 0 {
+		r.Parts = append(r.Parts, "own")
+	}
+	return r
+}
+
+// play records, from a step each second: "e1:a,#x" an endpoint that broke off the answer to
+// such a request, "+e1:a" one that answered it, "e1" one that sent something one second
+// after its loss, "60s" a pause.
 func (tr *trial) play(steps string) {
 	for _, step := range strings.Fields(steps) {
 		tr.now += time.Second
-		id, parts, hasParts := strings.Cut(strings.TrimPrefix(step, "+"), ":")
+		id, request, hasRequest := strings.Cut(strings.TrimPrefix(step, "+"), ":")
 		e := tamarackknot.EndpointEntry{ID: id, Service: "s"}
-		prompt := append(strings.Split(parts, ","), "own")
 		pause, err := time.ParseDuration(step)
 		switch {
 		case err == nil:
 			tr.now += pause
 		case strings.HasPrefix(step, "+"):
-			tr.RecordAnswer(e, prompt)
-		case hasParts:
-			tr.RecordLoss(e, prompt)
+			tr.RecordAnswer(e, identity(request))
+		case hasRequest:
+			tr.RecordLoss(e, identity(request))
 		default:
 			tr.RecordAlive(e)
 		}
 	}
 }
 
-func (tr *trial) rejects(parts string) bool {
-	return tr.Rejects("s", append(strings.Split(parts, ","), "own"))
-}
+func (tr *trial) rejects(request string) bool { return tr.Rejects(identity(request)) }
 
 // TestBlame guards against requests with a crashing part that are not rejected, and
 // against parts that a caller, or bad luck, puts beside it and that are rejected with it.
@@ -88,7 +103,23 @@
 		"two crashing parts":                {"e1:a e2:a e3:a e4:b e5:b e6:b", []string{"a", "b"}, []string{"x"}},
 		"last part":                         {"e1:x e2:y e3:z", nil, []string{"x", "w"}},
 		"another service has its own parts": {"e1:bad e2:bad e3:bad", []string{"bad"}, nil},
-		"records expire":                    {"e1:bad e2:bad e3:bad 16m e4:x", nil, []string{"bad"}},
+		"request, one crash":                {"e1:#x", nil, []string{"#x"}},
+		"request, two crashes":              {"e1:#x e2:#x", []string{"#x"}, []string{"#y", "a"}},
+		"request, a minute after the third": {"e1:#x e2:#x e3:#x 70s", []string{"#x"}, []string{"#y"}},
+		"request answered after":            {"e1:#x e2:#x e3:#x +e4:#x", nil, []string{"#x"}},
+		"request answered before":           {"+e9:#x e1:#x e2:#x e3:#x", nil, []string{"#x"}},
+		"request sent to two, its endpoints in flight": {
+			"e1:#y e1:#x e2:#y e2:#x", nil, []string{"#x", "#y"},
+		},
+		"and to a third":                {"e1:#y e1:#x e2:#y e2:#x e3:#x", []string{"#x"}, []string{"#y"}},
+		"polled request in flight":      {"+e9:#poll e1:#poll e1:#x e2:#poll e2:#x e3:#poll e3:#x", []string{"#x"}, []string{"#poll"}},
+		"request with an answered part": {"+e9:c e1:c,#x e2:c,#x +e9:c", []string{"c,#x", "#x"}, []string{"c", "c,#y"}},
+		"part in different requests":    {"e1:bad,#x e2:bad,#y e3:bad,#z", []string{"bad,#w", "bad"}, []string{"#x", "a,#x"}},
+		"part in one request":           {"e1:bad,#x e2:bad,#x", []string{"bad,#x"}, []string{"bad", "#x"}},
+		"part in two requests, each sent to two": {
+			"e1:bad,#x e1:bad,#y e2:bad,#x e2:bad,#y", []string{"bad,#x", "bad,#y"}, []string{"bad,#z", "#x"},
+		},
+		"records expire": {"e1:bad e2:bad e3:bad 16m e4:x", nil, []string{"bad"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tr := newTrial()
@@ -96,7 +127,9 @@
 			tr.play(tt.steps)
 			for _, parts := range tt.rejected {
 				require.True(t, tr.rejects(parts), "rejected: %s", parts)
-				require.False(t, tr.Rejects("other", []string{parts, "own"}))
+				other := identity(parts)
+				other.Service, other.Content = "other", tamarackknot.ContentID{}
+				require.False(t, tr.Rejects(other))
 			}
 			for _, parts := range tt.served {
 				require.False(t, tr.rejects(parts), "served: %s", parts)
@@ -114,11 +147,64 @@
 	tr.play("2s")
 	require.False(t, tr.rejects("bad"), "the first request after the ban")
 	require.False(t, tr.rejects("bad"), "the same request, which waits for an endpoint")
-	require.True(t, tr.Rejects("s", []string{"bad", "other"}), "the second one")
+	second := identity("bad")
+	second.ID = "second"
+	require.True(t, tr.Rejects(second), "the second one")
 	tr.play("e4:bad 60s")
 	require.True(t, tr.rejects("bad"), "the ban is longer after another crash")
 	tr.play("60s")
 	require.False(t, tr.rejects("bad"))
+	tr.play("e5:bad")
+	require.True(t, tr.rejects("bad"), "the same request once it was lost")
+}
+
+// TestProbeIsNotRetried guards against a request on probation that crashes a second
+// endpoint before the first crash is known.
+func TestProbeIsNotRetried(t *testing.T) {
+	tr := newTrial()
+	tr.cfg.Reachable = func(context.Context, string) bool { return false } // asked by RunChecks, which does not run
+	tr.addLoss(check{start: start{endpoint: "e1"}, loss: loss{at: tr.now, causes: set(causesOf(identity("#x")))}})
+	tr.addLoss(check{start: start{endpoint: "e2"}, loss: loss{at: tr.now, causes: set(causesOf(identity("#x")))}})
+	tr.play("6s")
+	require.False(t, tr.rejects("#x"))
+	tr.RecordLoss(tamarackknot.EndpointEntry{ID: "e3", Service: "s"}, identity("#x"))
+	require.True(t, tr.rejects("#x"))
+}
+
+// TestMessagesOfEarlierBuild guards against records of requests that hosts of the build
+// before can't read or take for parts, and against theirs that this build can't read.
+func TestMessagesOfEarlierBuild(t *testing.T) {
+	tr := newTrial()
+	tr.play("e1:bad,#x e2:bad,#x +e3:#x")
+	sent, err := json.Marshal(tr.all())
+	require.NoError(t, err)
+	// The messages of 53753f3.
+	var earlier struct {
+		Losses []struct {
+			Endpoint   string
+			BornMs     int64
+			AgeMs      int64
+			AliveMsAgo int64
+			Parts      []string
+		}
+		Answers []struct {
+			Part  string
+			AgeMs int64
+		}
+	}
+	require.NoError(t, json.Unmarshal(sent, &earlier))
+	require.Len(t, earlier.Losses, 2)
+	for _, lost := range earlier.Losses {
+		require.Equal(t, []string{newPartID("s", "bad").String()}, lost.Parts)
+		require.Equal(t, int64(-1), lost.AliveMsAgo)
+	}
+	require.Len(t, earlier.Answers, 1)
+	require.Empty(t, earlier.Answers[0].Part, "an answer to a request is none to a part")
+
+	part := newPartID("s", "bad").String()
+	_, err = tr.handleSpread(context.Background(), "i", []byte(`{"losses":[{"endpoint":"e4","bornMs":0,"ageMs":0,"aliveMsAgo":-1,"parts":["`+part+`"]}]}`))
+	require.NoError(t, err)
+	require.True(t, tr.rejects("bad"))
 }
 
 // TestProbingHost guards against several hosts that try a part on probation.
@@ -151,7 +237,7 @@
 				defer cancel()
 				go tr.RunChecks(ctx)
 				for _, id := range []string{"e1", "e2"} {
-					tr.RecordLoss(tamarackknot.EndpointEntry{ID: id, Service: "s", Address: "address of " + id}, []string{"bad", "own"})
+					tr.RecordLoss(tamarackknot.EndpointEntry{ID: id, Service: "s", Address: "address of " + id}, identity("bad"))
 				}
 				synctest.Wait()
 				require.Equal(t, !reachable, tr.rejects("bad"))
@@ -166,7 +252,7 @@
 func TestBounds(t *testing.T) {
 	tr := newTrial()
 	var parts []string
-	for i := range 2 * maxLossParts {
+	for i := range 2 * maxLossCauses {
 		parts = append(parts, fmt.Sprint(i))
 	}
 	for i := range 2 * maxLosses {
@@ -174,13 +260,13 @@
 	}
 	require.LessOrEqual(t, len(tr.losses), maxLosses)
 	for _, l := range tr.losses {
-		require.LessOrEqual(t, len(l.parts), maxLossParts)
+		require.LessOrEqual(t, len(l.causes), maxLossCauses)
 	}
 	for i := range 3 * maxAnswers {
-		tr.answers.put(partID{byte(i), byte(i >> 8), byte(i >> 16)}, tr.now)
+		tr.answers.put(causeID{hash: tamarackknot.ContentID{byte(i), byte(i >> 8), byte(i >> 16)}}, tr.now)
 	}
 	require.LessOrEqual(t, len(tr.answers.recent)+len(tr.answers.earlier), 2*maxAnswers)
-	_, err := tr.handleSpread(context.Background(), "i", []byte(`{"losses":[{"endpoint":"e","parts":["zz","00"]}],"answers":[{"part":"-"}]}`))
+	_, err := tr.handleSpread(context.Background(), "i", []byte(`{"losses":[{"endpoint":"e","parts":["zz","00"],"requests":["zz"]}],"answers":[{"part":"-"},{"part":"","request":"-"}]}`))
 	require.NoError(t, err)
 	_, err = tr.handleSpread(context.Background(), "i", []byte(`{"losses":1}`))
 	require.Error(t, err)
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -22,7 +23,7 @@
 	// repeatInterval is the time between two messages with all records, each to one host,
 	// so that a host that missed a message learns of it.
 	repeatInterval = time.Second
-	// repeatTime is how long a loss under which no part is blamed is repeated.
+	// repeatTime is how long a loss for which nothing is blamed is repeated.
 	repeatTime = 3 * time.Second
 	// pullInterval is the time between two questions for the records of another host
 	// until one answers.
@@ -50,13 +51,17 @@
 	BornMs   int64  `json:"bornMs"`
 	AgeMs    int64  `json:"ageMs"`
 	// AliveMsAgo is -1 if the endpoint is not known to have answered.
-	AliveMsAgo int64    `json:"aliveMsAgo"`
-	Parts      []string `json:"parts,omitempty"`
+	AliveMsAgo int64 `json:"aliveMsAgo"`
+	// Parts and Requests are the causes. Earlier builds know parts only.
+	Parts    []string `json:"parts,omitempty"`
+	Requests []string `json:"requests,omitempty"`
 }
 
+// answerMessage names either a part or a request. Earlier builds ignore one without a part.
 type answerMessage struct {
-	Part  string `json:"part"`
-	AgeMs int64  `json:"ageMs"`
+	Part    string `json:"part"`
+	Request string `json:"request,omitempty"`
+	AgeMs   int64  `json:"ageMs"`
 }
 
 // Run spreads the records until ctx ends.
@@ -94,7 +99,7 @@
 		}
 	}
 	for p := range l.unsentAnswers {
-		m.Answers = append(m.Answers, answerMessage{p.String(), (now - l.answers.last(p)).Milliseconds()})
+		m.Answers = append(m.Answers, encodeAnswer(p, now-l.lastAnswer(p)))
 	}
 	clear(l.unsentLosses)
 	clear(l.unsentAnswers)
@@ -111,22 +116,22 @@
 	defer l.mu.Unlock()
 	l.prune()
 	var m spreadMessage
-	now, parts, blamed := l.cfg.Clock(), make(map[partID]bool), make(map[partID]bool)
+	now, answered, blamed := l.cfg.Clock(), make(map[causeID]bool), make(map[causeID]bool)
 	for _, s := range l.suspects {
-		maps.Copy(blamed, set(s.parts))
+		maps.Copy(blamed, set(s.causes))
 	}
 	for s, lost := range l.losses {
-		recent, open := now-lost.at <= repeatTime, make(map[partID]bool)
-		for p, unanswered := range lost.parts {
+		recent, open := now-lost.at <= repeatTime, make(map[causeID]bool)
+		for p, unanswered := range lost.causes {
 			if !recent && !blamed[p] {
 				continue
 			}
 			if unanswered {
 				open[p] = true
 			}
-			if at := l.answers.last(p); at > 0 && !parts[p] {
-				parts[p] = true
-				m.Answers = append(m.Answers, answerMessage{p.String(), (now - at).Milliseconds()})
+			if at := l.lastAnswer(p); at > 0 && !answered[p] {
+				answered[p] = true
+				m.Answers = append(m.Answers, encodeAnswer(p, now-at))
 			}
 		}
 		if recent || len(open) > 0 {
@@ -136,13 +141,24 @@
 	return m
 }
 
-func encodeLoss(s start, lost *loss, parts map[partID]bool, now time.Duration) lossMessage {
+func encodeAnswer(c causeID, age time.Duration) answerMessage {
+	if c.request {
+		return answerMessage{Request: c.String(), AgeMs: age.Milliseconds()}
+	}
+	return answerMessage{Part: c.String(), AgeMs: age.Milliseconds()}
+}
+
+func encodeLoss(s start, lost *loss, causes map[causeID]bool, now time.Duration) lossMessage {
 	m := lossMessage{Endpoint: s.endpoint, BornMs: s.bornMs, AgeMs: (now - lost.at).Milliseconds(), AliveMsAgo: -1}
 	if lost.aliveAt > 0 {
 		m.AliveMsAgo = (now - lost.aliveAt).Milliseconds()
 	}
-	for p := range parts {
-		m.Parts = append(m.Parts, p.String())
+	for c := range causes {
+		if c.request {
+			m.Requests = append(m.Requests, c.String())
+		} else {
+			m.Parts = append(m.Parts, c.String())
+		}
 	}
 	return m
 }
@@ -204,9 +220,12 @@
 	defer l.mu.Unlock()
 	now, changed := l.cfg.Clock(), false
 	for _, a := range m.Answers {
-		p, ok := decodePart(a.Part)
-		if at := max(now-millis(a.AgeMs), 1); ok && at-l.answers.last(p) > mergeTolerance {
-			l.answers.put(p, at)
+		p, ok := decodeCause(a.Part, false)
+		if a.Request != "" {
+			p, ok = decodeCause(a.Request, true)
+		}
+		if at := max(now-millis(a.AgeMs), 1); ok && at-l.lastAnswer(p) > mergeTolerance {
+			l.answersOf(p).put(p, at)
 			changed = true
 			if l.isOpen(p) {
 				l.unsentAnswers[p] = true
@@ -214,15 +233,12 @@
 		}
 	}
 	for _, lost := range m.Losses {
-		n := loss{at: now - millis(lost.AgeMs), parts: make(map[partID]bool, len(lost.Parts))}
+		n := loss{at: now - millis(lost.AgeMs), causes: make(map[causeID]bool, len(lost.Parts)+len(lost.Requests))}
 		if lost.AliveMsAgo >= 0 {
 			n.aliveAt = now - millis(lost.AliveMsAgo)
 		}
-		for _, text := range lost.Parts {
-			if p, ok := decodePart(text); ok {
-				n.parts[p] = true
-			}
-		}
+		addCauses(n.causes, lost.Parts, false)
+		addCauses(n.causes, lost.Requests, true)
 		if now-n.at <= lossRetention {
 			changed = l.mergeLoss(start{lost.Endpoint, lost.BornMs}, n) || changed
 		}
@@ -232,12 +248,21 @@
 	}
 }
 
-func decodePart(text string) (p partID, ok bool) {
+// addCauses adds those causes of a message that can be read.
+func addCauses(to map[causeID]bool, texts []string, request bool) {
+	for _, text := range texts {
+		if c, ok := decodeCause(text, request); ok {
+			to[c] = true
+		}
+	}
+}
+
+func decodeCause(text string, request bool) (c causeID, ok bool) {
 	data, err := hex.DecodeString(text)
-	if err != nil || len(data) != len(p) {
-		return p, false
+	if err != nil || len(data) != len(c.hash) {
+		return c, false
 	}
-	return partID(data), true
+	return causeID{hash: tamarackknot.ContentID(data), request: request}, true
 }
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -5,20 +5,23 @@
 	"maps"
 	"slices"
 	"time"
+
+	"tamarackknot.example/tamarackknot"
 )
 
 const (
-	// minCrashes is the number of endpoints that must have crashed under a part which no
+	// minCrashes is the number of endpoints that must have crashed under a cause which no
 	// endpoint is known to have answered, minCrashesAnswered that under one which was
 	// answered before.
 	minCrashes         = 2
 	minCrashesAnswered = 6
-	// firstBanTime is how long after the last crash a part is rejected everywhere that is
+	// firstBanTime is how long after the last crash a cause is rejected everywhere that is
 	// blamed for the least number of crashes, or that was answered before. After a ban the
-	// part is on probation.
+	// cause is on probation.
 	firstBanTime = 5 * time.Second
 	// banTime is the same after a further crash under a part that was never answered; it
-	// doubles with each one after that, up to maxBanDoublings times.
+	// doubles with each one after that, up to maxBanDoublings times. A whole request, whose
+	// ban affects no other one, is banned for the longest time at once.
 	banTime         = time.Minute
 	maxBanDoublings = 3
 	// aliveMargin is how long after its loss an endpoint must have answered for the loss
@@ -29,8 +32,26 @@
 	maxAliveDelay = 2 * time.Second
 )
 
-// partID identifies a part of a prompt within a service.
-type partID [8]byte
+// causeID identifies what endpoints may crash under: a whole request, or a part of prompts
+// within a service.
+type causeID struct {
+	hash    tamarackknot.ContentID
+	request bool
+}
+
+func (c causeID) String() string { return c.hash.String() }
+
+func isRequest(c causeID) bool { return c.request }
+
+func compareCauses(a, b causeID) int {
+	if a.request != b.request {
+		if a.request {
+			return 1
+		}
+		return -1
+	}
+	return slices.Compare(a.hash[:], b.hash[:])
+}
 
 // start identifies one start of an endpoint.
 type start struct {
@@ -45,9 +66,9 @@
 	// aliveAt is when the endpoint answered a host after a loss; 0 if it is not known to
 	// have done so.
 	aliveAt time.Duration
-	// parts are those of the prompts of these answers; false for one that was answered
-	// since.
-	parts map[partID]bool
+	// causes are the requests that were not answered, and the parts of their prompts; false
+	// for one that was answered since.
+	causes map[causeID]bool
 }
 
 // crashed reports whether the endpoint has not answered soon after the loss.
@@ -58,20 +79,20 @@
 	return answeredAt >= l.at+aliveMargin && answeredAt <= l.at+maxAliveDelay
 }
 
-// suspicion is a group of parts under which the same endpoints crashed.
+// suspicion is a group of causes under which the same endpoints crashed.
 type suspicion struct {
-	parts   []partID
+	causes  []causeID
 	crashes int
-	// bannedUntil is the end of the ban; the parts are on probation from then on.
+	// bannedUntil is the end of the ban; the causes are on probation from then on.
 	bannedUntil time.Duration
 }
 
-// blame returns the parts to which the crashes are attributed. A part is not blamed for
-// crashes before its last answer, nor for those that a more likely part explains: first
-// the parts that were never answered, then those with the most crashes. Parts with the
-// same crashes form a group, since any of them may be the cause. lastAnswer returns when
-// a part was last answered, 0 if that is not known.
-func blame(losses map[start]*loss, lastAnswer func(partID) time.Duration) []suspicion {
+// blame returns the causes to which the crashes are attributed. A cause is not blamed for
+// crashes before its last answer, nor for those that a more likely one explains: first
+// the causes that were never answered, then those with the most crashes. Causes with the
+// same crashes form a group, since any of them may be to blame. lastAnswer returns when
+// a cause was last answered, 0 if that is not known.
+func blame(losses map[start]*loss, lastAnswer func(causeID) time.Duration) []suspicion {
 	open := openCrashes(losses)
 	var out []suspicion
 	for {
@@ -90,25 +111,25 @@
 	}
 }
 
-// openCrashes returns the crashes under each part that was not answered since, without
-// parts that have too few.
-func openCrashes(losses map[start]*loss) map[partID]map[start]bool {
-	count := make(map[partID]int)
+// openCrashes returns the crashes under each cause that was not answered since, without
+// causes that have too few.
+func openCrashes(losses map[start]*loss) map[causeID]map[start]bool {
+	count := make(map[causeID]int)
 	for _, l := range losses {
-		for p, unanswered := range l.parts {
+		for p, unanswered := range l.causes {
 			if unanswered && l.crashed() {
 				count[p]++
 			}
 		}
 	}
-	open := make(map[partID]map[start]bool)
+	open := make(map[causeID]map[start]bool)
 	for p, n := range count {
 		if n < minCrashes {
 			continue
 		}
 		open[p] = make(map[start]bool, n)
 		for s, l := range losses {
-			if l.parts[p] && l.crashed() {
+			if l.causes[p] && l.crashed() {
 				open[p][s] = true
 			}
 		}
@@ -116,10 +137,10 @@
 	return open
 }
 
-// mostLikely returns the parts with the same crashes that are blamed first, nil if there
+// mostLikely returns the causes with the same crashes that are blamed first, nil if there
 // are too few crashes for any.
-func mostLikely(open map[partID]map[start]bool, lastAnswer func(partID) time.Duration) []partID {
-	rank := func(p partID) int {
+func mostLikely(open map[causeID]map[start]bool, lastAnswer func(causeID) time.Duration) []causeID {
+	rank := func(p causeID) int {
 		n := len(open[p])
 		switch answered := lastAnswer(p) > 0; {
 		case !answered && n >= minCrashes:
@@ -130,23 +151,23 @@
 			return 0
 		}
 	}
-	var best partID
+	var best causeID
 	bestRank := 0
 	for p := range open {
-		if r := rank(p); r > bestRank || r == bestRank && r > 0 && slices.Compare(p[:], best[:]) < 0 {
+		if r := rank(p); r > bestRank || r == bestRank && r > 0 && compareCauses(p, best) < 0 {
 			best, bestRank = p, r
 		}
 	}
 	if bestRank == 0 {
 		return nil
 	}
-	var group []partID
+	var group []causeID
 	for p := range open {
 		if rank(p) == bestRank && sameCrashes(open[p], open[best]) {
 			group = append(group, p)
 		}
 	}
-	slices.SortFunc(group, func(a, b partID) int { return slices.Compare(a[:], b[:]) })
+	slices.SortFunc(group, compareCauses)
 	return group
 }
 
@@ -159,22 +180,41 @@
 	return len(a) == len(b)
 }
 
-func newSuspicion(group []partID, crashes map[start]bool, losses map[start]*loss, answered bool) suspicion {
+func newSuspicion(group []causeID, crashes map[start]bool, losses map[start]*loss, answered bool) suspicion {
 	var last time.Duration
 	for s := range crashes {
 		last = max(last, losses[s].at)
 	}
 	ban := firstBanTime
 	if further := len(crashes) - minCrashes - 1; further >= 0 && !answered {
+		if slices.ContainsFunc(group, isRequest) {
+			further = maxBanDoublings
+		}
 		ban = banTime << min(further, maxBanDoublings)
 	}
-	return suspicion{parts: group, crashes: len(crashes), bannedUntil: last + ban}
+	return suspicion{causes: group, crashes: len(crashes), bannedUntil: last + ban}
 }
 
-// applies reports whether a prompt holds all parts of the group, so that whichever of
-// them is the cause is in it.
-func (s *suspicion) applies(parts []partID) bool {
-	return !slices.ContainsFunc(s.parts, func(p partID) bool { return !slices.Contains(parts, p) })
+// applies reports whether a request with these causes holds all parts of the group, so that
+// whichever of them is to blame is in it, and is one of the requests in the group. Several
+// requests with no part in common can't be told apart, and none of them is rejected.
+func (s *suspicion) applies(causes []causeID) bool {
+	parts, requests, matches := 0, 0, 0
+	for _, c := range s.causes {
+		held := slices.Contains(causes, c)
+		switch {
+		case !c.request && !held:
+			return false
+		case !c.request:
+			parts++
+		default:
+			requests++
+			if held {
+				matches++
+			}
+		}
+	}
+	return requests == 0 || matches > 0 && (requests == 1 || parts > 0)
 }
 
 // compareStarts orders starts of endpoints.
