Tell crashes of an endpoint apart whose entry is out of date

What callers saw: with two requests that crash endpoints, both go on to crash them while the platform's store does not answer.

Cause: a crash is known by the start of the endpoint (id and born) that its entry names. While the entry is out of date, the next start has the same name, and its crash was added to the record of the first one. Two requests that crash one start each then have the same crashes, can't be told apart, and neither is rejected. Class of fault: an identity that is read from a list counts as that of what is observed.

Change: an endpoint needs at least 2 s to be back, so answers lost further apart belong to two crashes. Losses are values with their start in a list in place of a map by start.

Ruled out: the time for which an entry is late, which has no bound while the store is away.

Result: TestBlame "starts again, its entry is late" failed before.

--- a/quarantine/check.go
+++ b/quarantine/check.go
@@ -19,7 +19,6 @@
 
 // check is a loss that counts if the endpoint can't be reached.
 type check struct {
-	start   start
 	address string
 	loss    loss
 }
@@ -44,7 +43,7 @@
 		case <-ctx.Done():
 			return
 		case c := <-l.checks:
-			if now := l.cfg.Clock(); c.start != last.start || now-lastAt > checkValidity {
+			if now := l.cfg.Clock(); c.loss.start != last.loss.start || now-lastAt > checkValidity {
 				reachable = l.reachable(ctx, c.address)
 				last, lastAt = c, now
 			}
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -122,9 +122,9 @@
 			continue
 		}
 		causes := set(s.causes)
-		for key, lost := range l.losses {
+		for _, lost := range l.losses {
 			if lost.crashed() && lost.causes[p] {
-				changed[p] = append(changed[p], encodeLoss(key, lost, causes, now))
+				changed[p] = append(changed[p], encodeLoss(lost, causes, now))
 			}
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"maps"
@@ -66,7 +67,7 @@
 	active atomic.Bool
 
 	mu       sync.Mutex
-	losses   map[start]*loss
+	losses   []*loss
 	suspects []suspicion
 	// answers holds when each part was last answered, requestAnswers when each request was:
 	// those of this host, and those of others for causes that occur in losses. Many
@@ -76,7 +77,7 @@
 	// alive holds when each start of an endpoint last answered this host.
 	alive generations[start]
 	// unsentLosses and unsentAnswers name the records that changed since the last message.
-	unsentLosses  map[start]map[causeID]bool
+	unsentLosses  map[*loss]map[causeID]bool
 	unsentAnswers map[causeID]bool
 	probes        map[causeID]probe
 	logged        map[causeID]bool // causes of which a rejection is logged
@@ -96,8 +97,8 @@
 		cfg.Clock = times.SinceBoot
 	}
 	l := &List{
-		cfg: cfg, wake: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), checks: make(chan check, maxChecks), losses: make(map[start]*loss),
-		unsentLosses: make(map[start]map[causeID]bool), unsentAnswers: make(map[causeID]bool),
+		cfg: cfg, wake: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), checks: make(chan check, maxChecks),
+		unsentLosses: make(map[*loss]map[causeID]bool), unsentAnswers: make(map[causeID]bool),
 		probes: make(map[causeID]probe), logged: make(map[causeID]bool),
 	}
 	cfg.Peers.Handle(methodSpread, l.handleSpread)
@@ -196,7 +197,7 @@
 	l.mu.Lock()
 	l.endProbes(ids, r.ID)
 	l.mu.Unlock()
-	c := check{startOf(e), e.Address, loss{at: l.cfg.Clock(), causes: set(ids)}}
+	c := check{e.Address, loss{start: startOf(e), at: l.cfg.Clock(), causes: set(ids)}}
 	if l.cfg.Reachable == nil {
 		l.addLoss(c)
 		return
@@ -211,10 +212,21 @@
 func (l *List) addLoss(c check) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.mergeLoss(c.start, c.loss)
+	l.mergeLoss(c.loss)
 	l.update()
 }
 
+// lossAt returns the loss of a start to which an answer lost at a time belongs, nil if there
+// is none. l.mu is held.
+func (l *List) lossAt(s start, at time.Duration) *loss {
+	for _, lost := range l.losses {
+		if lost.start == s && lost.includes(at) {
+			return lost
+		}
+	}
+	return nil
+}
+
 // RecordAnswer implements tamarackknot.CrashRecords.
 func (l *List) RecordAnswer(e tamarackknot.EndpointEntry, r tamarackknot.RequestIdentity) {
 	ids := causesOf(r)
@@ -258,12 +270,12 @@
 // l.mu is held.
 func (l *List) markAlive(s start, now time.Duration) bool {
 	l.alive.put(s, now)
-	lost := l.losses[s]
+	lost := l.lossAt(s, now)
 	if lost == nil || !lost.crashed() || !lost.refutedBy(now) {
 		return false
 	}
 	lost.aliveAt = now
-	l.markUnsent(s, nil)
+	l.markUnsent(lost, nil)
 	return true
 }
 
@@ -279,12 +291,12 @@
 
 // mergeLoss merges a record of this host or of another one, and reports whether it is
 // news. l.mu is held.
-func (l *List) mergeLoss(s start, n loss) bool {
-	old := l.losses[s]
+func (l *List) mergeLoss(n loss) bool {
+	old := l.lossAt(n.start, n.at)
 	isNew := old == nil
 	if isNew {
-		old = &loss{at: n.at, causes: make(map[causeID]bool)}
-		l.losses[s] = old
+		old = &loss{start: n.start, at: n.at, causes: make(map[causeID]bool)}
+		l.losses = append(l.losses, old)
 	}
 	var added []causeID
 	for p := range n.causes {
@@ -297,7 +309,7 @@
 			l.unsentAnswers[p] = true
 		}
 	}
-	aliveAt := max(old.aliveAt, n.aliveAt, l.alive.last(s))
+	aliveAt := max(old.aliveAt, n.aliveAt, l.alive.last(n.start))
 	later, alive := n.at-old.at > mergeTolerance, aliveAt-old.aliveAt > mergeTolerance
 	if later {
 		old.at = n.at
@@ -308,17 +320,17 @@
 	if !isNew && !later && !alive && len(added) == 0 {
 		return false
 	}
-	l.markUnsent(s, added)
+	l.markUnsent(old, added)
 	return true
 }
 
 // markUnsent records a change of a loss that other hosts must hear of. l.mu is held.
-func (l *List) markUnsent(s start, added []causeID) {
-	if l.unsentLosses[s] == nil {
-		l.unsentLosses[s] = make(map[causeID]bool)
+func (l *List) markUnsent(lost *loss, added []causeID) {
+	if l.unsentLosses[lost] == nil {
+		l.unsentLosses[lost] = make(map[causeID]bool)
 	}
 	for _, p := range added {
-		l.unsentLosses[s][p] = true
+		l.unsentLosses[lost][p] = true
 	}
 }
 
@@ -354,19 +366,23 @@
 	}
 }
 
-// prune drops old losses. l.mu is held.
+// prune drops old losses, and the oldest of too many. l.mu is held.
 func (l *List) prune() {
 	now := l.cfg.Clock()
-	maps.DeleteFunc(l.losses, func(_ start, lost *loss) bool { return now-lost.at > lossRetention })
-	for len(l.losses) > maxLosses {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(l.losses)), func(a, b start) int {
-			if d := l.losses[a].at - l.losses[b].at; d != 0 {
-				return int(max(min(d, 1), -1))
-			}
-			return compareStarts(a, b)
-		})
-		delete(l.losses, oldest)
+	excess := len(l.losses) - maxLosses
+	if excess > 0 {
+		slices.SortStableFunc(l.losses, func(a, b *loss) int { return cmp.Compare(a.at, b.at) })
+	}
+	kept := l.losses[:0]
+	for i, lost := range l.losses {
+		if i < excess || now-lost.at > lossRetention {
+			delete(l.unsentLosses, lost)
+			continue
+		}
+		kept = append(kept, lost)
 	}
+	clear(l.losses[len(kept):])
+	l.losses = kept
 	maps.DeleteFunc(l.probes, func(_ causeID, last probe) bool { return now-last.at > lossRetention })
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -119,7 +119,10 @@
 		"part in two requests, each sent to two": {
 			"e1:bad,#x e1:bad,#y e2:bad,#x e2:bad,#y", []string{"bad,#x", "bad,#y"}, []string{"bad,#z", "#x"},
 		},
-		"records expire": {"e1:bad e2:bad e3:bad 16m e4:x", nil, []string{"bad"}},
+		"starts again, its entry is late":  {"e1:#x e2:#x e3:#x 3s e1:#y e2:#y e3:#y", []string{"#x", "#y"}, []string{"#z"}},
+		"the same, and with parts":         {"e1:a e2:a 3s e1:a", []string{"a"}, nil},
+		"several answers lost in a second": {"e1:#x e1:#x e1:#x", nil, []string{"#x"}},
+		"records expire":                   {"e1:bad e2:bad e3:bad 16m e4:x", nil, []string{"bad"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tr := newTrial()
@@ -163,8 +166,8 @@
 func TestProbeIsNotRetried(t *testing.T) {
 	tr := newTrial()
 	tr.cfg.Reachable = func(context.Context, string) bool { return false } // asked by RunChecks, which does not run
-	tr.addLoss(check{start: start{endpoint: "e1"}, loss: loss{at: tr.now, causes: set(causesOf(identity("#x")))}})
-	tr.addLoss(check{start: start{endpoint: "e2"}, loss: loss{at: tr.now, causes: set(causesOf(identity("#x")))}})
+	tr.addLoss(check{loss: loss{start: start{endpoint: "e1"}, at: tr.now, causes: set(causesOf(identity("#x")))}})
+	tr.addLoss(check{loss: loss{start: start{endpoint: "e2"}, at: tr.now, causes: set(causesOf(identity("#x")))}})
 	tr.play("6s")
 	require.False(t, tr.rejects("#x"))
 	tr.RecordLoss(tamarackknot.EndpointEntry{ID: "e3", Service: "s"}, identity("#x"))
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -93,10 +93,8 @@
 	defer l.mu.Unlock()
 	var m spreadMessage
 	now := l.cfg.Clock()
-	for s, added := range l.unsentLosses {
-		if lost := l.losses[s]; lost != nil {
-			m.Losses = append(m.Losses, encodeLoss(s, lost, added, now))
-		}
+	for lost, added := range l.unsentLosses {
+		m.Losses = append(m.Losses, encodeLoss(lost, added, now))
 	}
 	for p := range l.unsentAnswers {
 		m.Answers = append(m.Answers, encodeAnswer(p, now-l.lastAnswer(p)))
@@ -120,7 +118,7 @@
 	for _, s := range l.suspects {
 		maps.Copy(blamed, set(s.causes))
 	}
-	for s, lost := range l.losses {
+	for _, lost := range l.losses {
 		recent, open := now-lost.at <= repeatTime, make(map[causeID]bool)
 		for p, unanswered := range lost.causes {
 			if !recent && !blamed[p] {
@@ -135,7 +133,7 @@
 			}
 		}
 		if recent || len(open) > 0 {
-			m.Losses = append(m.Losses, encodeLoss(s, lost, open, now))
+			m.Losses = append(m.Losses, encodeLoss(lost, open, now))
 		}
 	}
 	return m
@@ -148,8 +146,8 @@
 	return answerMessage{Part: c.String(), AgeMs: age.Milliseconds()}
 }
 
-func encodeLoss(s start, lost *loss, causes map[causeID]bool, now time.Duration) lossMessage {
-	m := lossMessage{Endpoint: s.endpoint, BornMs: s.bornMs, AgeMs: (now - lost.at).Milliseconds(), AliveMsAgo: -1}
+func encodeLoss(lost *loss, causes map[causeID]bool, now time.Duration) lossMessage {
+	m := lossMessage{Endpoint: lost.start.endpoint, BornMs: lost.start.bornMs, AgeMs: (now - lost.at).Milliseconds(), AliveMsAgo: -1}
 	if lost.aliveAt > 0 {
 		m.AliveMsAgo = (now - lost.aliveAt).Milliseconds()
 	}
@@ -233,14 +231,14 @@
 		}
 	}
 	for _, lost := range m.Losses {
-		n := loss{at: now - millis(lost.AgeMs), causes: make(map[causeID]bool, len(lost.Parts)+len(lost.Requests))}
+		n := loss{start: start{lost.Endpoint, lost.BornMs}, at: now - millis(lost.AgeMs), causes: make(map[causeID]bool, len(lost.Parts)+len(lost.Requests))}
 		if lost.AliveMsAgo >= 0 {
 			n.aliveAt = now - millis(lost.AliveMsAgo)
 		}
 		addCauses(n.causes, lost.Parts, false)
 		addCauses(n.causes, lost.Requests, true)
 		if now-n.at <= lossRetention {
-			changed = l.mergeLoss(start{lost.Endpoint, lost.BornMs}, n) || changed
+			changed = l.mergeLoss(n) || changed
 		}
 	}
 	if changed {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -27,9 +26,10 @@
 	// aliveMargin is how long after its loss an endpoint must have answered for the loss
 	// not to count: hosts notice it at slightly different times.
 	aliveMargin = 250 * time.Millisecond
-	// maxAliveDelay is how long after its loss an answer still says so. Later it may come
-	// from the next start of the endpoint, if its entry is out of date.
-	maxAliveDelay = 2 * time.Second
+	// restartTime is the least time from a crash until the endpoint is back. What the
+	// endpoint does later is that of its next start, although its entry may still name the
+	// earlier one.
+	restartTime = 2 * time.Second
 )
 
 // causeID identifies what endpoints may crash under: a whole request, or a part of prompts
@@ -62,7 +62,8 @@
 // loss says that an endpoint broke off answers that had hardly begun. Times are on the
 // clock of the List.
 type loss struct {
-	at time.Duration // the last such answer
+	start start
+	at    time.Duration // the last such answer
 	// aliveAt is when the endpoint answered a host after a loss; 0 if it is not known to
 	// have done so.
 	aliveAt time.Duration
@@ -76,7 +77,12 @@
 
 // refutedBy reports whether an answer at a time shows that the endpoint has not crashed.
 func (l *loss) refutedBy(answeredAt time.Duration) bool {
-	return answeredAt >= l.at+aliveMargin && answeredAt <= l.at+maxAliveDelay
+	return answeredAt >= l.at+aliveMargin && answeredAt <= l.at+restartTime
+}
+
+// includes reports whether an answer lost at a time belongs to this loss.
+func (l *loss) includes(at time.Duration) bool {
+	return at-l.at <= restartTime && l.at-at <= restartTime
 }
 
 // suspicion is a group of causes under which the same endpoints crashed.
@@ -92,7 +98,7 @@
 // the causes that were never answered, then those with the most crashes. Causes with the
 // same crashes form a group, since any of them may be to blame. lastAnswer returns when
 // a cause was last answered, 0 if that is not known.
-func blame(losses map[start]*loss, lastAnswer func(causeID) time.Duration) []suspicion {
+func blame(losses []*loss, lastAnswer func(causeID) time.Duration) []suspicion {
 	open := openCrashes(losses)
 	var out []suspicion
 	for {
@@ -101,19 +107,19 @@
 			return out
 		}
 		explained := open[group[0]]
-		out = append(out, newSuspicion(group, explained, losses, lastAnswer(group[0]) > 0))
+		out = append(out, newSuspicion(group, explained, lastAnswer(group[0]) > 0))
 		for _, p := range group {
 			delete(open, p)
 		}
 		for _, crashes := range open {
-			maps.DeleteFunc(crashes, func(s start, _ bool) bool { return explained[s] })
+			maps.DeleteFunc(crashes, func(l *loss, _ bool) bool { return explained[l] })
 		}
 	}
 }
 
 // openCrashes returns the crashes under each cause that was not answered since, without
 // causes that have too few.
-func openCrashes(losses map[start]*loss) map[causeID]map[start]bool {
+func openCrashes(losses []*loss) map[causeID]map[*loss]bool {
 	count := make(map[causeID]int)
 	for _, l := range losses {
 		for p, unanswered := range l.causes {
@@ -122,15 +128,15 @@
 			}
 		}
 	}
-	open := make(map[causeID]map[start]bool)
+	open := make(map[causeID]map[*loss]bool)
 	for p, n := range count {
 		if n < minCrashes {
 			continue
 		}
-		open[p] = make(map[start]bool, n)
-		for s, l := range losses {
+		open[p] = make(map[*loss]bool, n)
+		for _, l := range losses {
 			if l.causes[p] && l.crashed() {
-				open[p][s] = true
+				open[p][l] = true
 			}
 		}
 	}
@@ -139,7 +145,7 @@
 
 // mostLikely returns the causes with the same crashes that are blamed first, nil if there
 // are too few crashes for any.
-func mostLikely(open map[causeID]map[start]bool, lastAnswer func(causeID) time.Duration) []causeID {
+func mostLikely(open map[causeID]map[*loss]bool, lastAnswer func(causeID) time.Duration) []causeID {
 	rank := func(p causeID) int {
 		n := len(open[p])
 		switch answered := lastAnswer(p) > 0; {
@@ -171,19 +177,19 @@
 	return group
 }
 
-func sameCrashes(a, b map[start]bool) bool {
-	for s := range a {
-		if !b[s] {
+func sameCrashes(a, b map[*loss]bool) bool {
+	for l := range a {
+		if !b[l] {
 			return false
 		}
 	}
 	return len(a) == len(b)
 }
 
-func newSuspicion(group []causeID, crashes map[start]bool, losses map[start]*loss, answered bool) suspicion {
+func newSuspicion(group []causeID, crashes map[*loss]bool, answered bool) suspicion {
 	var last time.Duration
-	for s := range crashes {
-		last = max(last, losses[s].at)
+	for l := range crashes {
+		last = max(last, l.at)
 	}
 	ban := firstBanTime
 	if further := len(crashes) - minCrashes - 1; further >= 0 && !answered {
@@ -216,8 +222,3 @@
 	}
 	return requests == 0 || matches > 0 && (requests == 1 || parts > 0)
 }
-
-// compareStarts orders starts of endpoints.
-func compareStarts(a, b start) int {
-	return cmp.Or(cmp.Compare(a.endpoint, b.endpoint), cmp.Compare(a.bornMs, b.bornMs))
-}
