Keep a refuted loss refuted when its record is repeated

Cause: the latest answer of a start replaced the one that had refuted its loss. Once it lay more than 2 s after the loss, it said nothing any more, and the loss counted as a crash again. Records are repeated for 3 s, so each refuted loss could come back.

Result: TestRepeatedRecordOfLiveEndpoint failed before (a part was rejected after one crash); the tests of quarantine and the directed cases of both kinds of crashing requests pass.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -309,13 +309,14 @@
 			l.unsentAnswers[p] = true
 		}
 	}
-	aliveAt := max(old.aliveAt, n.aliveAt, l.alive.last(n.start))
-	later, alive := n.at-old.at > mergeTolerance, aliveAt-old.aliveAt > mergeTolerance
+	later, alive := n.at-old.at > mergeTolerance, false
 	if later {
 		old.at = n.at
 	}
-	if alive {
-		old.aliveAt = aliveAt
+	for _, at := range []time.Duration{n.aliveAt, l.alive.last(n.start)} {
+		if old.crashed() && old.refutedBy(at) {
+			old.aliveAt, alive = at, true
+		}
 	}
 	if !isNew && !later && !alive && len(added) == 0 {
 		return false
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -274,3 +274,15 @@
 	_, err = tr.handleSpread(context.Background(), "i", []byte(`{"losses":1}`))
 	require.Error(t, err)
 }
+
+// TestRepeatedRecordOfLiveEndpoint guards against a loss that was refuted and counts as a
+// crash again when its record is repeated.
+func TestRepeatedRecordOfLiveEndpoint(t *testing.T) {
+	tr := newTrial()
+	tr.play("e1:bad e1 e1")
+	tr.now += 500 * time.Millisecond
+	tr.RecordAlive(tamarackknot.EndpointEntry{ID: "e1", Service: "s"})
+	tr.merge(tr.all())
+	tr.play("e2:bad")
+	require.False(t, tr.rejects("bad"), "one crash")
+}
