Test what can make a host overlook that an endpoint asks for a pause

Three faults found by reading each way to an endpoint, each with a test that fails: a pause in an answer without the request's id is not heeded (as in the published example of an endpoint that declines); a pause is forgotten when the endpoint is not listed for a minute; requests for a model wait 0.8 s and are then refused, or longer, although all endpoints that hold it pause.

--- a/dispatch/signals_test.go
+++ b/dispatch/signals_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,3 +147,78 @@
 		require.NotNil(t, g)
 	})
 }
+
+// TestPauseOfModelHolders guards against requests that wait for a model although all its
+// endpoints have asked for a longer pause, and against refusing what another one can serve.
+func TestPauseOfModelHolders(t *testing.T) {
+	const pause = 5 * time.Second
+	for name, tt := range map[string]struct {
+		holders  []string // of e0 to e2, which all serve
+		pausing  []string
+		forecast time.Duration // until the model is loaded elsewhere; 0 if it is not
+		refused  bool
+	}{
+		"the only holder":             {holders: []string{"e0"}, pausing: []string{"e0"}, refused: true},
+		"both holders":                {holders: []string{"e0", "e1"}, pausing: []string{"e0", "e1"}, refused: true},
+		"one of two holders":          {holders: []string{"e0", "e1"}, pausing: []string{"e0"}},
+		"loaded elsewhere in time":    {holders: []string{"e0"}, pausing: []string{"e0"}, forecast: time.Second},
+		"loaded elsewhere too late":   {holders: []string{"e0"}, pausing: []string{"e0"}, forecast: time.Minute, refused: true},
+		"one that lacks the model":    {holders: []string{"e0"}, pausing: []string{"e1"}},
+		"a pause within the deadline": {holders: []string{"e0"}, pausing: nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				for _, id := range []string{"e0", "e1", "e2"} {
+					var models []string
+					if slices.Contains(tt.holders, id) {
+						models = []string{"m"}
+					}
+					h.add(id, "s", "z1", 4, models...)
+				}
+				now := time.Now()
+				h.mu.Lock()
+				for _, id := range tt.pausing {
+					h.signals[startKey{id, h.entries[id].Born.UnixMilli()}] = &signalState{pausedUntil: now.Add(pause)}
+				}
+				if tt.forecast > 0 {
+					h.forecasts[target{"s", "m"}] = now.Add(tt.forecast)
+				}
+				h.mu.Unlock()
+				h.publish()
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				req := request("s", "m")
+				g, _ := h.tryGrant(req, now)
+				refusal := h.unmeetable(req, now)
+				require.Equal(t, tt.refused, g == nil && refusal != nil)
+				if tt.refused {
+					require.WithinRange(t, refusal.RetryAt, now, now.Add(pause))
+				}
+			})
+		})
+	}
+}
+
+// TestLongPauseOfUnlistedEndpoint guards against a pause that is forgotten because the
+// endpoint was not listed for some time.
+func TestLongPauseOfUnlistedEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		h.add("e0", "s", "z1", 4, "m")
+		g := h.grant(t, request("s", "m"))
+		g.Observe(tamarackknot.EndpointSignals{PauseUntil: time.Now().Add(5 * time.Minute)})
+		g.Done(ResultFull)
+		entry := h.entries["e0"]
+		delete(h.entries, "e0")
+		for range 5 {
+			h.publish()
+			time.Sleep(signalRetention / 2)
+		}
+		h.entries["e0"] = entry
+		h.publish()
+		require.Empty(t, h.sendAll(t, 2*time.Minute), "during the pause")
+		time.Sleep(time.Minute)
+		require.NotEmpty(t, h.sendAll(t, time.Second), "after it")
+	})
+}
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -43,7 +43,12 @@
 }
 
 func (testDialect) Answer(status int, h http.Header) tamarackknot.EndpointAnswer {
+	var signals tamarackknot.EndpointSignals
+	if d, err := time.ParseDuration(h.Get("Pause")); err == nil {
+		signals.PauseUntil = time.Now().Add(d)
+	}
 	return tamarackknot.EndpointAnswer{
+		Signals:   signals,
 		RequestID: h.Get("Id"), Signed: h.Get("Signed") != "",
 		NotRun: h.Get("NotRun") != "" || status == http.StatusMisdirectedRequest, Misplaced: status == http.StatusMisdirectedRequest,
 	}
