Heed a pause in an answer without the request's id

Cause: what an endpoint says of itself was read only from answers with the request's id, since an answer without one can't be related to a request. A pause needs no request: it is said to the connection's host. Limits and leaving stay tied to the id, as such an answer that names no limit would end one.

--- a/dispatch/signals.go
+++ b/dispatch/signals.go
@@ -116,11 +116,40 @@
 	g.d.applyNotice(tamarackknot.EndpointNotice{
 		Endpoint: g.Endpoint.ID, Born: g.Endpoint.Born, Limit: s.Limit, Leaving: s.Leaving, At: time.Now(),
 	}, g.req.ID)
-	l := g.d.signals[k]
-	if s.PauseUntil.After(l.pausedUntil) {
-		l.pausedUntil, l.resuming = s.PauseUntil, true
-		g.d.cfg.Logger.Info("endpoint asks for a pause", "endpoint", g.Endpoint.ID, "request", g.req.ID, "seconds", time.Until(s.PauseUntil).Seconds())
+	g.pause(s.PauseUntil)
+}
+
+// ObservePause records that the endpoint wants no request from this host until a time; zero
+// if it names none.
+func (g *Grant) ObservePause(until time.Time) {
+	g.d.mu.Lock()
+	defer g.d.mu.Unlock()
+	g.pause(until)
+}
+
+// pause is ObservePause with d.mu held.
+func (g *Grant) pause(until time.Time) {
+	if until.IsZero() {
+		return
+	}
+	l := g.d.signalsOf(keyOf(g.Endpoint))
+	if until.After(l.pausedUntil) {
+		l.pausedUntil, l.resuming = until, true
+		g.d.cfg.Logger.Info("endpoint asks for a pause", "endpoint", g.Endpoint.ID, "request", g.req.ID, "seconds", time.Until(until).Seconds())
+	}
+}
+
+// signalsOf returns what a start of an endpoint says of itself. d.mu is held.
+func (d *Dispatcher) signalsOf(k startKey) *signalState {
+	l := d.signals[k]
+	if l == nil {
+		l = &signalState{tokensAt: time.Now()}
+		d.signals[k] = l
+		if e := d.endpoints[k.endpoint]; e != nil && keyOf(e.entry) == k {
+			e.signals = l
+		}
 	}
+	return l
 }
 
 // brittleness is what endpoints of a service last said of their being brittle.
@@ -172,15 +201,7 @@
 // applyNotice records the newest observation of an endpoint's limit, made by the answer
 // to a request, or by another host if request is empty. d.mu is held.
 func (d *Dispatcher) applyNotice(n tamarackknot.EndpointNotice, request string) {
-	k := startKey{n.Endpoint, n.Born.UnixMilli()}
-	l := d.signals[k]
-	if l == nil {
-		l = &signalState{tokensAt: time.Now()}
-		d.signals[k] = l
-		if e := d.endpoints[n.Endpoint]; e != nil && keyOf(e.entry) == k {
-			e.signals = l
-		}
-	}
+	l := d.signalsOf(startKey{n.Endpoint, n.Born.UnixMilli()})
 	if n.Leaving && !l.Leaving {
 		d.cfg.Logger.Info("endpoint says it leaves", "endpoint", n.Endpoint, "request", request)
 		l.Leaving, l.due = true, l.due || request != ""
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -246,8 +246,13 @@
 func (x *exchange) checkResponseHeader(g *dispatch.Grant, resp *http.Response) (outcome, bool) {
 	a := x.server.cfg.Dialect.Answer(resp.StatusCode, resp.Header)
 	x.sent++
-	if a.RequestID == x.caller.ID && !a.Misplaced && (a.NotRun || a.Signed) {
+	switch {
+	case a.Misplaced:
+	case a.RequestID == x.caller.ID && (a.NotRun || a.Signed):
 		g.Observe(a.Signals)
+	case a.RequestID == "" && a.NotRun:
+		// An endpoint may decline without reading the request.
+		g.ObservePause(a.Signals.PauseUntil)
 	}
 	switch {
 	case a.NotRun && a.Misplaced:
