Keep a pause while the endpoint is not listed

Cause: what an endpoint said was kept for a minute after it was last listed, however long a pause it had asked for. Class of fault: a promise with a deadline is forgotten by another clock than its own. The others of that list: a limit and leaving have no deadline, and the next answer says them again.

--- a/dispatch/signals.go
+++ b/dispatch/signals.go
@@ -14,8 +14,8 @@
 	// holds.
 	limitedPenalty     = 1.0
 	limitProbeInterval = 2 * time.Second
-	// signalRetention is how long the limit of an endpoint that is not listed is kept:
-	// its entry may come back.
+	// signalRetention is how long at least the signals of an endpoint that is not listed are
+	// kept: its entry may come back.
 	signalRetention = time.Minute
 	// noticeInterval is how long after the last report an unchanged limit is
 	// reported again, so that the planner knows that it lasts.
@@ -226,8 +226,8 @@
 	l.EndpointNotice = n
 }
 
-// pruneSignals forgets the limits of endpoints that have not been listed for long. d.mu
-// is held.
+// pruneSignals forgets what endpoints said that have not been listed for long, but no pause
+// that lasts. d.mu is held.
 func (d *Dispatcher) pruneSignals(now time.Time) {
 	for k, l := range d.signals {
 		e := d.endpoints[k.endpoint]
@@ -236,7 +236,7 @@
 			l.unlistedAt = time.Time{}
 		case l.unlistedAt.IsZero():
 			l.unlistedAt = now
-		case now.Sub(l.unlistedAt) > signalRetention:
+		case now.Sub(l.unlistedAt) > signalRetention && !now.Before(l.pausedUntil):
 			delete(d.signals, k)
 		}
 	}
