Revert "Refuse requests at once whose model only pausing endpoints hold"

Cause: requests that wait are the demand by which the planner loads a model elsewhere. Those that are refused at once are not reported, so the model stays at the pausing endpoints.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -372,7 +372,7 @@
 	if remaining := req.Deadline.Sub(now); remaining < minServiceTime {
 		return &Refusal{Reason: "no time is left"}
 	}
-	if at := d.pausedUntil(req.Service, "", now); at.After(req.Objective) {
+	if at := d.pausedUntil(req.Service, now); at.After(req.Objective) {
 		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: at}
 	}
 	if req.Pinned && !d.canContinue(req) {
@@ -382,11 +382,7 @@
 		return d.unmeetablePlain(req, now)
 	}
 	ready, known := d.forecasts[target{req.Service, req.Model}]
-	known = known && d.cfg.PlannerViewCurrent()
-	if at := d.pausedUntil(req.Service, req.Model, now); at.Add(minServiceTime).After(req.Deadline) && (!known || ready.After(at)) {
-		return &Refusal{Reason: "all endpoints with the model have asked for a pause", RetryAt: at}
-	}
-	if known {
+	if known && d.cfg.PlannerViewCurrent() {
 		if ready.Add(minServiceTime).After(req.Deadline) {
 			return &Refusal{Reason: "the model will not be held in time", RetryAt: times.Later(ready, now.Add(modelRetryDelay))}
 		}
@@ -399,14 +395,11 @@
 	return nil
 }
 
-// pausedUntil returns when the first endpoint of a service that has a model loaded, or of
-// all if the model is empty, is back if all of them have asked for a pause, zero otherwise.
-func (d *Dispatcher) pausedUntil(service, model string, now time.Time) time.Time {
+// pausedUntil returns when the first endpoint of a service is back if all of them have
+// asked for a pause, zero otherwise.
+func (d *Dispatcher) pausedUntil(service string, now time.Time) time.Time {
 	var first time.Time
 	for _, e := range d.byService[service] {
-		if _, ok := e.held[model]; !ok && model != "" {
-			continue
-		}
 		if e.signals == nil || !now.Before(e.signals.pausedUntil) {
 			return time.Time{}
 		}
