Refuse requests at once whose model only pausing endpoints hold, and report their demand

Cause: whether all endpoints pause was asked for a whole service only.

Change: endpoints that hold the model count. If the first of them is back too late, and the planner does not say that the model is loaded elsewhere sooner, the answer is given at once with the end of that pause.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	// fullRetryDelay is the retry delay of a caller that is refused because all
 	// endpoints are full.
 	fullRetryDelay = 400 * time.Millisecond
+	// refusedDemandTime is how long the demand of a request that was refused because of a
+	// pause is reported: longer than the planner takes to act on it.
+	refusedDemandTime = time.Second
 	// minServiceTime is the shortest time between sending a request and its
 	// answer.
 	minServiceTime = 250 * time.Millisecond
@@ -74,6 +77,8 @@
 	// RetryAt is zero if a retry does not help.
 	RetryAt time.Time
 	Waits   Waits
+	// wanted says that the request could be served if its model were loaded elsewhere.
+	wanted bool
 }
 
 // Result is the outcome of an attempt at an endpoint.
@@ -143,6 +148,7 @@
 	endpoints map[string]*endpoint
 	byService map[string][]*endpoint
 	waiting   []*waiter
+	refused   []refusedDemand
 	forecasts map[target]time.Time
 	history   map[target]*requestHistory
 	affinity  map[affinityKey]string
@@ -178,6 +184,12 @@
 	checkedAt time.Time
 }
 
+// refusedDemand is the demand of a refused request, which is reported until a time.
+type refusedDemand struct {
+	*waiter
+	until time.Time
+}
+
 // New returns a Dispatcher without endpoints.
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
@@ -231,11 +243,15 @@
 		d.mu.Unlock()
 		return g, nil
 	}
+	w := &waiter{req: req, tight: tight, granted: make(chan *Grant, 1), refused: make(chan *Refusal, 1), lack: lack, checkedAt: now}
 	if r := d.unmeetable(req, now); r != nil {
+		d.recordRefused(w, r, now)
 		d.mu.Unlock()
+		if r.wanted && d.cfg.OnModelWait != nil {
+			d.cfg.OnModelWait()
+		}
 		return nil, r
 	}
-	w := &waiter{req: req, tight: tight, granted: make(chan *Grant, 1), refused: make(chan *Refusal, 1), lack: lack, checkedAt: now}
 	d.enqueue(w)
 	d.mu.Unlock()
 	if req.Model != "" && d.cfg.OnModelWait != nil {
@@ -339,6 +355,7 @@
 			g.Waits = w.waits
 			w.granted <- g
 		case r != nil:
+			d.recordRefused(w, r, now)
 			r.Waits = w.waits
 			w.refused <- r
 		default:
@@ -351,6 +368,25 @@
 	d.waiting = kept
 }
 
+// recordRefused keeps the demand of a refused request that a load of its model would serve.
+// d.mu is held.
+func (d *Dispatcher) recordRefused(w *waiter, r *Refusal, now time.Time) {
+	d.pruneRefused(now)
+	if r.wanted {
+		d.refused = append(d.refused, refusedDemand{w, now.Add(refusedDemandTime)})
+		d.changed[target{w.req.Service, w.req.Model}] = true
+	}
+}
+
+// pruneRefused forgets the demand that is no longer reported. d.mu is held.
+func (d *Dispatcher) pruneRefused(now time.Time) {
+	n := 0
+	for ; n < len(d.refused) && !now.Before(d.refused[n].until); n++ {
+		d.changed[target{d.refused[n].req.Service, d.refused[n].req.Model}] = true
+	}
+	d.refused = slices.Delete(d.refused, 0, n)
+}
+
 // rejected returns a refusal if endpoints crash under the request or a part of its prompt.
 func (d *Dispatcher) rejected(req *Request) *Refusal {
 	if d.cfg.Rejects == nil || !d.cfg.Rejects(req.Identity()) {
@@ -372,7 +408,7 @@
 	if remaining := req.Deadline.Sub(now); remaining < minServiceTime {
 		return &Refusal{Reason: "no time is left"}
 	}
-	if at := d.pausedUntil(req.Service, now); at.After(req.Objective) {
+	if at := d.pausedUntil(req.Service, "", now); at.After(req.Objective) {
 		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: at}
 	}
 	if req.Pinned && !d.canContinue(req) {
@@ -382,7 +418,11 @@
 		return d.unmeetablePlain(req, now)
 	}
 	ready, known := d.forecasts[target{req.Service, req.Model}]
-	if known && d.cfg.PlannerViewCurrent() {
+	known = known && d.cfg.PlannerViewCurrent()
+	if at := d.pausedUntil(req.Service, req.Model, now); at.Add(minServiceTime).After(req.Deadline) && (!known || ready.After(at)) {
+		return &Refusal{Reason: "all endpoints with the model have asked for a pause", RetryAt: at, wanted: true}
+	}
+	if known {
 		if ready.Add(minServiceTime).After(req.Deadline) {
 			return &Refusal{Reason: "the model will not be held in time", RetryAt: times.Later(ready, now.Add(modelRetryDelay))}
 		}
@@ -395,11 +435,14 @@
 	return nil
 }
 
-// pausedUntil returns when the first endpoint of a service is back if all of them have
-// asked for a pause, zero otherwise.
-func (d *Dispatcher) pausedUntil(service string, now time.Time) time.Time {
+// pausedUntil returns when the first endpoint of a service that has a model loaded, or of
+// all if the model is empty, is back if all of them have asked for a pause, zero otherwise.
+func (d *Dispatcher) pausedUntil(service, model string, now time.Time) time.Time {
 	var first time.Time
 	for _, e := range d.byService[service] {
+		if _, ok := e.held[model]; !ok && model != "" {
+			continue
+		}
 		if e.signals == nil || !now.Before(e.signals.pausedUntil) {
 			return time.Time{}
 		}
--- a/dispatch/signals_test.go
+++ b/dispatch/signals_test.go
@@ -222,3 +222,31 @@
 		require.NotEmpty(t, h.sendAll(t, time.Second), "after it")
 	})
 }
+
+// TestDemandOfRefusedRequests guards against requests that are refused because of a pause
+// and whose model is therefore never loaded elsewhere.
+func TestDemandOfRefusedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		wakes := 0
+		h.cfg.OnModelWait = func() { wakes++ }
+		h.add("e0", "s", "z1", 4, "m")
+		h.add("e1", "s", "z1", 4)
+		g := h.grant(t, request("s", "m"))
+		g.Observe(tamarackknot.EndpointSignals{PauseUntil: time.Now().Add(time.Minute)})
+		g.Done(ResultFull)
+		h.Demand(false)
+		_, refusal := h.Acquire(t.Context(), request("s", "m"))
+		require.NotNil(t, refusal)
+		require.Equal(t, 1, wakes, "the planner is told at once")
+		waiting := func() int {
+			demand := h.Demand(false).Models
+			require.Len(t, demand, 1)
+			return demand[0].Waiting
+		}
+		require.Equal(t, 1, waiting())
+		time.Sleep(refusedDemandTime)
+		require.Zero(t, waiting())
+		require.Empty(t, h.Demand(false).Models)
+	})
+}
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -150,6 +150,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := tamarackknot.HostDemand{Notices: d.reportNotices(all)}
+	d.pruneRefused(time.Now())
 	for id, e := range d.endpoints {
 		for k, n := range e.running {
 			out.Running = append(out.Running, tamarackknot.RunCount{Endpoint: id, Model: k.model, Adapter: k.adapter, Count: n})
@@ -169,6 +170,11 @@
 			addWaiting(demand, w)
 		}
 	}
+	for _, r := range d.refused {
+		if demand := demands[target{r.req.Service, r.req.Model}]; demand != nil {
+			addWaiting(demand, r.waiter)
+		}
+	}
 	for _, demand := range demands {
 		out.Models = append(out.Models, *demand)
 	}
