Blame a request also if its endpoint crashes after the first events

Cause: an answer with three events counted as proof that endpoints bear the request. That holds for a part of a prompt, under which an endpoint crashes when it begins to write; a whole request may crash it any time after it has begun to run.

Change: a request is proven by a second of events or a whole answer, and a loss before that counts for it; parts are proven by three events as before.

Changed test: TestCrashRecords said that there is no loss after three events; it now says that there is one of the request and none of its parts, and has a case with a second of events. Its other expectations are the same, with more detail.

--- a/entry/hosted/crash_test.go
+++ b/entry/hosted/crash_test.go
@@ -38,6 +38,7 @@
 	// sound and crashing return the n-th request that callers send at a host.
 	sound, crashing func(host string, n int) servingRequest
 	counted         int // the crash from which on late arrivals count
+	crashEvents     int // the events of an answer before the crash
 }
 
 // crashingParts is a load in which one part of prompts crashes endpoints, and no two such
@@ -74,7 +75,7 @@
 		began := time.Now()
 		calm := began.Add(warmUp - calmTime)
 		since := began.Add(warmUp)
-		s, cancel := startServing(&serving{plain: load.plain, crashes: load.crashes}, output,
+		s, cancel := startServing(&serving{plain: load.plain, crashes: load.crashes, crashEvents: load.crashEvents}, output,
 			func(ctx context.Context, s *serving, h *clusterHost) {
 				wait.For(ctx, time.Until(calm))
 				for n := 0; wait.For(ctx, 100*time.Millisecond); n++ {
--- a/entry/hosted/crashrequest_test.go
+++ b/entry/hosted/crashrequest_test.go
@@ -32,6 +32,14 @@
 // crashingRequests returns loads in which whole requests crash endpoints and come again at
 // each host.
 func crashingRequests() map[string]crashLoad {
+	stream := crashLoad{
+		crashes: hasCrashingBody, sound: soundPrompt, counted: countedRequestCrashes,
+		crashing: func(_ string, n int) servingRequest {
+			return servingRequest{path: "/x", body: crashingBody, parts: []string{commonPart, fmt.Sprintf("subject%d", n%subjects)}}
+		},
+	}
+	begun := stream
+	begun.crashEvents = answerEvents - 1
 	return map[string]crashLoad{
 		"lookup": {
 			plain: true, crashes: hasCrashingBody, sound: soundLookup, counted: countedRequestCrashes,
@@ -43,12 +51,8 @@
 				return servingRequest{path: plainPrefix + "bad", body: fmt.Sprint(crashingBody, n%2)}
 			},
 		},
-		"stream": {
-			crashes: hasCrashingBody, sound: soundPrompt, counted: countedRequestCrashes,
-			crashing: func(_ string, n int) servingRequest {
-				return servingRequest{path: "/x", body: crashingBody, parts: []string{commonPart, fmt.Sprintf("subject%d", n%subjects)}}
-			},
-		},
+		"stream":             stream,
+		"stream with events": begun,
 	}
 }
 
--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -46,6 +46,8 @@
 	c       *cluster
 	crashes func(r servingRequest) bool
 	plain   bool // there is a plain service
+	// crashEvents is the number of events that an endpoint sends before it crashes.
+	crashEvents int
 	// behave lets an endpoint say something of itself and reports whether it declines the
 	// request, or falls over. Nil means that all serve.
 	behave func(s *serving, endpoint, host string, w http.ResponseWriter) (declines, falls bool)
@@ -218,7 +220,7 @@
 	if !wait.For(req.Context(), work) {
 		return
 	}
-	if bad {
+	if bad && s.crashEvents == 0 {
 		crash(asked.body)
 		panic(http.ErrAbortHandler)
 	}
@@ -228,6 +230,10 @@
 		return
 	}
 	for i := range answerEvents {
+		if bad && i == s.crashEvents {
+			crash(asked.body)
+			panic(http.ErrAbortHandler)
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i); err != nil || http.NewResponseController(w).Flush() != nil {
 			return
 		}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -165,7 +165,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil || len(body) > maxBufferedResponse {
 		g.Done(dispatch.ResultFailed)
-		x.recordLost(g, 0, err)
+		x.recordLost(g, progress{}, err)
 		x.lastErr = "the endpoint broke off its answer"
 		return x.adjustOutcome(outcomeUnknown), nil
 	}
@@ -197,7 +197,7 @@
 		return outcomeCallerGone
 	}
 	g.Done(dispatch.ResultFailed)
-	x.recordLost(g, 0, err)
+	x.recordLost(g, progress{}, err)
 	return x.adjustOutcome(outcomeUnknown)
 }
 
@@ -210,15 +210,20 @@
 		"error", err, "failedSinceSuccess", x.server.failedDials.Load())
 }
 
-// recordLost records that the endpoint did not complete its answer, of which a number of
-// events was received. err is nil if the answer is too long.
-func (x *exchange) recordLost(g *dispatch.Grant, events int, err error) {
+// recordLost records that the endpoint did not complete its answer, which has come so far.
+// err is nil if the answer is too long.
+func (x *exchange) recordLost(g *dispatch.Grant, p progress, err error) {
 	x.server.cfg.Logger.Info("answer lost", "request", x.caller.ID, "service", x.service, "model", x.caller.Model,
 		"content", x.request.Content, "parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
-		"events", events, "error", err)
-	if events < provenEvents && connectionLost(err) {
-		x.server.cfg.Crashes.RecordLoss(g.Endpoint, x.request.Identity())
+		"events", p.events, "error", err)
+	if p.proven || !connectionLost(err) {
+		return
+	}
+	lost := x.request.Identity()
+	if p.events >= provenEvents {
+		lost.Parts = nil
 	}
+	x.server.cfg.Crashes.RecordLoss(g.Endpoint, lost)
 }
 
 // connectionLost reports whether an answer ended because its connection did, other than by
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -25,6 +25,9 @@
 
 func (testDialect) Request(h http.Header) (tamarackknot.CallerRequest, error) {
 	r := tamarackknot.CallerRequest{ID: h.Get("Id"), Model: h.Get("Model"), LastEvent: h.Get("After"), Resumes: h.Get("Resumes")}
+	if v := h.Get("Parts"); v != "" {
+		r.Parts = strings.Split(v, ",")
+	}
 	if v := h.Get("Patience"); v != "" {
 		var err error
 		r.Timeout, err = time.ParseDuration(v)
@@ -76,7 +79,8 @@
 	return origin, found, found || !o.incomplete
 }
 
-// testCrashes records what is said of endpoints, as their ids.
+// testCrashes records of which endpoints something is said, and whether it is said of the
+// request and of parts of its prompt.
 type testCrashes struct {
 	mu               sync.Mutex
 	losses, answered []string
@@ -85,16 +89,27 @@
 func (*testCrashes) Rejects(tamarackknot.RequestIdentity) bool { return false }
 func (*testCrashes) RecordAlive(tamarackknot.EndpointEntry)    {}
 
-func (c *testCrashes) RecordLoss(e tamarackknot.EndpointEntry, _ tamarackknot.RequestIdentity) {
+func said(e tamarackknot.EndpointEntry, r tamarackknot.RequestIdentity) string {
+	out := e.ID
+	if r.Content != (tamarackknot.ContentID{}) {
+		out += " request"
+	}
+	if len(r.Parts) > 0 {
+		out += " parts"
+	}
+	return out
+}
+
+func (c *testCrashes) RecordLoss(e tamarackknot.EndpointEntry, r tamarackknot.RequestIdentity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.losses = append(c.losses, e.ID)
+	c.losses = append(c.losses, said(e, r))
 }
 
-func (c *testCrashes) RecordAnswer(e tamarackknot.EndpointEntry, _ tamarackknot.RequestIdentity) {
+func (c *testCrashes) RecordAnswer(e tamarackknot.EndpointEntry, r tamarackknot.RequestIdentity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = append(c.answered, e.ID)
+	c.answered = append(c.answered, said(e, r))
 }
 
 // harness runs a Server in front of endpoints with handlers set by the test.
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -241,17 +241,26 @@
 			}
 		})
 	}
-	a := []string{"a"}
+	slow := events(5, func(i int, _ http.ResponseWriter) {
+		switch i {
+		case 3:
+			time.Sleep(provenTime)
+		case 4:
+			panic(http.ErrAbortHandler)
+		}
+	})
+	both, request, parts := []string{"a request parts"}, []string{"a request"}, []string{"a parts"}
 	for name, tt := range map[string]struct {
 		handler          http.HandlerFunc
 		losses, answered []string
 	}{
-		"reset before the answer":  {resetConn, a, nil},
-		"closed before the answer": {rawResponse(""), a, nil},
-		"closed before an event":   {abort(0), a, nil},
-		"closed after two events":  {abort(2), a, nil},
-		"closed after three":       {abort(3), nil, a},
-		"complete, two events":     {events(2, nil), nil, a},
+		"reset before the answer":  {resetConn, both, nil},
+		"closed before the answer": {rawResponse(""), both, nil},
+		"closed before an event":   {abort(0), both, nil},
+		"closed after two events":  {abort(2), both, nil},
+		"closed after three":       {abort(3), request, parts},
+		"closed after a second":    {slow, nil, append(parts, both...)},
+		"complete, two events":     {events(2, nil), nil, both},
 		"not HTTP":                 {rawResponse("x\r\n\r\n"), nil, nil},
 		"declined":                 {decline, nil, nil},
 		"failure":                  {respond(http.StatusInternalServerError, "x"), nil, nil},
@@ -259,7 +268,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, tamarackknot.Route{Kind: stream}, tt.handler)
 			go h.dispatcher.Run(t.Context())
-			_, _, _ = h.do(call{header: map[string]string{"Patience": "500ms"}})
+			_, _, _ = h.do(call{header: map[string]string{"Patience": "1500ms", "Parts": "common,own"}})
 			h.crashes.mu.Lock()
 			defer h.crashes.mu.Unlock()
 			require.Equal(t, tt.losses, h.crashes.losses)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -30,9 +30,11 @@
 	eventBufferBytes = 4 << 10
 	// maxEventBytes limits one event.
 	maxEventBytes = 1 << 20
-	// provenEvents is the number of events after which an endpoint has properly begun an
-	// answer: an endpoint that crashes under a prompt does so sooner.
+	// provenEvents is the number of events after which an endpoint has properly begun to
+	// answer a prompt, provenTime how long after the first event it has begun to run a
+	// request: an endpoint that crashes under one of its parts, or under it, does so sooner.
 	provenEvents = 3
+	provenTime   = time.Second
 )
 
 // errPartialEvent means that the endpoint ended the stream in the middle of an
@@ -122,24 +124,21 @@
 	if resp.StatusCode != http.StatusOK {
 		return x.readStreamFailure(g, resp)
 	}
-	events, movable := 0, false
+	var p progress
+	movable := false
 	err = x.copyEvents(resp, lastEvent, func() {
 		g.Started()
-		if events == 0 {
+		if p.events == 0 {
 			movable = x.pin(g)
 		}
-		events++
-		x.server.cfg.Crashes.RecordAlive(g.Endpoint)
-		if events == provenEvents {
-			x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.request.Identity())
-		}
+		x.recordEvent(g, &p)
 		if movable {
 			stall.Reset(x.stallTimeout())
 		} else {
 			stall.Stop()
 		}
 	})
-	if err == nil && events == 0 && *lastEvent == "" {
+	if err == nil && p.events == 0 && *lastEvent == "" {
 		err = errNoEvent
 	}
 	switch {
@@ -158,10 +157,35 @@
 		return outcomeTimedOut, nil
 	}
 	g.Done(dispatch.ResultFailed)
-	x.recordLost(g, events, err)
+	x.recordLost(g, p, err)
 	return outcomeUnknown, nil
 }
 
+// progress is how far an attempt at a stream has come.
+type progress struct {
+	events int
+	began  time.Time // of the first event
+	proven bool      // the endpoint has run the request for provenTime
+}
+
+// recordEvent records that the endpoint sent an event of the stream.
+func (x *exchange) recordEvent(g *dispatch.Grant, p *progress) {
+	if p.events == 0 {
+		p.began = time.Now()
+	}
+	p.events++
+	x.server.cfg.Crashes.RecordAlive(g.Endpoint)
+	if p.events == provenEvents {
+		parts := x.request.Identity()
+		parts.Content = tamarackknot.ContentID{}
+		x.server.cfg.Crashes.RecordAnswer(g.Endpoint, parts)
+	}
+	if !p.proven && time.Since(p.began) >= provenTime {
+		p.proven = true
+		x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.request.Identity())
+	}
+}
+
 // pin restricts the stream, whose first event an endpoint sent, to the version of that
 // endpoint's software: what two versions write does not fit together. It reports whether
 // another endpoint could go on.
