Choose among the endpoints that hold the model only

The endpoints that hold a model are now indexed; the index is derived again after a change of the list or of the planner's view. No decision changes: endpoints without the model were left out before, and the order of the others is the same.

TestChoiceFollowsHeldModels guards the index.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -147,6 +147,9 @@
 	pools     map[string]tamarackknot.PoolSpec
 	endpoints map[string]*endpoint
 	byService map[string][]*endpoint
+	// holders are the endpoints of byService that have a model loaded, in the same order;
+	// nil if it must be derived again.
+	holders   map[target][]*endpoint
 	waiting   []*waiter
 	refused   []refusedDemand
 	forecasts map[target]time.Time
@@ -439,10 +442,7 @@
 // all if the model is empty, is back if all of them have asked for a pause, zero otherwise.
 func (d *Dispatcher) pausedUntil(service, model string, now time.Time) time.Time {
 	var first time.Time
-	for _, e := range d.byService[service] {
-		if _, ok := e.held[model]; !ok && model != "" {
-			continue
-		}
+	for _, e := range d.candidates(service, model) {
 		if e.signals == nil || !now.Before(e.signals.pausedUntil) {
 			return time.Time{}
 		}
@@ -498,7 +498,7 @@
 	}
 	affinity := d.affinityEndpoint(req)
 	preferred, maxOwn := d.preferredReplica(req), d.maxOwnRequests(req.Service)
-	for _, e := range d.byService[req.Service] {
+	for _, e := range d.candidates(req.Service, req.Model) {
 		if !e.accepts(req, now) || e.own >= maxOwn(e) || !d.limitAllows(e, now) {
 			missing = min(missing, e.lacks(req))
 			continue
@@ -543,26 +543,31 @@
 	if req.Model == "" || d.cfg.HostIndex == nil {
 		return nil
 	}
-	n := 0
-	for _, e := range d.byService[req.Service] {
-		if _, ok := e.held[req.Model]; ok {
-			n++
-		}
-	}
-	if n < 2 {
+	holders := d.candidates(req.Service, req.Model)
+	if len(holders) < 2 {
 		return nil
 	}
-	index := d.cfg.HostIndex() % n
-	for _, e := range d.byService[req.Service] {
-		if _, ok := e.held[req.Model]; !ok {
-			continue
-		}
-		if index == 0 {
-			return e
+	return holders[d.cfg.HostIndex()%len(holders)]
+}
+
+// candidates returns the endpoints of a service that have a model loaded, or all if the
+// model is empty. d.mu is held.
+func (d *Dispatcher) candidates(service, model string) []*endpoint {
+	if model == "" {
+		return d.byService[service]
+	}
+	if d.holders == nil {
+		d.holders = make(map[target][]*endpoint)
+		for service, endpoints := range d.byService {
+			for _, e := range endpoints {
+				for model := range e.held {
+					t := target{service, model}
+					d.holders[t] = append(d.holders[t], e)
+				}
+			}
 		}
-		index--
 	}
-	return nil
+	return d.holders[target{service, model}]
 }
 
 // affinityEndpoint returns the id of the endpoint that last got the last known
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -380,3 +380,32 @@
 		})
 	}
 }
+
+// TestChoiceFollowsHeldModels guards against requests that go to an endpoint which no longer
+// has the model loaded, or don't go to one that has it now.
+func TestChoiceFollowsHeldModels(t *testing.T) {
+	h := newHarness()
+	h.add("e0", "s", "z1", 4, "m")
+	h.add("e1", "s", "z1", 4)
+	chosen := func() string {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		e, _, missing := h.best(request("s", "m"), time.Now())
+		if e == nil {
+			require.Equal(t, lackModel, missing)
+			return ""
+		}
+		return e.entry.ID
+	}
+	require.Equal(t, "e0", chosen())
+	held := []tamarackknot.HeldModel{{Name: "m"}}
+	h.SetView(tamarackknot.FleetView{Engines: map[string]tamarackknot.EngineView{"e0": {}, "e1": {Held: held}}})
+	require.Equal(t, "e1", chosen())
+	h.SetView(tamarackknot.FleetView{Engines: map[string]tamarackknot.EngineView{"e1": {}}})
+	require.Empty(t, chosen())
+	h.add("e2", "s", "z1", 4, "m")
+	require.NotEmpty(t, chosen(), "the entries name the models")
+	delete(h.entries, "e0")
+	h.publish()
+	require.Equal(t, "e2", chosen())
+}
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -76,6 +76,7 @@
 			d.byService[service] = append(d.byService[service], d.endpoints[id])
 		}
 	}
+	d.holders = nil
 	d.serveWaiting(time.Now())
 }
 
@@ -131,6 +132,7 @@
 	for id, engine := range v.Engines {
 		if e := d.endpoints[id]; e != nil {
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
+			d.holders = nil
 		}
 	}
 	for _, l := range v.Notices {
