Keep the losses that support a ban when there are too many

Found when the change was read again. Lookups and whole requests leave losses now, so many endpoints that crash for other reasons, as where they go down and up by turns, can fill the 64 losses in a minute. The oldest were dropped first, and with them the ban of a request that had crashed three endpoints.

Change: losses of suspects are dropped last, the oldest first among both kinds.

Result: TestManyOtherCrashes failed before (192 other crashes ended the ban) and passes.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -367,12 +367,21 @@
 	}
 }
 
-// prune drops old losses, and the oldest of too many. l.mu is held.
+// prune drops old losses, and the oldest of too many, those first that support no
+// suspicion. l.mu is held.
 func (l *List) prune() {
 	now := l.cfg.Clock()
 	excess := len(l.losses) - maxLosses
 	if excess > 0 {
-		slices.SortStableFunc(l.losses, func(a, b *loss) int { return cmp.Compare(a.at, b.at) })
+		slices.SortStableFunc(l.losses, func(a, b *loss) int {
+			if supports := l.supports(a); supports != l.supports(b) {
+				if supports {
+					return 1
+				}
+				return -1
+			}
+			return cmp.Compare(a.at, b.at)
+		})
 	}
 	kept := l.losses[:0]
 	for i, lost := range l.losses {
@@ -387,6 +396,12 @@
 	maps.DeleteFunc(l.probes, func(_ causeID, last probe) bool { return now-last.at > lossRetention })
 }
 
+// supports reports whether a loss is one of those for which a suspect is blamed. l.mu is
+// held.
+func (l *List) supports(lost *loss) bool {
+	return slices.ContainsFunc(l.suspects, func(s suspicion) bool { return lost.causes[s.causes[0]] })
+}
+
 func set(ids []causeID) map[causeID]bool {
 	out := make(map[causeID]bool, len(ids))
 	for _, p := range ids {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -286,3 +286,16 @@
 	tr.play("e2:bad")
 	require.False(t, tr.rejects("bad"), "one crash")
 }
+
+// TestManyOtherCrashes guards against a ban that ends because many endpoints crash for
+// other reasons, and against records without limit.
+func TestManyOtherCrashes(t *testing.T) {
+	tr := newTrial()
+	tr.others = []string{"i"}
+	tr.play("e1:#x e2:#x e3:#x")
+	for i := range 3 * maxLosses {
+		tr.play(fmt.Sprintf("f%d:#y%d", i, i))
+	}
+	require.True(t, tr.rejects("#x"))
+	require.LessOrEqual(t, len(tr.losses), maxLosses)
+}
