Name causes and fault cases by what they are

A part's hash had the type of a request's content, its constructor the name of the type before; the faults of hosts are shared by the tests of crashes and of pauses.

--- a/entry/hosted/crash_test.go
+++ b/entry/hosted/crash_test.go
@@ -135,7 +135,7 @@
 // that crash one endpoint after the other, and against rejecting sound requests that
 // share their other parts, also while hosts are killed, cut off, suspended and replaced.
 func TestPartThatCrashesEndpoints(t *testing.T) {
-	for name, faults := range crashFaults() {
+	for name, faults := range hostFaultCases() {
 		t.Run(name, func(t *testing.T) {
 			out := crashTrial(t, crashingParts(), io.Discard, faults)
 			t.Logf("late %d, crashes %d, sound requests begun %.3f before, %.3f after", out.late, out.crashes, out.before, out.after)
@@ -145,8 +145,8 @@
 	}
 }
 
-// crashFaults returns the faults of hosts under which crashing requests are played.
-func crashFaults() map[string]func(c *cluster) {
+// hostFaultCases returns faults of hosts under which requests are played.
+func hostFaultCases() map[string]func(c *cluster) {
 	all := []string{"h0", "h1", "h2", "h3"}
 	return map[string]func(c *cluster){
 		"no fault":                  func(*cluster) {},
--- a/entry/hosted/crashrequest_test.go
+++ b/entry/hosted/crashrequest_test.go
@@ -61,7 +61,7 @@
 // hosts are killed, cut off, suspended and replaced.
 func TestRequestThatCrashesEndpoints(t *testing.T) {
 	for kind, load := range crashingRequests() {
-		for name, faults := range crashFaults() {
+		for name, faults := range hostFaultCases() {
 			t.Run(kind+"/"+name, func(t *testing.T) {
 				out := crashTrial(t, load, io.Discard, faults)
 				t.Logf("late %d, crashes %d, sound requests begun %.3f before, %.3f after", out.late, out.crashes, out.before, out.after)
--- a/entry/hosted/signals_test.go
+++ b/entry/hosted/signals_test.go
@@ -188,7 +188,7 @@
 // TestEndpointThatAsksForPause guards against requests to an endpoint within the time for
 // which it has asked the host to wait.
 func TestEndpointThatAsksForPause(t *testing.T) {
-	faults := crashFaults()
+	faults := hostFaultCases()
 	faults["no fault"] = nil
 	faults["configurations change"] = func(c *cluster) {
 		for range 5 {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -106,9 +106,10 @@
 	return l
 }
 
-func newPartID(service, part string) causeID {
+// partCause returns the cause that a part of prompts is within a service.
+func partCause(service, part string) causeID {
 	sum := sha256.Sum256([]byte(service + "\x00" + part))
-	return causeID{hash: tamarackknot.ContentID(sum[:len(tamarackknot.ContentID{})])}
+	return causeID{hash: [hashBytes]byte(sum[:hashBytes])}
 }
 
 func startOf(e tamarackknot.EndpointEntry) start { return start{e.ID, e.Born.UnixMilli()} }
@@ -118,7 +119,7 @@
 func causesOf(r tamarackknot.RequestIdentity) []causeID {
 	out := make([]causeID, 0, len(r.Parts)+1)
 	for _, part := range r.Parts[:max(len(r.Parts)-1, 0)] {
-		out = append(out, newPartID(r.Service, part))
+		out = append(out, partCause(r.Service, part))
 	}
 	if r.Content != (tamarackknot.ContentID{}) {
 		out = append(out, causeID{hash: r.Content, request: true})
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -198,13 +198,13 @@
 	require.NoError(t, json.Unmarshal(sent, &earlier))
 	require.Len(t, earlier.Losses, 2)
 	for _, lost := range earlier.Losses {
-		require.Equal(t, []string{newPartID("s", "bad").String()}, lost.Parts)
+		require.Equal(t, []string{partCause("s", "bad").String()}, lost.Parts)
 		require.Equal(t, int64(-1), lost.AliveMsAgo)
 	}
 	require.Len(t, earlier.Answers, 1)
 	require.Empty(t, earlier.Answers[0].Part, "an answer to a request is none to a part")
 
-	part := newPartID("s", "bad").String()
+	part := partCause("s", "bad").String()
 	_, err = tr.handleSpread(context.Background(), "i", []byte(`{"losses":[{"endpoint":"e4","bornMs":0,"ageMs":0,"aliveMsAgo":-1,"parts":["`+part+`"]}]}`))
 	require.NoError(t, err)
 	require.True(t, tr.rejects("bad"))
@@ -266,7 +266,7 @@
 		require.LessOrEqual(t, len(l.causes), maxLossCauses)
 	}
 	for i := range 3 * maxAnswers {
-		tr.answers.put(causeID{hash: tamarackknot.ContentID{byte(i), byte(i >> 8), byte(i >> 16)}}, tr.now)
+		tr.answers.put(causeID{hash: [hashBytes]byte{byte(i), byte(i >> 8), byte(i >> 16)}}, tr.now)
 	}
 	require.LessOrEqual(t, len(tr.answers.recent)+len(tr.answers.earlier), 2*maxAnswers)
 	_, err := tr.handleSpread(context.Background(), "i", []byte(`{"losses":[{"endpoint":"e","parts":["zz","00"],"requests":["zz"]}],"answers":[{"part":"-"},{"part":"","request":"-"}]}`))
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"time"
 
-	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -260,7 +259,7 @@
 	if err != nil || len(data) != len(c.hash) {
 		return c, false
 	}
-	return causeID{hash: tamarackknot.ContentID(data), request: request}, true
+	return causeID{hash: [hashBytes]byte(data), request: request}, true
 }
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/hex"
 	"maps"
 	"slices"
 	"time"
@@ -32,14 +33,17 @@
 	restartTime = 2 * time.Second
 )
 
+// hashBytes is the size of the hash of a cause.
+const hashBytes = len(tamarackknot.ContentID{})
+
 // causeID identifies what endpoints may crash under: a whole request, or a part of prompts
 // within a service.
 type causeID struct {
-	hash    tamarackknot.ContentID
+	hash    [hashBytes]byte
 	request bool
 }
 
-func (c causeID) String() string { return c.hash.String() }
+func (c causeID) String() string { return hex.EncodeToString(c.hash[:]) }
 
 func isRequest(c causeID) bool { return c.request }
 
