Run the random series of crashing requests in parallel

The four loads took 25 to 80 s each, one after the other, and the package comes near the ten minutes of go test beside load.

--- a/entry/hosted/crashrequest_test.go
+++ b/entry/hosted/crashrequest_test.go
@@ -76,6 +76,7 @@
 func TestRequestThatCrashesEndpointsFaults(t *testing.T) {
 	for kind, load := range crashingRequests() {
 		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(rt *rapid.T) {
 				faults := drawHostFaults(rt)
 				out := crashTrial(t, load, io.Discard, func(c *cluster) { c.play(faults) })
