--- a/entry/hosted/isolation_test.go
+++ b/entry/hosted/isolation_test.go
@@ -107,16 +107,19 @@
 		hosts  []string
 		faults func(c *cluster)
 	}{
-		"one host, connections hang":         {isolationHangs, []string{"h1"}, noFault},
-		"one host, connections are reset":    {isolationResets, []string{"h1"}, noFault},
-		"one host, only new ones fail":       {isolationRefuses, []string{"h1"}, noFault},
-		"three of four hosts hang":           {isolationHangs, []string{"h0", "h1", "h2"}, noFault},
-		"three of four hosts are reset":      {isolationResets, []string{"h1", "h2", "h3"}, noFault},
-		"another host is killed meanwhile":   {isolationHangs, []string{"h0", "h1"}, func(c *cluster) { c.restart(1, (*clusterHost).stop, "h2") }},
-		"another host is shut down":          {isolationResets, []string{"h0", "h1"}, func(c *cluster) { c.restart(1, (*clusterHost).shutDown, "h3") }},
-		"the planner is killed meanwhile":    {isolationHangs, []string{"h1"}, func(c *cluster) { c.restart(1, (*clusterHost).stop, c.holder().name) }},
-		"another host is suspended":          {isolationResets, []string{"h1"}, func(c *cluster) { c.begin(fault{kind: "pause", target: 2, lastsMs: 4000}) }},
-		"the store does not answer":          {isolationHangs, []string{"h0", "h1"}, func(c *cluster) { c.begin(fault{kind: "outage", lastsMs: 8000}) }},
+		"one host, connections hang":       {isolationHangs, []string{"h1"}, noFault},
+		"one host, connections are reset":  {isolationResets, []string{"h1"}, noFault},
+		"one host, only new ones fail":     {isolationRefuses, []string{"h1"}, noFault},
+		"three of four hosts hang":         {isolationHangs, []string{"h0", "h1", "h2"}, noFault},
+		"three of four hosts are reset":    {isolationResets, []string{"h1", "h2", "h3"}, noFault},
+		"another host is killed meanwhile": {isolationHangs, []string{"h0", "h1"}, func(c *cluster) { c.restart(1, (*clusterHost).stop, "h2") }},
+		"another host is shut down":        {isolationResets, []string{"h0", "h1"}, func(c *cluster) { c.restart(1, (*clusterHost).shutDown, "h3") }},
+		"the planner is killed meanwhile":  {isolationHangs, []string{"h1"}, func(c *cluster) { c.restart(1, (*clusterHost).stop, c.holder().name) }},
+		"another host is suspended":        {isolationResets, []string{"h1"}, func(c *cluster) { c.begin(fault{kind: "pause", target: 2, lastsMs: 4000}) }},
+		"the store does not answer":        {isolationHangs, []string{"h0", "h1"}, func(c *cluster) { c.begin(fault{kind: "outage", lastsMs: 8000}) }},
+		"an isolated host is killed twice, another cut off and killed": {isolationHangs, []string{"h1"}, func(c *cluster) {
+			c.play([]fault{{"kill", 1, 1975, 14, 0}, {"cutPeers", 0, 2399, 4870, 0}, {"kill", 1, 1, 430, 0}, {"kill", 0, 0, 1, 0}})
+		}},
 		"an isolated host is also restarted": {isolationRefuses, []string{"h1", "h2"}, func(c *cluster) { c.restart(1, (*clusterHost).stop, "h1") }},
 	} {
 		t.Run(name, func(t *testing.T) {
