Bind the test daemons to a loopback IP of their process

Traced: freeAddress closes a port that the daemon binds later, and another test process or an outgoing connection may take it in between; packages are tested side by side.

Change: the address has an IP of 127/8 derived from the process id. Outgoing connections and the listeners of other processes use 127.0.0.1.

--- a/entry/hosted/hosted_test.go
+++ b/entry/hosted/hosted_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,10 +16,13 @@
 	"tamarackknot.example/tamarackknot/platform"
 )
 
-// freeAddress returns a loopback address with an unused port.
+// freeAddress returns a loopback address with an unused port. Its IP belongs to this
+// process, so that no connection or listener of another one takes the port meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(1+pid>>16), byte(pid>>8), byte(pid))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
