Log since when a host is behind a configuration, and where it got it from

The logs of the incident do not tell whether a host knew that a newer version was in force, nor whether it got one from the store or through another host; failures of transfers between hosts were logged at debug level only.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -72,8 +72,9 @@
 type Watcher struct {
 	cfg      Config
 	current  atomic.Pointer[View]
-	observed atomic.Int64          // newest version in force on another host
-	next     tamarackknot.Position // of the next record to read; only Run uses it
+	observed atomic.Int64              // newest version in force on another host
+	behind   atomic.Pointer[time.Time] // since when a newer version is known on another host; nil if none is
+	next     tamarackknot.Position     // of the next record to read; only Run uses it
 	catchUp  chan struct{}
 	readAt   atomic.Pointer[time.Time]
 }
@@ -128,6 +129,9 @@
 	if v != nil && v.Catalog.Version >= version {
 		return
 	}
+	if now := time.Now(); v != nil && w.behind.CompareAndSwap(nil, &now) {
+		w.cfg.Logger.Info("configuration behind another host", "version", v.Catalog.Version, "newer", version)
+	}
 	wait.Wake(w.catchUp)
 }
 
@@ -142,12 +146,20 @@
 		}
 		page, err := w.cfg.ReadPeers(ctx)
 		if err != nil {
-			w.cfg.Logger.Debug("cannot read configuration through other hosts", "error", err)
+			w.cfg.Logger.Info("cannot read configuration through other hosts", "newer", w.observed.Load(), "behindMs", w.behindFor().Milliseconds(), "error", err)
 			wait.For(ctx, retryPause)
 			continue
 		}
-		w.apply(page.Records)
+		w.apply(page)
+	}
+}
+
+// behindFor returns how long a newer version has been known on another host, 0 if none is.
+func (w *Watcher) behindFor() time.Duration {
+	if since := w.behind.Load(); since != nil {
+		return time.Since(*since)
 	}
+	return 0
 }
 
 func (w *Watcher) poll(ctx context.Context, synced bool) error {
@@ -160,7 +172,7 @@
 			w.cfg.Logger.Info("configuration read again after a restore of the store", "eraBefore", w.next.Era, "era", page.Next.Era,
 				"records", len(page.Records), "versionInForce", w.Current().Catalog.Version)
 		}
-		w.apply(page.Records)
+		w.apply(page)
 		w.next = page.Next
 		w.recordRead(page)
 		return nil
@@ -174,7 +186,7 @@
 		w.readAt.Store(nil)
 		return err
 	}
-	w.apply(page.Records)
+	w.apply(page)
 	w.next = page.Next
 	w.recordRead(page)
 	if page.Relayed {
@@ -207,22 +219,25 @@
 	return s
 }
 
-func (w *Watcher) apply(records []tamarackknot.KeyedRecord) {
-	for _, rec := range records {
+func (w *Watcher) apply(page tamarackknot.StreamPage) {
+	for _, rec := range page.Records {
 		c, err := w.cfg.Decode(rec)
 		if err != nil {
 			w.cfg.Logger.Error("configuration rejected", "offset", rec.Offset, "error", err)
 			continue
 		}
 		if c != nil {
-			w.Offer(c)
+			w.offer(c, page.Relayed)
 		}
 	}
 }
 
 // Offer puts a configuration into force unless the current version is the same
 // or newer, or another host has a newer one.
-func (w *Watcher) Offer(c *tamarackknot.Catalog) {
+func (w *Watcher) Offer(c *tamarackknot.Catalog) { w.offer(c, false) }
+
+// offer is Offer of a configuration that was read at the store or through another host.
+func (w *Watcher) offer(c *tamarackknot.Catalog, relayed bool) {
 	old := w.current.Load()
 	if old != nil && old.Catalog.Version >= c.Version {
 		return
@@ -233,10 +248,14 @@
 	}
 	v := newView(c)
 	if !w.current.CompareAndSwap(old, v) {
-		w.Offer(c)
+		w.offer(c, relayed)
 		return
 	}
-	w.cfg.Logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
+	w.cfg.Logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services),
+		"relayed", relayed, "behindMs", w.behindFor().Milliseconds())
+	if c.Version >= w.observed.Load() {
+		w.behind.Store(nil)
+	}
 	if w.cfg.OnChange != nil {
 		w.cfg.OnChange(v)
 	}
