Transfer what changed of a configuration, in parts, from a host that has it

Cause: a host that heard of a version asked up to three random hosts for the whole configuration, each time the planner's next message said that it was behind. Hosts that did not have the version answered with the older one; 4,250 routes take 0.76 s on an idle link of 10 Mbit/s, the call gives up after 0.6 s and the answer comes all the same. The links of the hosts were full of answers nobody waited for, so that their reads of the store failed as well. Class: a transfer whose timeout is shorter than the transfer, repeated over the link that it fills.

Change: a host says what it has, and gets an answer without records from one that has nothing newer. Values above 32 KB are fetched in chunks of 64 KB, compressed, each with the timeout of a call; of a value only the parts that differ from the one that it replaces, split where its content says so (restic/chunker). What was fetched counts for the next attempt, at any host. A host passes values on to three others at a time, so that each of them can soon pass it on too. A host asks again until it is no longer behind, and reads the store after a second, not at the same time. A host of the build before asks as before and gets whole values, which count as transfers; one of this build gets whole values from it.

Cases with another planner or the store away still fail for another cause, and stay listed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -31,6 +32,12 @@
 	// relayPause is the pause after a read through another host, which does not
 	// long-poll.
 	relayPause = 350 * time.Millisecond
+	// minRelayPause and maxRelayPause bound the mean pause between two reads through other
+	// hosts while this host is behind, and relayReadTimeout limits one of them; what it has
+	// fetched by then is kept.
+	minRelayPause    = 30 * time.Millisecond
+	maxRelayPause    = 120 * time.Millisecond
+	relayReadTimeout = 2 * time.Second
 	// plannerCheckInterval is the pause between two checks whether the planner
 	// still follows the stream for this host.
 	plannerCheckInterval = 150 * time.Millisecond
@@ -47,9 +54,10 @@
 	// Decode decodes a record of the stream; it returns nil without an error for a
 	// record that is not a configuration.
 	Decode func(tamarackknot.KeyedRecord) (*tamarackknot.Catalog, error)
-	// ReadPeers reads the stream through another host. It may be nil if RunRelay is
-	// not used.
-	ReadPeers func(ctx context.Context) (tamarackknot.StreamPage, error)
+	// ReadNewer reads what this host lacks of the stream through another host: the one
+	// that announced it if first is set, otherwise any. It may be nil if RunRelay is not
+	// used.
+	ReadNewer func(ctx context.Context, first bool) (tamarackknot.StreamPage, error)
 	// FollowsPlanner reports whether a live planner reads the stream and notifies
 	// this host of changes; this host then does not read the stream itself. It
 	// may be nil.
@@ -76,11 +84,16 @@
 	behind   atomic.Pointer[time.Time] // since when a newer version is known on another host; nil if none is
 	next     tamarackknot.Position     // of the next record to read; only Run uses it
 	catchUp  chan struct{}
-	readAt   atomic.Pointer[time.Time]
+	// reading holds an element while the configuration is read: of the reads through other
+	// hosts and at the store only one at a time takes this host's link.
+	reading chan struct{}
+	readAt  atomic.Pointer[time.Time]
 }
 
 // New returns a Watcher without a configuration; Run reads the first one.
-func New(cfg Config) *Watcher { return &Watcher{cfg: cfg, catchUp: make(chan struct{}, 1)} }
+func New(cfg Config) *Watcher {
+	return &Watcher{cfg: cfg, catchUp: make(chan struct{}, 1), reading: make(chan struct{}, 1)}
+}
 
 // Current returns the configuration in force, nil before the first one.
 func (w *Watcher) Current() *View { return w.current.Load() }
@@ -90,7 +103,7 @@
 	pause := retryPause
 	synced := false
 	for ctx.Err() == nil {
-		if w.Current() != nil && w.cfg.FollowsPlanner != nil && w.cfg.FollowsPlanner() {
+		if w.followsPlanner() {
 			synced = false
 			wait.For(ctx, plannerCheckInterval)
 			continue
@@ -99,7 +112,10 @@
 			wait.For(ctx, startCheckInterval)
 			continue
 		}
-		err := w.poll(ctx, synced)
+		err := w.read(ctx, synced)
+		if errors.Is(err, errFollowsPlanner) {
+			continue
+		}
 		if err == nil {
 			synced, pause = true, retryPause
 			continue
@@ -135,8 +151,8 @@
 	wait.Wake(w.catchUp)
 }
 
-// RunRelay reads the configuration from other hosts whenever ObserveVersion finds
-// this one behind, until ctx ends.
+// RunRelay reads the configuration from other hosts while ObserveVersion has found this
+// one behind, until ctx ends.
 func (w *Watcher) RunRelay(ctx context.Context) {
 	for {
 		select {
@@ -144,16 +160,54 @@
 			return
 		case <-w.catchUp:
 		}
-		page, err := w.cfg.ReadPeers(ctx)
-		if err != nil {
-			w.cfg.Logger.Info("cannot read configuration through other hosts", "newer", w.observed.Load(), "behindMs", w.behindFor().Milliseconds(), "error", err)
-			wait.For(ctx, retryPause)
-			continue
+		for attempt, pause := 0, minRelayPause; w.isBehind() && ctx.Err() == nil; attempt++ {
+			if w.readNewer(ctx, attempt == 0) {
+				break
+			}
+			wait.For(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxRelayPause)
 		}
-		w.apply(page)
 	}
 }
 
+// readNewer reads the configuration from another host and reports whether it had one that
+// is newer.
+func (w *Watcher) readNewer(ctx context.Context, first bool) bool {
+	if !w.acquire(ctx) {
+		return false
+	}
+	defer func() { <-w.reading }()
+	if !w.isBehind() {
+		return true
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(relayReadTimeout))
+	defer cancel()
+	page, err := w.cfg.ReadNewer(ctx, first)
+	if err != nil {
+		w.cfg.Logger.Debug("cannot read configuration through another host", "newer", w.observed.Load(), "behindMs", w.behindFor().Milliseconds(), "error", err)
+		return false
+	}
+	w.apply(page)
+	return !w.isBehind()
+}
+
+// acquire waits for the end of another read of the whole configuration and reports whether
+// ctx did not end before. Whoever has acquired reading must receive from it.
+func (w *Watcher) acquire(ctx context.Context) bool {
+	select {
+	case w.reading <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isBehind reports whether another host has a newer version in force.
+func (w *Watcher) isBehind() bool {
+	v := w.Current()
+	return w.observed.Load() > 0 && (v == nil || v.Catalog.Version < w.observed.Load())
+}
+
 // behindFor returns how long a newer version has been known on another host, 0 if none is.
 func (w *Watcher) behindFor() time.Duration {
 	if since := w.behind.Load(); since != nil {
@@ -162,6 +216,30 @@
 	return 0
 }
 
+// read is poll, but for the whole configuration only if it is still needed once no other
+// read of it is under way.
+func (w *Watcher) read(ctx context.Context, synced bool) error {
+	if synced {
+		return w.poll(ctx, synced)
+	}
+	if !w.acquire(ctx) {
+		return ctx.Err()
+	}
+	defer func() { <-w.reading }()
+	if w.followsPlanner() {
+		return errFollowsPlanner
+	}
+	return w.poll(ctx, synced)
+}
+
+// errFollowsPlanner says that this host need not read the configuration itself any more.
+var errFollowsPlanner = errors.New("the planner reads the configuration")
+
+// followsPlanner reports whether this host has a configuration and follows the planner.
+func (w *Watcher) followsPlanner() bool {
+	return w.Current() != nil && w.cfg.FollowsPlanner != nil && w.cfg.FollowsPlanner()
+}
+
 func (w *Watcher) poll(ctx context.Context, synced bool) error {
 	if !synced {
 		page, err := w.cfg.Store.Newest(ctx, tamarackknot.StreamCatalog)
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -42,7 +42,7 @@
 	yieldCheckInterval = 2 * time.Second
 	// relayTimeout is how long this host waits for an announced version of the
 	// configuration from other hosts before it reads the store itself.
-	relayTimeout = 400 * time.Millisecond
+	relayTimeout = time.Second
 	// restoreSettleTime is how long after a restore of the store the records of
 	// its older copy are not relied on. Operators and endpoints write theirs
 	// again within seconds, and entries of lost endpoints expire.
@@ -165,8 +165,12 @@
 	c.catalog = catalog.New(catalog.Config{
 		Store: store, Decode: platform.DecodeCatalog, Logger: logger, FollowsPlanner: c.followsPlanner,
 		HasFollowers: func() bool { return c.lease.Status().Held },
-		ReadPeers: func(ctx context.Context) (tamarackknot.StreamPage, error) {
-			return store.ReadPeers(ctx, tamarackknot.StreamCatalog, tamarackknot.Position{})
+		ReadNewer: func(ctx context.Context, first bool) (tamarackknot.StreamPage, error) {
+			host := ""
+			if first {
+				host = c.fleet.Planner()
+			}
+			return store.ReadNewer(ctx, host, tamarackknot.StreamCatalog)
 		},
 		MayStart: c.mayReadCatalog,
 		OnChange: func(v *catalog.View) { c.dispatch.SetPools(v.Catalog.Services) },
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,8 +22,7 @@
 	// request goes to another host. A healthy store answers within a few
 	// milliseconds of the deadline.
 	hedgeDelay = 150 * time.Millisecond
-	// peerTimeout is the timeout of a call to one host. A configuration of a few
-	// hundred KB takes some tenths of a second on a slow link.
+	// peerTimeout is the timeout of a call to one host.
 	peerTimeout = 600 * time.Millisecond
 	// maxPeers is the maximum number of hosts tried, one after the other.
 	maxPeers = 3
@@ -56,6 +55,9 @@
 	mirrors map[tamarackknot.Stream]*mirror
 	// announcedEra is the newest era that another host has announced.
 	announcedEra int64
+	transfers    map[string]*transfer // by host that gets them
+	split        splitParts           // of the last value that another host got
+	partial      partialValue         // of the last value that was fetched
 }
 
 // mirror holds the newest known record of each key of a stream, of one era of the
@@ -70,17 +72,19 @@
 	relayed bool      // the last page came from another host
 }
 
-// recordsParams asks for the records from offset From of an era on.
+// recordsParams asks for the records from offset From of an era on. A host that sets Chunks
+// fetches large values in chunks.
 type recordsParams struct {
 	Stream tamarackknot.Stream `json:"stream"`
 	From   int64               `json:"from"`
 	Era    int64               `json:"era,omitempty"`
+	Chunks bool                `json:"chunks,omitempty"`
 }
 
 type recordsResult struct {
-	Records []tamarackknot.KeyedRecord `json:"records,omitempty"`
-	Next    int64                      `json:"next"`
-	Era     int64                      `json:"era,omitempty"`
+	Records []recordMessage `json:"records,omitempty"`
+	Next    int64           `json:"next"`
+	Era     int64           `json:"era,omitempty"`
 	// Full says that Records holds the newest record of each key.
 	Full bool `json:"full,omitempty"`
 	// AgeMs is the time since the platform's store was last read; -1 means never.
@@ -89,11 +93,12 @@
 
 // New returns a Store and registers its handler with cfg.Peers.
 func New(cfg Config) *Store {
-	s := &Store{Store: cfg.Store, cfg: cfg, mirrors: make(map[tamarackknot.Stream]*mirror)}
+	s := &Store{Store: cfg.Store, cfg: cfg, mirrors: make(map[tamarackknot.Stream]*mirror), transfers: make(map[string]*transfer)}
 	for _, stream := range cfg.Streams {
 		s.mirrors[stream] = &mirror{records: make(map[string]tamarackknot.KeyedRecord)}
 	}
 	cfg.Peers.Handle(methodRecords, s.handleRecords)
+	cfg.Peers.Handle(methodChunk, s.handleChunk)
 	cfg.Peers.Handle(methodForward, s.handleForward)
 	return s
 }
@@ -200,13 +205,54 @@
 	return res.page, nil
 }
 
-// ReadPeers returns the records of a stream from an offset on that another host
-// has mirrored.
-func (s *Store) ReadPeers(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
-	return s.readPeers(ctx, stream, from, errStorePending)
+// errNothingNewer says that another host has no records that this one lacks.
+var errNothingNewer = errors.New("the other host has nothing newer")
+
+// ReadNewer returns the records of a stream that another host has mirrored and this one has
+// not, from the given host or, if its name is empty, from one chosen at random. It returns
+// an error if the host has none. A host that has not seen a restore of the store yet may
+// have records that the older copy lacks.
+func (s *Store) ReadNewer(ctx context.Context, host string, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
+	if host == "" {
+		for _, host = range s.randomHosts(1) {
+		}
+	}
+	s.mu.Lock()
+	from := s.mirrors[stream].next
+	s.mu.Unlock()
+	r, err := s.askRecords(ctx, host, stream, from)
+	if err != nil {
+		return tamarackknot.StreamPage{}, err
+	}
+	next := r.next()
+	if r.AgeMs < 0 || next.Era == from.Era && next.Offset <= from.Offset || next.Era != from.Era && !r.Full {
+		return tamarackknot.StreamPage{}, errNothingNewer
+	}
+	return s.acceptPage(ctx, host, stream, r)
 }
 
-// ReadPeer is ReadPeers with a given host.
+// askRecords asks a host for the records of a stream from a position on.
+func (s *Store) askRecords(ctx context.Context, host string, stream tamarackknot.Stream, from tamarackknot.Position) (recordsResult, error) {
+	var r recordsResult
+	err := s.callHost(ctx, host, methodRecords, recordsParams{Stream: stream, From: from.Offset, Era: from.Era, Chunks: true}, &r)
+	return r, err
+}
+
+// acceptPage completes the records of another host and merges them into the mirror.
+func (s *Store) acceptPage(ctx context.Context, host string, stream tamarackknot.Stream, r recordsResult) (tamarackknot.StreamPage, error) {
+	if err := s.fetchValues(ctx, host, stream, r.Era, r.Records); err != nil {
+		return tamarackknot.StreamPage{}, err
+	}
+	page := tamarackknot.StreamPage{Records: keyedRecords(r.Records), End: r.next(), Next: r.next(), Full: r.Full, Relayed: true}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.mirrors[stream]
+	m.merge(page)
+	m.readAt, m.relayed = time.Now().Add(-r.age()), true
+	return page, nil
+}
+
+// ReadPeer returns the records of a stream from a position on that a host has mirrored.
 func (s *Store) ReadPeer(ctx context.Context, host string, stream tamarackknot.Stream, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
 	return s.readHosts(ctx, []string{host}, stream, from, errStorePending)
 }
@@ -235,36 +281,52 @@
 // mirror.
 func (s *Store) readHosts(ctx context.Context, hosts []string, stream tamarackknot.Stream, from tamarackknot.Position, cause error) (tamarackknot.StreamPage, error) {
 	for _, host := range hosts {
-		var r recordsResult
-		if err := s.callHost(ctx, host, methodRecords, recordsParams{Stream: stream, From: from.Offset, Era: from.Era}, &r); err != nil {
+		r, err := s.askRecords(ctx, host, stream, from)
+		if err != nil {
 			s.cfg.Logger.Debug("cannot read stream through host", "host", host, "stream", stream, "error", err)
 			continue
 		}
-		age := time.Duration(r.AgeMs) * time.Millisecond
-		next := tamarackknot.Position{Era: r.Era, Offset: r.Next}
-		if order := next.Compare(from); r.AgeMs < 0 || order < 0 || order == 0 && age > maxPeerAge {
+		next := r.next()
+		if order := next.Compare(from); r.AgeMs < 0 || order < 0 || order == 0 && r.age() > maxPeerAge {
 			continue
 		}
 		if next.Era != from.Era && !r.Full {
 			s.cfg.Logger.Warn("relayed page rejected: it lacks the records of its era", "host", host, "stream", stream, "era", next.Era, "expected", from.Era)
 			continue
 		}
-		page := tamarackknot.StreamPage{Records: r.Records, End: next, Next: next, Full: r.Full, Relayed: true}
 		s.mu.Lock()
-		m := s.mirrors[stream]
-		m.merge(page)
-		first := !m.relayed && !errors.Is(cause, errStorePending)
-		m.readAt, m.relayed = time.Now().Add(-age), true
+		first := !s.mirrors[stream].relayed && !errors.Is(cause, errStorePending)
 		s.mu.Unlock()
+		page, err := s.acceptPage(ctx, host, stream, r)
+		if err != nil {
+			s.cfg.Logger.Debug("cannot fetch value through host", "host", host, "stream", stream, "error", err)
+			continue
+		}
 		if first {
-			s.cfg.Logger.Info("stream read through another host", "stream", stream, "host", host, "records", len(r.Records), "age", age)
+			s.cfg.Logger.Info("stream read through another host", "stream", stream, "host", host, "records", len(r.Records), "age", r.age())
 		}
 		return page, nil
 	}
 	return tamarackknot.StreamPage{}, cause
 }
 
-func (s *Store) handleRecords(_ context.Context, _ string, params json.RawMessage) (any, error) {
+// next returns the end of the records.
+func (r recordsResult) next() tamarackknot.Position {
+	return tamarackknot.Position{Era: r.Era, Offset: r.Next}
+}
+
+func (r recordsResult) age() time.Duration { return time.Duration(r.AgeMs) * time.Millisecond }
+
+// keyedRecords returns the records of complete messages.
+func keyedRecords(messages []recordMessage) []tamarackknot.KeyedRecord {
+	out := make([]tamarackknot.KeyedRecord, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, m.KeyedRecord)
+	}
+	return out
+}
+
+func (s *Store) handleRecords(_ context.Context, from string, params json.RawMessage) (any, error) {
 	var p recordsParams
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
@@ -281,9 +343,16 @@
 	}
 	for _, rec := range m.records {
 		if r.Full || rec.Offset >= p.From {
-			r.Records = append(r.Records, rec)
+			r.Records = append(r.Records, recordMessage{KeyedRecord: rec})
 		}
 	}
+	switch {
+	case p.Chunks:
+		keepBack(r.Records)
+	case largest(r.Records) > maxInlineBytes && !s.admit(from, &transfer{until: time.Now().Add(inlineTransferTime)}):
+		// A host that does not know chunks then asks another one.
+		return recordsResult{AgeMs: -1}, nil
+	}
 	return r, nil
 }
 
