Send hosts the changes of the host list, and what they have not again

After another host with a slow link became planner, versions were in force up to 5 s after their acceptance, also long after the fault.

Cause: each full view repeated the list of hosts and the names of the registered ones, 13 KB at 89 hosts, to each host every 2 s, and each change of the list went out whole: 1 MB each. On a link of 10 Mbit/s messages waited until they expired, hosts that missed one asked for a full view, and these filled the link again. Class: what repairs a loss takes the bandwidth whose lack caused it.

Change: hosts say which versions of the lists they have; full views leave those out, and a change names the hosts that were added, changed or removed. A host that does not say so, of the build before, gets whole lists as before, and leaves out the new fields. Periodic full views of engines are limited to 100 KB/s; a host that misses a message asks for one at once.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -87,16 +87,17 @@
 	plannerSeenAt  time.Time
 	hosts          []tamarackknot.HostEntry
 	hostsUpdatedAt time.Time
-	// hostsFence is the fencing token of the planner that sent hosts.
-	hostsFence int64
+	// hostsFence is the fencing token of the planner that sent hosts, hostsVersion its
+	// version of them.
+	hostsFence, hostsVersion int64
 	// members are the names of the registered hosts from the planner with the
-	// fencing token membersFence.
-	members      []string
-	membersFence int64
-	startedAt    time.Duration         // on Clock
-	leaseEnd     tamarackknot.Position // from the planner's last message
-	demandSynced bool                  // the planner has received the full demand
-	leaving      bool
+	// fencing token membersFence, of its version membersVersion.
+	members                      []string
+	membersFence, membersVersion int64
+	startedAt                    time.Duration         // on Clock
+	leaseEnd                     tamarackknot.Position // from the planner's last message
+	demandSynced                 bool                  // the planner has received the full demand
+	leaving                      bool
 	// lastSequence is the sequence number of the planner's last message; behind
 	// is set when an earlier one is missing.
 	lastSequence   int64
@@ -227,7 +228,7 @@
 		c.address = m.Planner.PeerAddress
 	}
 	members, membersAge := c.applyMembers(m, receivedAt)
-	c.applyHosts(m.Hosts, now)
+	c.applyHosts(m, now)
 	missing := !c.demandSynced || c.behind
 	v := c.merge(m, now)
 	c.mu.Unlock()
@@ -254,7 +255,7 @@
 // message was on its way. c.mu is held.
 func (c *Client) applyMembers(m viewMessage, receivedAt time.Duration) ([]string, time.Duration) {
 	if len(m.Members) > 0 {
-		c.members, c.membersFence = m.Members, c.fence
+		c.members, c.membersFence, c.membersVersion = m.Members, c.fence, m.MembersVersion
 	}
 	echo := time.Duration(m.EchoMs) * time.Millisecond
 	if m.MembersAgeMs < 0 || c.membersFence != c.fence || c.behind || m.Leaving || echo < c.startedAt || echo > receivedAt {
@@ -265,15 +266,21 @@
 
 // applyHosts replaces the host list. A message without a list confirms the
 // previous one, unless a message in between is missing. c.mu is held.
-func (c *Client) applyHosts(list json.RawMessage, now time.Time) {
+func (c *Client) applyHosts(m viewMessage, now time.Time) {
 	var hosts []tamarackknot.HostEntry
 	switch {
-	case len(list) > 0:
-		if err := json.Unmarshal(list, &hosts); err != nil {
+	case len(m.Hosts) > 0:
+		if err := json.Unmarshal(m.Hosts, &hosts); err != nil {
 			c.cfg.Logger.Error("cannot decode host list", "planner", c.planner, "error", err)
 			return
 		}
-		c.hosts, c.hostsUpdatedAt, c.hostsFence = hosts, now, c.fence
+		c.hosts, c.hostsUpdatedAt, c.hostsFence, c.hostsVersion = hosts, now, c.fence, m.HostsVersion
+	case m.HostsBase > 0 && (c.hostsFence != c.fence || c.hostsVersion != m.HostsBase):
+		// The next full view begins with the version that this host has.
+		c.behind = true
+	case m.HostsBase > 0:
+		c.hosts = hostChanges{m.HostsSet, m.HostsRemoved}.apply(c.hosts)
+		c.hostsUpdatedAt, c.hostsVersion = now, m.HostsVersion
 	case c.hostsFence == c.fence && !c.behind:
 		c.hostsUpdatedAt = now
 	}
@@ -328,7 +335,7 @@
 		c.mu.Lock()
 		planner, all, leaving, behind := c.planner, !c.demandSynced, c.leaving, c.behind
 		fence, sequence, receivedAt := c.fence, c.lastSequence, c.lastSequenceAt
-		alive := c.plannerAlive()
+		alive, lists := c.plannerAlive(), c.heldLists()
 		c.mu.Unlock()
 		if planner == "" || !alive {
 			continue
@@ -342,6 +349,7 @@
 			continue
 		}
 		m := encodeDemand(d, all, behind, c.cfg.CatalogVersion(), time.Now())
+		m.Lists = lists
 		m.SentMs = c.cfg.Clock().Milliseconds() + 1 // rounded up, so that it is not before the start
 		if planner != c.cfg.Self.Name && c.cfg.Promise != nil && c.cfg.Promise(receivedAt) {
 			m.Acknowledged, m.Fence = sequence, fence
@@ -360,6 +368,18 @@
 	}
 }
 
+// heldLists returns the versions of the planner's lists that this host has. c.mu is held.
+func (c *Client) heldLists() *heldLists {
+	l := &heldLists{Fence: c.fence}
+	if c.hostsFence == c.fence {
+		l.Hosts = c.hostsVersion
+	}
+	if c.membersFence == c.fence {
+		l.Members = c.membersVersion
+	}
+	return l
+}
+
 // runningCounts sums the running requests by endpoint, model and adapter.
 func runningCounts(counts []tamarackknot.RunCount) map[string]int {
 	out := make(map[string]int, len(counts))
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -32,6 +32,16 @@
 	SentMs int64 `json:"sentMs"`
 	// Behind is set when the host missed a message and needs a full view.
 	Behind bool `json:"behind,omitempty"`
+	// Lists are the versions of the planner's lists that the host has, which a full view
+	// need not repeat.
+	Lists *heldLists `json:"lists,omitempty"`
+}
+
+// heldLists are versions of lists from the planner with a fencing token.
+type heldLists struct {
+	Fence   int64 `json:"fence"`
+	Hosts   int64 `json:"hosts,omitempty"`
+	Members int64 `json:"members,omitempty"`
 }
 
 type modelDemandMessage struct {
@@ -64,20 +74,28 @@
 	// Notices holds all notices of endpoints; omitted if they are unchanged since the last
 	// message.
 	Notices []noticeMessage `json:"limits,omitempty"`
-	// Hosts is the encoded []HostEntry of the hosts that callers may be sent to;
-	// omitted if it is unchanged since the last message.
-	Hosts json.RawMessage `json:"hosts,omitempty"`
+	// Hosts is the encoded []HostEntry of the hosts that callers may be sent to, of the
+	// version HostsVersion; omitted if it is unchanged since the last message, or if the
+	// host has said that it has this version.
+	Hosts        json.RawMessage `json:"hosts,omitempty"`
+	HostsVersion int64           `json:"hostsVersion,omitempty"`
+	// HostsSet and HostsRemoved are what has changed since the version HostsBase, in place
+	// of Hosts.
+	HostsBase    int64                    `json:"hostsBase,omitempty"`
+	HostsSet     []tamarackknot.HostEntry `json:"hostsSet,omitempty"`
+	HostsRemoved []string                 `json:"hostsRemoved,omitempty"`
 	// LeaseEnd is the end offset of the lease stream known to the planner, in the
 	// era LeaseEra of the store.
 	LeaseEnd int64 `json:"lease,omitempty"`
 	LeaseEra int64 `json:"leaseEra,omitempty"`
 	// Planner is the planner's own entry, only in full views.
 	Planner *tamarackknot.HostEntry `json:"planner,omitempty"`
-	// Members are the names of the registered hosts, alive or not; omitted if they
-	// are unchanged since the last message. MembersAgeMs is the age of the planner's
+	// Members are the names of the registered hosts, alive or not, of the version
+	// MembersVersion; omitted like Hosts. MembersAgeMs is the age of the planner's
 	// last read of them, -1 if it has not read them.
-	Members      []string `json:"members,omitempty"`
-	MembersAgeMs int64    `json:"membersAgeMs"`
+	Members        []string `json:"members,omitempty"`
+	MembersVersion int64    `json:"membersVersion,omitempty"`
+	MembersAgeMs   int64    `json:"membersAgeMs"`
 	// EchoMs is SentMs of the last message from the host, 0 if there is none. It
 	// tells the host how old this message is at most.
 	EchoMs int64 `json:"echoMs,omitempty"`
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -38,9 +37,9 @@
 	// fullViewInterval is the time between two periodic full views for a host; a
 	// host that misses a message requests one earlier. It is at least
 	// fullViewIntervalPerEngine multiplied by engines and hosts, which limits
-	// periodic full views to 1 MB/s.
+	// periodic full views to 100 KB/s.
 	fullViewInterval          = 2 * time.Second
-	fullViewIntervalPerEngine = 100 * time.Microsecond
+	fullViewIntervalPerEngine = time.Millisecond
 	// maxFullViewEngines limits the engine entries in the full views of one
 	// round, because messages queued for a connection take memory. A round may
 	// always send minFullViews.
@@ -105,11 +104,9 @@
 	byIndex     []*engineState
 	lastVersion int64
 	steppedDown bool
-	// hostList is the encoded list of alive hosts, and hostListVersion counts its
-	// changes.
-	hostList        json.RawMessage
-	hostListVersion int64
-	hostListAt      time.Time
+	// hostList holds the alive hosts; it last changed at hostListAt.
+	hostList   hostListHistory
+	hostListAt time.Time
 	// members are the names of the registered hosts, and membersVersion counts their
 	// changes.
 	members        []string
@@ -135,6 +132,7 @@
 	membersVersion  int64
 	noticesVersion  int64
 	fence           int64
+	held            *heldLists // as the host last said; nil if it does not say
 	// sends holds the newest messages whose acknowledgement is outstanding, oldest
 	// first, and acknowledgedAt when the newest acknowledged one was sent; zero
 	// means none under this fencing token.
@@ -210,6 +208,9 @@
 	if behind {
 		s.fullViewAt = time.Time{}
 	}
+	if s.held = m.Lists; s.held != nil && s.held.Fence != s.fence {
+		s.held = &heldLists{}
+	}
 	if m.Acknowledged > 0 && m.Fence == s.fence {
 		s.acknowledge(m.Acknowledged)
 	}
@@ -468,15 +469,28 @@
 	if len(out) == 0 {
 		return
 	}
-	data, err := json.Marshal(out)
+	changed, err := p.hostList.add(out)
 	if err != nil {
 		p.cfg.Logger.Error("cannot encode host list", "error", err)
+	}
+	if changed {
+		p.hostListAt = now
+	}
+}
+
+// addHosts adds the host list if the host does not have it: what has changed, if that is
+// known and the host can apply it, otherwise all of it. p.mu is held.
+func (p *Publisher) addHosts(s *hostState, m *viewMessage) {
+	if s.hostListVersion == p.hostList.version {
 		return
 	}
-	if !bytes.Equal(data, p.hostList) {
-		p.hostList, p.hostListAt = data, now
-		p.hostListVersion++
+	m.HostsVersion = p.hostList.version
+	if changes, ok := p.hostList.since(s.hostListVersion); ok && s.held != nil {
+		m.HostsBase, m.HostsSet, m.HostsRemoved = s.hostListVersion, changes.Set, changes.Removed
+	} else {
+		m.Hosts = p.hostList.encoded
 	}
+	s.hostListVersion = p.hostList.version
 }
 
 // buildView builds the next message for a host: the changes since its last
@@ -505,17 +519,18 @@
 		}
 		r.fullViewsLeft--
 		m.Full, m.Planner = true, &p.cfg.Self
-		s.fence, s.fullViewAt, s.hostListVersion, s.membersVersion, s.noticesVersion = r.fence, r.now, 0, 0, 0
+		s.fullViewAt, s.hostListVersion, s.membersVersion, s.noticesVersion = r.now, 0, 0, 0
+		if s.held != nil && s.fence == r.fence {
+			s.hostListVersion, s.membersVersion = s.held.Hosts, s.held.Members
+		}
+		s.fence = r.fence
 		clear(s.sent)
 		clear(s.forecasts)
 	}
-	if s.hostListVersion != p.hostListVersion {
-		s.hostListVersion = p.hostListVersion
-		m.Hosts = p.hostList
-	}
+	p.addHosts(s, &m)
 	if s.membersVersion != p.membersVersion {
 		s.membersVersion = p.membersVersion
-		m.Members = p.members
+		m.Members, m.MembersVersion = p.members, p.membersVersion
 	}
 	if s.noticesVersion != p.notices.version {
 		s.noticesVersion = p.notices.version
