Test that brittle endpoints do not fall over at more hosts than they have slots

A trial also asserts a least share of requests that begin, so that endpoints are not kept up by refusing what they could take.

--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -363,4 +363,5 @@
 func (s *serving) stop(cancel context.CancelFunc) {
 	cancel()
 	s.c.wg.Wait()
+	s.c.peers.Wait()
 }
--- a/entry/hosted/signals_test.go
+++ b/entry/hosted/signals_test.go
@@ -36,6 +36,7 @@
 
 // signalTrial records what endpoints tell hosts and what they get afterwards.
 type signalTrial struct {
+	size     clusterSize // zero means smallServingSize
 	mu       sync.Mutex
 	first    []string
 	told     map[[2]string]time.Time // by endpoint and host
@@ -147,7 +148,7 @@
 	tr.inFlight, tr.declines = make(map[string]int), make(map[string][]time.Time)
 	synctest.Test(t, func(*testing.T) {
 		from := time.Now().Add(warmUp)
-		s := &serving{plain: sound("", 0).plain(), behave: func(s *serving, endpoint, host string, w http.ResponseWriter) (bool, bool) {
+		s := &serving{size: tr.size, plain: sound("", 0).plain(), behave: func(s *serving, endpoint, host string, w http.ResponseWriter) (bool, bool) {
 			tr.mu.Lock()
 			defer tr.mu.Unlock()
 			return behave(tr, s, endpoint, host, w)
@@ -225,19 +226,61 @@
 	})
 }
 
+// brittleLoad is a load on brittle endpoints of one service.
+type brittleLoad struct {
+	size  clusterSize
+	sound func(host string, n int) servingRequest
+	// demand is how much of what the slots take callers ask for.
+	demand float64
+	// minBegun is the least share of the requests that must begin.
+	minBegun float64
+}
+
+// play returns how often endpoints fell over, how often they may, and the share of the
+// requests that began, with faults of hosts, if there are any.
+func (l brittleLoad) play(t *testing.T, faults func(c *cluster)) (falls int, allowed, began float64) {
+	t.Helper()
+	service, endpoints := l.sound("", 0).service(), l.size.engines
+	if service == plainService {
+		endpoints = l.size.plain
+	}
+	perSecond := l.demand * float64(endpoints*l.size.slotsOf(service)) / workTime(service).Seconds()
+	tr := signalTrial{size: l.size}
+	began = tr.playFaults(t, (*signalTrial).brittle, time.Duration(float64(l.size.hosts)/perSecond*float64(time.Second)), l.sound, faults)
+	return tr.falls, fallSlack + float64(endpoints)/10, began
+}
+
+// brittleLoads returns loads of the endpoints' slots, for a few hosts and for many more
+// than an endpoint has slots.
+func brittleLoads() map[string]brittleLoad {
+	many := grownSize()
+	many.engines = 24 // of 112, so that the trial takes seconds
+	out := make(map[string]brittleLoad)
+	for name, load := range map[string]brittleLoad{
+		"usual load":       {demand: 0.4, minBegun: 0.95},
+		"twice the slots":  {demand: 2, minBegun: minBegunRatio / 2},
+		"a burst of calls": {demand: 6, minBegun: minBegunRatio / 6},
+	} {
+		load.size, load.sound = smallServingSize(), soundPrompt
+		out["streams, 4 hosts, "+name] = load
+		load.size = many
+		out["streams, 89 hosts, "+name] = load
+		load.sound = soundLookup
+		out["lookups, 89 hosts, "+name] = load
+	}
+	return out
+}
+
 // TestBrittleEndpoints guards against hosts that together make endpoints decline so much
-// that they fall over, although these say that they are brittle.
+// that they fall over, although these say that they are brittle, and against hosts that
+// leave the slots of such endpoints free.
 func TestBrittleEndpoints(t *testing.T) {
-	for name, pause := range map[string]time.Duration{
-		"usual load":       50 * time.Millisecond,
-		"twice the slots":  11 * time.Millisecond,
-		"a burst of calls": 3 * time.Millisecond,
-	} {
+	for name, load := range brittleLoads() {
 		t.Run(name, func(t *testing.T) {
-			var tr signalTrial
-			began := tr.play(t, (*signalTrial).brittle, pause)
-			t.Logf("falls %d, begun %.3f", tr.falls, began)
-			require.LessOrEqual(t, float64(tr.falls), fallSlack+float64(smallServingSize().engines)/10)
+			falls, allowed, began := load.play(t, nil)
+			t.Logf("falls %d, begun %.3f", falls, began)
+			require.LessOrEqual(t, float64(falls), allowed)
+			require.GreaterOrEqual(t, began, load.minBegun)
 		})
 	}
 }
