Give each place of a brittle endpoint to one host, and forward to it

Cause: each host took max(slots/hosts, 1) places at each endpoint. With 73 or 89 hosts and 12 slots that is one each, seven times the slots in sum; what the others had there was known a quarter of a second later. After a rejection each host paused for itself, so that all of them could be rejected in the same second. Class: a limit of all hosts that is divided with a floor of one.

Change: three registered hosts, by a hash, divide the slots of a brittle endpoint; the parts add up to the slots for every list of hosts (share.Places). A request for which a host has no place is forwarded to one that has, by the means that isolated hosts use. Whether a service is brittle is reported to the planner and passed on by it, and stands in answers to forwarded requests, with its age, so that hosts that only forward, and those that start, know as well. After a rejection a host sends one request at a time until one is taken.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -77,6 +77,8 @@
 	// RetryAt is zero if a retry does not help.
 	RetryAt time.Time
 	Waits   Waits
+	// Hosts are hosts that may send the request where this one may not; nil otherwise.
+	Hosts []string
 	// wanted says that the request could be served if its model were loaded elsewhere.
 	wanted bool
 }
@@ -128,6 +130,10 @@
 	// LimitShare returns the rate, in requests a second, that this host may send to an
 	// endpoint which takes perSecond from all hosts together. Nil means all of it.
 	LimitShare func(endpoint string, perSecond float64) float64
+	// Places returns how many of the requests that an endpoint takes at once this host may
+	// send while it is brittle, and for each of the rest the host that may send it; nothing
+	// if that is not known. Nil means that it never is.
+	Places func(endpoint string, slots int) (own int, others []string)
 	// Rejects reports whether endpoints crash under a request or a part of its prompt. Nil
 	// means that they do not.
 	Rejects func(r tamarackknot.RequestIdentity) bool
@@ -156,7 +162,7 @@
 	history   map[target]*requestHistory
 	affinity  map[affinityKey]string
 	signals   map[startKey]*signalState
-	brittle   map[string]brittleness // by service
+	brittle   map[string]*brittleness // by service
 	// versions holds when each version of a service's endpoints was last listed.
 	versions  map[string]map[string]time.Time
 	changed   map[target]bool // targets whose demand changed since the last report
@@ -203,7 +209,7 @@
 		history:   make(map[target]*requestHistory),
 		affinity:  make(map[affinityKey]string),
 		signals:   make(map[startKey]*signalState),
-		brittle:   make(map[string]brittleness),
+		brittle:   make(map[string]*brittleness),
 		versions:  make(map[string]map[string]time.Time),
 		changed:   make(map[target]bool),
 		queueWake: make(chan struct{}, 1),
@@ -236,7 +242,11 @@
 func (d *Dispatcher) Acquire(ctx context.Context, req *Request) (*Grant, *Refusal) {
 	now := time.Now()
 	d.mu.Lock()
-	if r := d.rejected(req); r != nil {
+	r := d.rejected(req)
+	if r == nil {
+		r = d.elsewhere(req, now)
+	}
+	if r != nil {
 		d.mu.Unlock()
 		return nil, r
 	}
@@ -344,6 +354,9 @@
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
 		r := d.rejected(w.req)
+		if r == nil {
+			r = d.elsewhere(w.req, now)
+		}
 		var g *Grant
 		lack := w.lack
 		if r == nil {
@@ -497,7 +510,7 @@
 		missing = lackSlot
 	}
 	affinity := d.affinityEndpoint(req)
-	preferred, maxOwn := d.preferredReplica(req), d.maxOwnRequests(req.Service)
+	preferred, maxOwn := d.preferredReplica(req), d.maxOwnRequests(req.Service, now)
 	for _, e := range d.candidates(req.Service, req.Model) {
 		if !e.accepts(req, now) || e.own >= maxOwn(e) || !d.limitAllows(e, now) {
 			missing = min(missing, e.lacks(req))
@@ -598,7 +611,7 @@
 	g.d.mu.Lock()
 	defer g.d.mu.Unlock()
 	if e := g.d.endpoints[g.Endpoint.ID]; e != nil {
-		e.backoffs = 0
+		e.backoffs, e.probing = 0, false
 	}
 	g.markStarted()
 }
@@ -636,6 +649,6 @@
 	if e.running[k]--; e.running[k] <= 0 {
 		delete(e.running, k)
 	}
-	e.recordResult(r, g.req, g.d.declinePause(e), now)
+	e.recordResult(r, g.req, g.d.declinePause(e, now), now)
 	g.d.changed[target{g.req.Service, g.req.Model}] = true
 }
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -75,11 +75,18 @@
 	backoffUntil  time.Time
 	backoffs      int
 	declines      int // consecutive attempts that the endpoint declined because it was full
+	// probing is set from such an attempt at a brittle endpoint until it takes a request.
+	probing bool
 }
 
 // accepts reports whether the request may be sent to the endpoint now.
 func (e *endpoint) accepts(req *Request, now time.Time) bool {
-	if now.Before(e.backoffUntil) || e.own+e.others >= e.maxRequests(req) || e.signals.refusesAll(e.own, now) {
+	return e.own+e.others < e.maxRequests(req) && e.serves(req, now)
+}
+
+// serves reports whether the endpoint can run the request when it has a free slot.
+func (e *endpoint) serves(req *Request, now time.Time) bool {
+	if now.Before(e.backoffUntil) || e.signals.refusesAll(e.own, now) {
 		return false
 	}
 	if e.backoffs > 0 && e.prefilling > 0 {
@@ -146,7 +153,7 @@
 	rate := e.decayedFailureRate(now)
 	switch r {
 	case ResultAnswered:
-		e.backoffs, e.declines = 0, 0
+		e.backoffs, e.declines, e.probing = 0, 0, false
 		if e.signals != nil {
 			e.signals.resuming = false
 		}
@@ -156,6 +163,7 @@
 	case ResultFull:
 		e.backoffUntil = now.Add(max(fullBackoff<<min(e.declines, maxFullDoublings), declinePause))
 		e.declines++
+		e.probing = declinePause > 0
 		return
 	case ResultMisplaced:
 		if req.Model != "" {
--- a/dispatch/signals.go
+++ b/dispatch/signals.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -20,9 +19,6 @@
 	// noticeInterval is how long after the last report an unchanged limit is
 	// reported again, so that the planner knows that it lasts.
 	noticeInterval = time.Minute
-	// brittleMemory is how long after the last answer that says so the endpoints of a
-	// service count as brittle although others do not say so.
-	brittleMemory = 2 * time.Second
 )
 
 // startKey identifies one start of an endpoint.
@@ -152,52 +148,6 @@
 	return l
 }
 
-// brittleness is what endpoints of a service last said of their being brittle.
-type brittleness struct {
-	maxDeclines int
-	at          time.Time
-}
-
-// observeBrittle records whether an endpoint says that it is brittle. d.mu is held.
-func (d *Dispatcher) observeBrittle(e tamarackknot.EndpointEntry, s tamarackknot.EndpointSignals, now time.Time) {
-	old, known := d.brittle[e.Service]
-	switch {
-	case s.Brittle:
-		d.brittle[e.Service] = brittleness{s.MaxDeclines, now}
-	case known && now.Sub(old.at) > brittleMemory:
-		delete(d.brittle, e.Service)
-	default:
-		return
-	}
-	if known != s.Brittle {
-		d.cfg.Logger.Info("endpoints brittle", "service", e.Service, "endpoint", e.ID, "brittle", s.Brittle, "maxDeclines", s.MaxDeclines)
-	}
-}
-
-// maxOwnRequests returns the number of requests that this host may have in flight at each
-// endpoint of a service. The hosts divide the slots of brittle endpoints, because each learns of the
-// others' requests too late to keep them from having to decline some. An endpoint that
-// has not answered this host yet is taken for as brittle as the others of its service.
-// d.mu is held.
-func (d *Dispatcher) maxOwnRequests(service string) func(*endpoint) int {
-	if _, brittle := d.brittle[service]; !brittle {
-		return func(*endpoint) int { return math.MaxInt }
-	}
-	hosts := d.hostCount()
-	return func(e *endpoint) int { return max(e.slots/hosts, 1) }
-}
-
-// declinePause is how long at least an endpoint gets no request after it declined one.
-// All hosts together then cause a brittle one to decline at most as many a second as it
-// bears. d.mu is held.
-func (d *Dispatcher) declinePause(e *endpoint) time.Duration {
-	b, brittle := d.brittle[e.entry.Service]
-	if !brittle {
-		return 0
-	}
-	return time.Duration(float64(d.hostCount()) / float64(max(b.maxDeclines, 1)) * float64(time.Second))
-}
-
 // applyNotice records the newest observation of an endpoint's limit, made by the answer
 // to a request, or by another host if request is empty. d.mu is held.
 func (d *Dispatcher) applyNotice(n tamarackknot.EndpointNotice, request string) {
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -138,6 +138,9 @@
 	for _, l := range v.Notices {
 		d.applyNotice(l, "")
 	}
+	for _, s := range v.Brittle {
+		d.mergeBrittle(s)
+	}
 	clear(d.forecasts)
 	for _, f := range v.Forecasts {
 		d.forecasts[target{f.Service, f.Model}] = f.ReadyAt
@@ -151,7 +154,7 @@
 func (d *Dispatcher) Demand(all bool) tamarackknot.HostDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := tamarackknot.HostDemand{Notices: d.reportNotices(all)}
+	out := tamarackknot.HostDemand{Notices: d.reportNotices(all), Brittle: d.reportBrittle()}
 	d.pruneRefused(time.Now())
 	for id, e := range d.endpoints {
 		for k, n := range e.running {
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -159,6 +159,7 @@
 		OnModelWait:        func() { c.fleet.SendNow() },
 		Rejects:            func(r tamarackknot.RequestIdentity) bool { return c.crashes.Rejects(r) },
 		Isolated:           c.reach.Isolated,
+		Places:             func(endpoint string, slots int) (int, []string) { return c.shares.Places(endpoint, slots) },
 		LimitShare:         func(endpoint string, perSecond float64) float64 { return c.shares.Rate(endpoint, perSecond) },
 		Logger:             logger,
 	})
--- a/entry/hosted/config_test.go
+++ b/entry/hosted/config_test.go
@@ -115,10 +115,11 @@
 	size.engines = 3
 	weak := size
 	weak.strongHosts = 0
-	for name, tt := range map[string]struct {
+	type trial struct {
 		size   clusterSize
 		faults func(c *cluster)
-	}{
+	}
+	cases := map[string]trial{
 		"no fault":                  {size, func(*cluster) {}},
 		"all links are slow":        {weak, func(*cluster) {}},
 		"the planner is killed":     {size, func(c *cluster) { c.restart(5, (*clusterHost).stop, c.holder().name) }},
@@ -130,7 +131,8 @@
 		"hosts are suspended":       {size, func(c *cluster) { c.beginAt(30, fault{kind: "pause", lastsMs: 4000}) }},
 		"the store refuses hosts":   {weak, func(c *cluster) { c.beginAt(60, fault{kind: "cutStore", lastsMs: 12000}) }},
 		"the store does not answer": {size, func(c *cluster) { c.begin(fault{kind: "outage", lastsMs: 4000}) }},
-	} {
+	}
+	for name, tt := range selectCases(cases, "all links are slow", "the planner is killed", "hosts are added", "the store does not answer") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			tr := playConfigs(t, tt.size, io.Discard, tt.faults)
--- a/entry/hosted/restore_test.go
+++ b/entry/hosted/restore_test.go
@@ -135,6 +135,9 @@
 	return out
 }
 
+// number returns the number of a host that runs from the start.
+func (h *clusterHost) number() int { return slices.Index(h.c.hostNames(), h.name) }
+
 // begin starts a fault, which ends by itself.
 func (c *cluster) begin(f fault) {
 	lasts := time.Duration(f.lastsMs) * time.Millisecond
--- a/entry/hosted/size_test.go
+++ b/entry/hosted/size_test.go
@@ -1,6 +1,21 @@
 package hosted
 
-import "tamarackknot.example/tamarackknot/fake"
+import (
+	"maps"
+	"os"
+	"slices"
+
+	"tamarackknot.example/tamarackknot/fake"
+)
+
+// selectCases returns the cases that are played: those with the names, or all if the
+// environment has SCALE, since a case of the grown size takes some 20 s of a core.
+func selectCases[T any](cases map[string]T, names ...string) map[string]T {
+	if os.Getenv("SCALE") == "" {
+		maps.DeleteFunc(cases, func(name string, _ T) bool { return !slices.Contains(names, name) })
+	}
+	return cases
+}
 
 // clusterSize is how large a test cluster is.
 type clusterSize struct {
--- a/fleet.go
+++ b/fleet.go
@@ -13,6 +13,19 @@
 	// Notices are those of endpoints that changed since the last report, or have not been
 	// reported for long.
 	Notices []EndpointNotice
+	// Brittle says of services what their endpoints have told this host since the last
+	// report.
+	Brittle []BrittleService
+}
+
+// BrittleService says that the endpoints of a service are brittle, each of which then fails
+// if it has to decline more than MaxDeclines requests in a second, or that they no longer
+// are. One of them said so At.
+type BrittleService struct {
+	Service     string
+	Brittle     bool
+	MaxDeclines int
+	At          time.Time
 }
 
 // EndpointNotice is what one start of an endpoint says of itself to all hosts, as observed
@@ -66,6 +79,8 @@
 	Forecasts []ModelForecast
 	// Notices are what endpoints said of themselves, if the message has them.
 	Notices []EndpointNotice
+	// Brittle says which services have brittle endpoints, and which no longer have.
+	Brittle []BrittleService
 	// Hosts are the entry hosts that currently report to the planner.
 	Hosts []HostEntry
 }
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -293,7 +293,7 @@
 		clear(c.held)
 		clear(c.forecasts)
 	}
-	v := tamarackknot.FleetView{Notices: decodeNotices(m.Notices, now), Engines: make(map[string]tamarackknot.EngineView, len(m.Engines))}
+	v := tamarackknot.FleetView{Notices: decodeNotices(m.Notices, now), Brittle: decodeBrittle(m.Brittle, now), Engines: make(map[string]tamarackknot.EngineView, len(m.Engines))}
 	for _, e := range m.Engines {
 		if !e.HeldUnchanged {
 			c.held[e.ID] = decodeHeld(e.Held)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -22,6 +22,8 @@
 	Running  []tamarackknot.RunCount `json:"running,omitempty"`
 	Models   []modelDemandMessage    `json:"wants,omitempty"`
 	Notices  []noticeMessage         `json:"limits,omitempty"`
+	// Brittle says of services what their endpoints have told the host since the last message.
+	Brittle []brittleMessage `json:"brittle,omitempty"`
 	// Catalog is the version of the configuration in force on the host.
 	Catalog int64 `json:"catalog,omitempty"`
 	// Acknowledged is the sequence of the last message of the planner, with its
@@ -74,6 +76,8 @@
 	// Notices holds all notices of endpoints; omitted if they are unchanged since the last
 	// message.
 	Notices []noticeMessage `json:"limits,omitempty"`
+	// Brittle says of all services of which it is known whether their endpoints are brittle.
+	Brittle []brittleMessage `json:"brittle,omitempty"`
 	// Hosts is the encoded []HostEntry of the hosts that callers may be sent to, of the
 	// version HostsVersion; omitted if it is unchanged since the last message, or if the
 	// host has said that it has this version.
@@ -174,6 +178,32 @@
 	return out
 }
 
+// brittleMessage is a BrittleService with the age of the observation.
+type brittleMessage struct {
+	Service     string `json:"service"`
+	Ended       bool   `json:"ended,omitempty"`
+	MaxDeclines int    `json:"maxDeclines,omitempty"`
+	AgeMs       int64  `json:"ageMs"`
+}
+
+func encodeBrittle(services []tamarackknot.BrittleService, now time.Time) []brittleMessage {
+	out := make([]brittleMessage, 0, len(services))
+	for _, s := range services {
+		out = append(out, brittleMessage{Service: s.Service, Ended: !s.Brittle, MaxDeclines: s.MaxDeclines, AgeMs: now.Sub(s.At).Milliseconds()})
+	}
+	return out
+}
+
+func decodeBrittle(messages []brittleMessage, now time.Time) []tamarackknot.BrittleService {
+	out := make([]tamarackknot.BrittleService, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, tamarackknot.BrittleService{
+			Service: m.Service, Brittle: !m.Ended, MaxDeclines: m.MaxDeclines, At: now.Add(-time.Duration(m.AgeMs) * time.Millisecond),
+		})
+	}
+	return out
+}
+
 type forecastMessage struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
@@ -187,7 +217,7 @@
 }
 
 func encodeDemand(d tamarackknot.HostDemand, all, behind bool, catalog int64, now time.Time) demandMessage {
-	m := demandMessage{Leaving: d.Leaving, Isolated: d.Isolated, Full: all, Running: d.Running, Catalog: catalog, Behind: behind, Notices: encodeNotices(d.Notices, now)}
+	m := demandMessage{Leaving: d.Leaving, Isolated: d.Isolated, Full: all, Running: d.Running, Catalog: catalog, Behind: behind, Notices: encodeNotices(d.Notices, now), Brittle: encodeBrittle(d.Brittle, now)}
 	for _, w := range d.Models {
 		out := modelDemandMessage{
 			Service: w.Service, Model: w.Model, Waiting: w.Waiting, Tight: w.Tight, Adapters: w.Adapters,
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -59,6 +60,32 @@
 	return out
 }
 
+// brittleRetention is how long an observation of a service is kept. While its endpoints answer
+// there are newer ones.
+const brittleRetention = time.Minute
+
+// brittleList holds the newest observation of each service whose endpoints are brittle, or
+// were.
+type brittleList map[string]tamarackknot.BrittleService
+
+// merge adds the observations of a host.
+func (l *brittleList) merge(services []tamarackknot.BrittleService) {
+	for _, s := range services {
+		if *l == nil {
+			*l = make(brittleList)
+		}
+		if old, known := (*l)[s.Service]; !known || s.At.After(old.At) {
+			(*l)[s.Service] = s
+		}
+	}
+}
+
+// all returns the observations, ordered by service.
+func (l brittleList) all(now time.Time) []tamarackknot.BrittleService {
+	maps.DeleteFunc(l, func(_ string, s tamarackknot.BrittleService) bool { return now.Sub(s.At) > brittleRetention })
+	return slices.SortedFunc(maps.Values(l), func(a, b tamarackknot.BrittleService) int { return cmp.Compare(a.Service, b.Service) })
+}
+
 // Limited returns the endpoints that name a limit, and since which start.
 func (p *Publisher) Limited() map[string]time.Time {
 	return p.startsWith(func(n tamarackknot.EndpointNotice) bool { return n.Limit.Limited })
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -112,6 +112,7 @@
 	members        []string
 	membersVersion int64
 	notices        noticeList
+	brittle        brittleList
 }
 
 // hostState is the last demand of a host and the state that was last sent to it.
@@ -215,6 +216,7 @@
 		s.acknowledge(m.Acknowledged)
 	}
 	p.notices.merge(decodeNotices(m.Notices, now), now)
+	p.brittle.merge(decodeBrittle(m.Brittle, now))
 	waiting := false
 	for _, w := range m.Models {
 		s.demands[[2]string{w.Service, w.Model}] = decodeModelDemand(w, now)
@@ -507,7 +509,7 @@
 	m := viewMessage{
 		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
 		Catalog: encodeStream(p.cfg.Catalog(), r.now), Endpoints: encodeStream(p.cfg.Endpoints(), r.now),
-		EchoMs: s.echoMs,
+		EchoMs: s.echoMs, Brittle: encodeBrittle(p.brittle.all(r.now), r.now),
 	}
 	m.MembersAgeMs = p.membersAge(r.membersReadAt)
 	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
--- a/ingress/host_test.go
+++ b/ingress/host_test.go
@@ -92,3 +92,49 @@
 		})
 	}
 }
+
+// TestForwardToPlaceOfOtherHost guards against a request that is refused, or sent past the
+// places of a brittle endpoint, although another host may send it.
+func TestForwardToPlaceOfOtherHost(t *testing.T) {
+	for name, tt := range map[string]struct {
+		forwarded bool
+		alive     string // the only other host that lives
+		status    int
+		reports   string // header of the other host's answer
+		brittle   bool   // afterwards
+	}{
+		"served":                {false, "b", 200, "4 10", true},
+		"no longer brittle":     {false, "b", 200, "-1 0", false},
+		"an odd header":         {false, "b", 200, "x", true},
+		"nobody who may":        {false, "z", 503, "", true},
+		"it was forwarded here": {true, "b", 503, "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, tamarackknot.Route{Kind: stream, Resumable: true, Attempts: 2}, events(5, nil))
+			other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerBrittle, tt.reports)
+				w.Header().Set("Id", r.Header.Get("Id"))
+				_, _ = io.WriteString(w, "x")
+			}))
+			t.Cleanup(other.Close)
+			h.server.cfg.Host = "h"
+			h.server.cfg.OtherHosts = func() []tamarackknot.HostEntry {
+				return []tamarackknot.HostEntry{{Name: tt.alive, Address: other.Listener.Addr().String()}}
+			}
+			h.places = func(string, int) (int, []string) { return 0, []string{"a", "b"} }
+			h.server.cfg.Dispatch.MergeBrittle(tamarackknot.BrittleService{Service: "s", Brittle: true, MaxDeclines: 4, At: time.Now().Add(-time.Second)})
+			header := map[string]string{}
+			if tt.forwarded {
+				header[headerForwardedBy] = "i"
+			}
+			resp, _, err := h.do(call{header: header})
+			require.NoError(t, err)
+			require.Equal(t, tt.status, resp.StatusCode)
+			require.Equal(t, tt.forwarded, resp.Header.Get(headerIsolated) != "")
+			require.Equal(t, tt.forwarded, resp.Header.Get(headerBrittle) != "", "a caller must not see it")
+			require.Empty(t, h.reached())
+			b, _ := h.server.cfg.Dispatch.Brittle("s")
+			require.Equal(t, tt.brittle, b.Brittle)
+		})
+	}
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -22,6 +22,7 @@
 // serve answers the request, with retries as far as the route allows.
 func (x *exchange) serve() {
 	defer x.cancelRetry()
+	x.announceBrittle()
 	if x.isolated() {
 		x.serveIsolated()
 		return
@@ -37,6 +38,10 @@
 			x.serveIsolated()
 			return
 		}
+		if g == nil && x.mayForward(refusal) {
+			x.serveElsewhere(refusal)
+			return
+		}
 		if g == nil {
 			x.respondFailed(refusal, failure)
 			return
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -61,6 +61,10 @@
 			x.serveIsolated()
 			return
 		}
+		if g == nil && x.mayForward(refusal) {
+			x.serveElsewhere(refusal)
+			return
+		}
 		if g == nil {
 			x.endFailedStream(refusal, failure)
 			return
--- a/share/share.go
+++ b/share/share.go
@@ -5,6 +5,7 @@
 package share
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -36,6 +37,8 @@
 	// baseSharers is the number of hosts that share a rate below one request a second;
 	// each request a second adds one.
 	baseSharers = 4
+	// placeSharers is the number of hosts that share the places of an endpoint.
+	placeSharers = 3
 	// minRate, in requests a second, is the rate of all hosts at an endpoint that takes
 	// none, so that they learn when it does again.
 	minRate = 0.1
@@ -66,6 +69,21 @@
 	// sharers caches Rate: the number of hosts that share the rate of a key, 0 if this
 	// host is not one of them. It is cleared when the lists change.
 	sharers map[rateKey]int
+	// names are those of the last list. places caches Places and is cleared when they change.
+	names  []string
+	places map[placeKey]placeShare
+}
+
+// placeKey identifies a number of places at an endpoint.
+type placeKey struct {
+	name   string
+	places int
+}
+
+// placeShare is the part of the places that this host has, and the host of each other one.
+type placeShare struct {
+	own    int
+	others []string
 }
 
 type rateKey struct {
@@ -84,7 +102,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = times.SinceBoot
 	}
-	return &Hosts{cfg: cfg, sharers: make(map[rateKey]int)}
+	return &Hosts{cfg: cfg, sharers: make(map[rateKey]int), places: make(map[placeKey]placeShare)}
 }
 
 // Observe records a list of the registered hosts, in order, that the planner read the
@@ -96,6 +114,10 @@
 	now := h.cfg.Clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !slices.Equal(h.names, names) {
+		h.names = names
+		clear(h.places)
+	}
 	n := len(h.lists)
 	if n == 0 || now-h.lists[n-1].last > maxSilence {
 		h.lists, h.since, n = nil, now, 0
@@ -183,5 +205,45 @@
 	return min(len(names), key.hosts)
 }
 
+// Places returns how many of the requests that the endpoint of a name takes at once this
+// host may send, and for each of the rest the host that may send it; nothing if no list was
+// ever received. A few registered hosts share them, alive or not, chosen by hashing their names.
+// So the division changes only when hosts are added or removed, and then differs between
+// hosts for the time that a list takes to all of them. Unlike a share of a rate it lasts
+// while no planner is heard. The names must not be changed.
+func (h *Hosts) Places(name string, places int) (own int, others []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := placeKey{name, places}
+	s, cached := h.places[key]
+	if !cached {
+		s = h.sharePlaces(key)
+		h.places[key] = s
+	}
+	return s.own, s.others
+}
+
+// sharePlaces divides the places of a key among the first hosts of its order. h.mu is held.
+func (h *Hosts) sharePlaces(key placeKey) placeShare {
+	hosts := slices.Clone(h.names)
+	slices.SortFunc(hosts, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(key.name, a), rank(key.name, b)), cmp.Compare(a, b))
+	})
+	n := min(len(hosts), key.places, placeSharers)
+	var s placeShare
+	for i, host := range hosts[:n] {
+		share := key.places / n
+		if i < key.places%n {
+			share++
+		}
+		if host != h.cfg.Self {
+			s.others = append(s.others, slices.Repeat([]string{host}, share)...)
+			continue
+		}
+		s.own = share
+	}
+	return s
+}
+
 // rank orders the hosts for a name.
 func rank(name, host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -1,12 +1,14 @@
 package share
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // TestCount guards against a host that uses a share although other hosts may not count
@@ -45,3 +47,42 @@
 		})
 	}
 }
+
+// TestPlaces guards against hosts that together take more places of an endpoint than it has,
+// or leave some to nobody, and against a division that changes with more than its hosts.
+func TestPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		places, count := rapid.IntRange(1, 20).Draw(t, "places"), rapid.IntRange(1, 100).Draw(t, "hosts")
+		names := make([]string, 0, count)
+		for i := range count {
+			names = append(names, fmt.Sprintf("h%03d", i))
+		}
+		divide := func(names []string) map[string]int {
+			out, sum := make(map[string]int), 0
+			for _, name := range names {
+				h := New(Config{Self: name, Clock: func() time.Duration { return time.Hour }, Logger: log.New(io.Discard)})
+				own, others := h.Places("e", places)
+				require.Zero(t, own+len(others), "nothing is known before the first list")
+				h.Observe(names, 0)
+				own, others = h.Places("e", places)
+				require.Equal(t, places, own+len(others))
+				if sum += own; own > 0 {
+					out[name] = own
+				}
+			}
+			require.Equal(t, places, sum)
+			require.LessOrEqual(t, len(out), placeSharers)
+			return out
+		}
+		before := divide(names)
+		added := append([]string{"h"}, names...)
+		after := divide(added)
+		kept := 0
+		for name := range before {
+			if after[name] > 0 {
+				kept++
+			}
+		}
+		require.GreaterOrEqual(t, kept, len(before)-1, "a host that is added takes the part of at most one")
+	})
+}
