Count the age of what the planner has read from when it says so

A host whose messages wait for seconds, on a full link or in a planner's long round, went on following and took an old version for the newest.

Change: the age is taken when a message is built, and does not count if the message answers a report of this host that is more than 2 s old; the host then reads the store itself.

TestStreamsOfDelayedMessage failed before (a message of 3 s taken for recent).

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -31,6 +31,10 @@
 	// after the planner stops sending.
 	hostListTTL = 30 * time.Second
 	sendTimeout = 500 * time.Millisecond
+	// maxExchangeTime is how long after this host's last report that it answers a message of
+	// the planner says what the planner has read. Routine reports and messages take less
+	// than one second.
+	maxExchangeTime = 2 * time.Second
 )
 
 // ClientConfig configures a Client.
@@ -231,6 +235,7 @@
 	c.applyHosts(m, now)
 	missing := !c.demandSynced || c.behind
 	v := c.merge(m, now)
+	catalog, endpoints := c.streamStates(m, now, receivedAt)
 	c.mu.Unlock()
 	if missing {
 		c.SendNow()
@@ -245,10 +250,21 @@
 	c.cfg.OnView(v)
 	if from != c.cfg.Self.Name {
 		c.cfg.OnStoreEra(m.LeaseEra)
-		c.cfg.OnStreamStates(decodeStream(m.Catalog, now), decodeStream(m.Endpoints, now))
+		c.cfg.OnStreamStates(catalog, endpoints)
 	}
 }
 
+// streamStates returns the planner's positions in the streams. When it read them is not known
+// if the message may have been on its way for longer than maxExchangeTime. c.mu is held.
+func (c *Client) streamStates(m viewMessage, now time.Time, receivedAt time.Duration) (catalog, endpoints tamarackknot.StreamState) {
+	catalog, endpoints = decodeStream(m.Catalog, now), decodeStream(m.Endpoints, now)
+	echo := time.Duration(m.EchoMs) * time.Millisecond
+	if echo >= c.startedAt && receivedAt-echo > maxExchangeTime {
+		catalog.ReadAt, endpoints.ReadAt = time.Time{}, time.Time{}
+	}
+	return catalog, endpoints
+}
+
 // applyMembers returns the names of the registered hosts as of a message and the
 // greatest time since the planner read them. The names are nil if the planner has not
 // read them, if a message in between is missing, or if it is unknown how long the
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -396,6 +396,35 @@
 	}
 }
 
+// TestStreamsOfDelayedMessage guards against a host that takes what the planner had read
+// seconds ago for recent because the message was on its way since.
+func TestStreamsOfDelayedMessage(t *testing.T) {
+	const second = int64(1000)
+	for name, tt := range map[string]struct {
+		echoMs int64
+		recent bool
+	}{
+		"the planner answers a report of 600 ms ago": {10*second - 600, true},
+		"the message was on its way for 3 s":         {7 * second, false},
+		"the planner has no report of this process":  {second, true},
+		"the planner has no report at all":           {0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 2 * time.Second
+			var got tamarackknot.StreamState
+			c := NewClient(ClientConfig{
+				Self: tamarackknot.HostEntry{Name: "a"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("a"), Logger: log.New(io.Discard),
+				Clock: func() time.Duration { return now }, OnView: func(tamarackknot.FleetView) {},
+				OnStreamStates: func(catalog, _ tamarackknot.StreamState) { got = catalog }, OnStoreEra: func(int64) {},
+			})
+			now = 10 * time.Second
+			c.applyView("p", viewMessage{Fence: 1, Sequence: 1, Full: true, EchoMs: tt.echoMs, Catalog: streamMessage{Version: 7, AgeMs: 100}})
+			require.Equal(t, int64(7), got.Version)
+			require.Equal(t, tt.recent, !got.ReadAt.IsZero())
+		})
+	}
+}
+
 // TestLimits guards against hosts that do not learn of a limit that an endpoint named to
 // another host, and against an older observation that replaces a newer one.
 func TestLimits(t *testing.T) {
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -508,7 +508,7 @@
 	s.sends = append(s.sends[max(len(s.sends)-maxSends+1, 0):], sentMessage{s.sequence, p.cfg.Clock()})
 	m := viewMessage{
 		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
-		Catalog: encodeStream(p.cfg.Catalog(), r.now), Endpoints: encodeStream(p.cfg.Endpoints(), r.now),
+		Catalog: encodeStream(p.cfg.Catalog(), time.Now()), Endpoints: encodeStream(p.cfg.Endpoints(), time.Now()),
 		EchoMs: s.echoMs, Brittle: encodeBrittle(p.brittle.all(r.now), r.now),
 	}
 	m.MembersAgeMs = p.membersAge(r.membersReadAt)
