Refuse requests for unknown routes while a newer configuration is known

A caller takes that for final.

Change: it answers 503 with a time to come back. TestRouteOfNewerConfiguration failed before (404).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -160,7 +160,7 @@
 			return
 		case <-w.catchUp:
 		}
-		for attempt, pause := 0, minRelayPause; w.isBehind() && ctx.Err() == nil; attempt++ {
+		for attempt, pause := 0, minRelayPause; w.IsBehind() && ctx.Err() == nil; attempt++ {
 			if w.readNewer(ctx, attempt == 0) {
 				break
 			}
@@ -177,7 +177,7 @@
 		return false
 	}
 	defer func() { <-w.reading }()
-	if !w.isBehind() {
+	if !w.IsBehind() {
 		return true
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(relayReadTimeout))
@@ -188,7 +188,7 @@
 		return false
 	}
 	w.apply(page)
-	return !w.isBehind()
+	return !w.IsBehind()
 }
 
 // acquire waits for the end of another read of the whole configuration and reports whether
@@ -202,8 +202,8 @@
 	}
 }
 
-// isBehind reports whether another host has a newer version in force.
-func (w *Watcher) isBehind() bool {
+// IsBehind reports whether another host has a newer version in force.
+func (w *Watcher) IsBehind() bool {
 	v := w.Current()
 	return w.observed.Load() > 0 && (v == nil || v.Catalog.Version < w.observed.Load())
 }
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -119,7 +119,7 @@
 func (c *components) newCallerServer(registry metrics.Registry) *ingress.Server {
 	s := c.cfg.settings
 	return ingress.New(ingress.Config{
-		Catalog:   c.catalog.Current,
+		Catalog: c.catalog.Current, CatalogBehind: c.catalog.IsBehind,
 		Dispatch:  c.dispatch,
 		Budget:    &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Clock: c.cfg.clock},
 		Dialect:   platform.Dialect{},
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// TestRouteOfNewerConfiguration guards against answering 404 for a route of a configuration
+// that this host knows to be in force on others.
+func TestRouteOfNewerConfiguration(t *testing.T) {
+	h := newHarness(t, tamarackknot.Route{Kind: once}, respond(200, "x"))
+	h.server.cfg.CatalogBehind = func() bool { return true }
+	resp, _, err := h.do(call{path: "/q/"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	resp, _, err = h.do(call{})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
 // TestNoConfiguration guards against answering 404 before the host has received
 // a configuration.
 func TestNoConfiguration(t *testing.T) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -49,10 +49,13 @@
 
 // Config configures a Server.
 type Config struct {
-	Catalog  func() *catalog.View
-	Dispatch *dispatch.Dispatcher
-	Budget   *dispatch.RetryBudget
-	Dialect  tamarackknot.Dialect
+	Catalog func() *catalog.View
+	// CatalogBehind reports whether another host has a newer configuration in force. Nil
+	// means that none has.
+	CatalogBehind func() bool
+	Dispatch      *dispatch.Dispatcher
+	Budget        *dispatch.RetryBudget
+	Dialect       tamarackknot.Dialect
 	// Origins keeps the origins of resumable streams.
 	Origins tamarackknot.StreamOrigins
 	// Crashes relates crashes of endpoints to parts of prompts.
@@ -95,6 +98,9 @@
 	if cfg.DialEndpoint == nil {
 		cfg.DialEndpoint = cfg.Dial
 	}
+	if cfg.CatalogBehind == nil {
+		cfg.CatalogBehind = func() bool { return false }
+	}
 	if cfg.Isolated == nil {
 		cfg.Isolated = func() bool { return false }
 	}
@@ -173,6 +179,11 @@
 	}
 	x.version, x.limits = view.Catalog.Version, view.Catalog.Limits
 	x.route = view.Route(x.r.Host, x.r.URL.EscapedPath())
+	if x.route == nil && x.server.cfg.CatalogBehind() {
+		x.caller, _ = x.server.cfg.Dialect.Request(x.r.Header) // for the log only
+		x.refuse("no route matches, but a newer configuration is known to be in force", x.arrived.Add(noConfigRetryDelay))
+		return false
+	}
 	if x.route == nil {
 		x.fail(http.StatusNotFound, "no route matches the host and path")
 		return false
