--- a/entry/hosted/config_test.go
+++ b/entry/hosted/config_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
@@ -141,3 +142,16 @@
 		})
 	}
 }
+
+// TestLargeConfigurationFaults guards against the same in random series of faults.
+func TestLargeConfigurationFaults(t *testing.T) {
+	t.Parallel()
+	size := smallSize()
+	size.hosts, size.routes, size.linkBytes = 12, grownSize().routes, grownSize().linkBytes
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := drawHostFaults(rt)
+		tr := playConfigs(t, size, io.Discard, func(c *cluster) { c.play(faults) })
+		rt.Logf("%v", tr.stale)
+		require.Empty(rt, tr.stale)
+	})
+}
