--- a/relay/transfer_test.go
+++ b/relay/transfer_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -131,6 +133,24 @@
 	})
 }
 
+// TestTransferFromBuildBefore guards against a host that cannot read what one of the build
+// before sends, which knows no chunks.
+func TestTransferFromBuildBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := harness{fake.NewStreams(), fake.NewPeers(fake.PeersConfig{})}
+		b := h.host("b")
+		h.peers.Host("old").Handle(methodRecords, func(context.Context, string, json.RawMessage) (any, error) {
+			return map[string]any{
+				"records": []tamarackknot.KeyedRecord{{Key: "config", Value: largeValue(10000), Offset: 6}}, "next": 7, "ageMs": 20,
+			}, nil
+		})
+		page, err := b.ReadNewer(t.Context(), "old", stream)
+		require.NoError(t, err)
+		require.Equal(t, at(7), page.Next)
+		require.Equal(t, largeValue(10000), page.Records[0].Value)
+	})
+}
+
 // TestManifest guards against a manifest that makes a host fetch or join what is no value.
 func TestManifest(t *testing.T) {
 	value := largeValue(1000)
