List in endpoints' entries what their engines hold, as the platform does

The stand-in's entries named no models. While no planner is heard, hosts take what engines hold from the entries, so all hosts of the test cluster then refused streams for lack of a model, which no host of the users' platform does.

--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -526,7 +526,7 @@
 			if state == "" {
 				return
 			}
-			_, _ = c.store.Put(c.ctx, tamarackknot.StreamEndpoints, r.id, r.entry(state)) // the next heartbeat follows
+			_, _ = c.store.Put(c.ctx, tamarackknot.StreamEndpoints, r.id, r.entry(state, c.engines.Held(r.address))) // the next heartbeat follows
 		}
 	})
 }
@@ -555,10 +555,15 @@
 	}
 }
 
-func (r *replica) entry(state tamarackknot.EndpointState) []byte {
+// entry returns the record of the endpoint, with the models that an engine holds.
+func (r *replica) entry(state tamarackknot.EndpointState, held []string) []byte {
 	fields := map[string]any{"svc": r.service(), "addr": r.address, "zone": "z1", "slots": r.slots, "state": state, "born": r.born.UnixMilli()}
 	if r.service() != plainService {
-		fields["phase"] = "colocated"
+		models := make([]map[string]any, 0, len(held))
+		for _, name := range held {
+			models = append(models, map[string]any{"name": name, "version": 1, "adapters": []string{}})
+		}
+		fields["phase"], fields["models"] = "colocated", models
 	}
 	data, err := json.Marshal(fields)
 	if err != nil {
@@ -591,7 +596,7 @@
 	}
 	r.state = tamarackknot.EndpointDraining
 	r.mu.Unlock()
-	c.put(tamarackknot.StreamEndpoints, r.id, r.entry(tamarackknot.EndpointDraining))
+	c.put(tamarackknot.StreamEndpoints, r.id, r.entry(tamarackknot.EndpointDraining, c.engines.Held(r.address)))
 	wait.For(c.ctx, 2500*time.Millisecond)
 	r.mu.Lock()
 	r.state = ""
--- a/fake/weights.go
+++ b/fake/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -112,6 +113,18 @@
 	return ok && (adapter == "" || slices.Contains(adapters, adapter))
 }
 
+// Held returns the names of the models that the engine at an address holds, in order.
+func (w *WeightEngines) Held(address string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engines[address]
+	if e == nil {
+		return nil
+	}
+	e.completeOrder()
+	return slices.Sorted(maps.Keys(e.Held))
+}
+
 // Orders returns all orders received so far, including delayed ones.
 func (w *WeightEngines) Orders() []tamarackknot.WeightOrder {
 	w.mu.Lock()
