Let a host that starts forward to the hosts that were registered then

Cause: a host knows others from the planner's list alone. One that starts while no planner is heard, up to 5 s here, knew nobody to forward to, and nobody through whom to read the store. Class: knowledge that all hosts keep in the store is used by the planner only.

Evidence: log of the case: at the isolated host every refusal from 41.0 to 50.6 s falls into the time without a planner.

Change: the host reads the registered hosts before it registers, as it did to find its own entry; until it has a planner's list it takes those for the others.

TestHostsAtStart is new.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -338,11 +338,20 @@
 	return max(slices.IndexFunc(c.fleet.Hosts(), func(h tamarackknot.HostEntry) bool { return h.Name == c.self.Name }), 0)
 }
 
+// knownHosts returns the live hosts or, before the first list of a planner, those that were
+// registered when this host started.
+func (c *components) knownHosts() []tamarackknot.HostEntry {
+	if hosts := c.fleet.Hosts(); hosts != nil {
+		return hosts
+	}
+	return c.hosts.HostsAtStart()
+}
+
 // otherHosts returns the names of the other live hosts, through which the store
 // can be read.
 func (c *components) otherHosts() []string {
 	var out []string
-	for _, h := range c.fleet.Hosts() {
+	for _, h := range c.knownHosts() {
 		if h.Name != c.self.Name {
 			out = append(out, h.Name)
 		}
@@ -354,7 +363,7 @@
 // in the same failure domain first.
 func (c *components) reachingHosts() []tamarackknot.HostEntry {
 	var out []tamarackknot.HostEntry
-	for _, h := range c.fleet.Hosts() {
+	for _, h := range c.knownHosts() {
 		if h.Name != c.self.Name && !h.Isolated {
 			out = append(out, h)
 		}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -61,6 +61,8 @@
 	departed map[string]string
 	left     bool // this host has deregistered
 	state    tamarackknot.Registration
+	// atStart are the other hosts that were registered when this host began to register.
+	atStart []tamarackknot.HostEntry
 }
 
 // NewRegistry returns a Registry that knows only this host.
@@ -89,8 +91,22 @@
 func (r *Registry) PeerAddress(host string) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h, ok := r.hosts[host]
-	return h.PeerAddress, ok
+	if h, ok := r.hosts[host]; ok {
+		return h.PeerAddress, true
+	}
+	i := slices.IndexFunc(r.atStart, func(h tamarackknot.HostEntry) bool { return h.Name == host })
+	if i < 0 {
+		return "", false
+	}
+	return r.atStart[i].PeerAddress, true
+}
+
+// HostsAtStart returns the other hosts that were registered when this host began to
+// register, alive or not; nil before it has read them. The result must not be changed.
+func (r *Registry) HostsAtStart() []tamarackknot.HostEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.atStart
 }
 
 // Registration returns how this host is registered and what it has read.
@@ -179,7 +195,7 @@
 	return true
 }
 
-// findPrevious looks for the entry of an earlier process of this host.
+// findPrevious looks for the entry of an earlier process of this host, and for other hosts.
 func (r *Registry) findPrevious(ctx context.Context) error {
 	page, err := r.cfg.Store.Newest(ctx, tamarackknot.StreamHosts)
 	if err != nil {
@@ -187,9 +203,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.atStart = nil
 	for _, rec := range page.Records {
 		var h tamarackknot.HostEntry
-		if rec.Key == r.cfg.Self.Name && json.Unmarshal(rec.Value, &h) == nil && h.Incarnation != r.cfg.Self.Incarnation {
+		switch {
+		case json.Unmarshal(rec.Value, &h) != nil:
+		case rec.Key != r.cfg.Self.Name:
+			r.atStart = append(r.atStart, h)
+		case h.Incarnation != r.cfg.Self.Incarnation:
 			r.state.Previous, r.state.HadPrevious = tamarackknot.Position{Era: page.End.Era, Offset: rec.Offset}, true
 		}
 	}
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -111,3 +111,35 @@
 		synctest.Wait()
 	})
 }
+
+// TestHostsAtStart guards against a host that knows no other host until it hears a planner.
+func TestHostsAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := fake.NewStreams()
+		for _, name := range []string{"a", "b", "odd"} {
+			value := `{"name":"` + name + `","incarnation":"x","peerAddress":"` + name + `:1"}`
+			if name == "odd" {
+				value = "{"
+			}
+			_, err := store.Put(ctx, tamarackknot.StreamHosts, name, []byte(value))
+			require.NoError(t, err)
+		}
+		r := NewRegistry(RegistryConfig{
+			Store: store.Client("a"), Self: tamarackknot.HostEntry{Name: "a", Incarnation: "a2"},
+			Follow: func() bool { return false }, PlannerHeard: func() bool { return false }, Logger: log.New(io.Discard),
+		})
+		require.Nil(t, r.HostsAtStart())
+		go r.Run(ctx)
+		time.Sleep(time.Second)
+		require.Len(t, r.HostsAtStart(), 1)
+		address, ok := r.PeerAddress("b")
+		require.True(t, ok)
+		require.Equal(t, "b:1", address)
+		_, ok = r.PeerAddress("odd")
+		require.False(t, ok)
+		require.True(t, r.Registration().HadPrevious)
+		cancel()
+		synctest.Wait()
+	})
+}
