Keep the fetched parts of a value apart for each read of it

Found by reading the diff: a read through other hosts for a slow store (Store.Read) and one for an announced version may fetch the same value at the same time, and both wrote to one map; the runtime ends the process on that. Each read has a copy of its own and adds what it fetched under the lock. TestTransfersOfOneValue failed before under the race detector. ReadNewer also says so if no other host is known, instead of asking a host without a name.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -214,8 +214,11 @@
 // have records that the older copy lacks.
 func (s *Store) ReadNewer(ctx context.Context, host string, stream tamarackknot.Stream) (tamarackknot.StreamPage, error) {
 	if host == "" {
-		for _, host = range s.randomHosts(1) {
+		hosts := s.randomHosts(1)
+		if len(hosts) == 0 {
+			return tamarackknot.StreamPage{}, errNoHost
 		}
+		host = hosts[0]
 	}
 	s.mu.Lock()
 	from := s.mirrors[stream].next
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -248,6 +249,7 @@
 		if err := m.cut(p.Parts, data, known); err != nil {
 			return nil, err
 		}
+		s.keepParts(p, m, known)
 	}
 }
 
@@ -267,13 +269,25 @@
 	}
 }
 
-// knownParts returns the parts that are known when a value is fetched. Parts that are added
-// are known to the next attempt; only one value is fetched at a time.
+// keepParts makes the parts that were just fetched known to other attempts.
+func (s *Store) keepParts(p chunkParams, m manifest, known map[uint64][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.partial.id != p.id() {
+		return
+	}
+	for _, i := range p.Parts {
+		s.partial.parts[m.parts[i].hash] = known[m.parts[i].hash]
+	}
+}
+
+// knownParts returns the parts that are known when a value is fetched. The caller may add
+// to them.
 func (s *Store) knownParts(id valueID) (map[uint64][]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.partial.id == id {
-		return s.partial.parts, nil
+		return maps.Clone(s.partial.parts), nil
 	}
 	parts, err := splitValue(s.mirrors[id.stream].records[id.key].Value)
 	if err != nil {
@@ -284,7 +298,7 @@
 		known[p.hash] = p.data
 	}
 	s.partial = partialValue{id, known}
-	return known, nil
+	return maps.Clone(known), nil
 }
 
 func compress(data []byte) ([]byte, error) {
--- a/relay/transfer_test.go
+++ b/relay/transfer_test.go
@@ -133,6 +133,27 @@
 	})
 }
 
+// TestTransfersOfOneValue guards against two reads of the same value at a time that share
+// what they have fetched without a lock.
+func TestTransfersOfOneValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := harness{fake.NewStreams(), fake.NewPeers(fake.PeersConfig{Latency: time.Millisecond})}
+		a, b, c := h.host("a"), h.host("b"), h.host("c")
+		h.putLarge(t, 10000)
+		list(t, a)
+		list(t, b)
+		errs := make(chan error, 2)
+		for _, from := range []string{"a", "b"} {
+			go func() {
+				_, err := c.ReadNewer(t.Context(), from, stream)
+				errs <- err
+			}()
+		}
+		require.NoError(t, <-errs)
+		require.NoError(t, <-errs)
+	})
+}
+
 // TestTransferFromBuildBefore guards against a host that cannot read what one of the build
 // before sends, which knows no chunks.
 func TestTransferFromBuildBefore(t *testing.T) {
