Decide in one place whether a request goes to another host

Review of the change; no decision is changed. What the planner says of brittle services is encoded once a round, not once a host.

Run on it: tests of dispatch, ingress and fleet, TestBrittleEndpointsWithFaults, TestHostsThatReachNoEndpoint, linter.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -242,11 +242,7 @@
 func (d *Dispatcher) Acquire(ctx context.Context, req *Request) (*Grant, *Refusal) {
 	now := time.Now()
 	d.mu.Lock()
-	r := d.rejected(req)
-	if r == nil {
-		r = d.elsewhere(req, now)
-	}
-	if r != nil {
+	if r := d.turnedAway(req, now); r != nil {
 		d.mu.Unlock()
 		return nil, r
 	}
@@ -353,10 +349,7 @@
 func (d *Dispatcher) serveWaiting(now time.Time) {
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
-		r := d.rejected(w.req)
-		if r == nil {
-			r = d.elsewhere(w.req, now)
-		}
+		r := d.turnedAway(w.req, now)
 		var g *Grant
 		lack := w.lack
 		if r == nil {
@@ -403,6 +396,15 @@
 	d.refused = slices.Delete(d.refused, 0, n)
 }
 
+// turnedAway returns a refusal if the request must not be sent from this host, whatever
+// endpoints are free. d.mu is held.
+func (d *Dispatcher) turnedAway(req *Request, now time.Time) *Refusal {
+	if r := d.rejected(req); r != nil {
+		return r
+	}
+	return d.elsewhere(req, now)
+}
+
 // rejected returns a refusal if endpoints crash under the request or a part of its prompt.
 func (d *Dispatcher) rejected(req *Request) *Refusal {
 	if d.cfg.Rejects == nil || !d.cfg.Rejects(req.Identity()) {
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -161,7 +161,8 @@
 	forecasts     map[modelKey]time.Time
 	hostCount     int
 	membersReadAt time.Duration // when the registered hosts were read, 0 if never
-	fullViewsLeft int           // full views that this round may still send
+	brittle       []brittleMessage
+	fullViewsLeft int // full views that this round may still send
 }
 
 // engineState is an engine of the view with its models in message form; version
@@ -412,6 +413,7 @@
 	r := &round{
 		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), totals: p.requestTotals(now),
 		forecasts:     make(map[modelKey]time.Time),
+		brittle:       encodeBrittle(p.brittle.all(now), now),
 		fullViewsLeft: max(minFullViews, maxFullViewEngines/max(len(p.engines), 1)),
 	}
 	for _, f := range p.forecasts {
@@ -509,7 +511,7 @@
 	m := viewMessage{
 		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
 		Catalog: encodeStream(p.cfg.Catalog(), time.Now()), Endpoints: encodeStream(p.cfg.Endpoints(), time.Now()),
-		EchoMs: s.echoMs, Brittle: encodeBrittle(p.brittle.all(r.now), r.now),
+		EchoMs: s.echoMs, Brittle: r.brittle,
 	}
 	m.MembersAgeMs = p.membersAge(r.membersReadAt)
 	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
--- a/ingress/host.go
+++ b/ingress/host.go
@@ -40,6 +40,20 @@
 	})
 }
 
+// servedElsewhere serves a request that got no endpoint by another host, and reports whether
+// it has to be.
+func (x *exchange) servedElsewhere(refusal *dispatch.Refusal) bool {
+	switch {
+	case x.isolated():
+		x.serveIsolated()
+	case x.mayForward(refusal):
+		x.serveElsewhere(refusal)
+	default:
+		return false
+	}
+	return true
+}
+
 // mayForward reports whether a request that this host may not send to an endpoint can go
 // to the hosts that may: no endpoint has received it.
 func (x *exchange) mayForward(r *dispatch.Refusal) bool {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -34,12 +34,7 @@
 	var failure *bufferedResponse
 	for {
 		g, refusal := x.acquire()
-		if g == nil && x.isolated() {
-			x.serveIsolated()
-			return
-		}
-		if g == nil && x.mayForward(refusal) {
-			x.serveElsewhere(refusal)
+		if g == nil && x.servedElsewhere(refusal) {
 			return
 		}
 		if g == nil {
