Take no refusal on a reused connection that doesn't name the request

Callers were told that a request had not run, or it went to another endpoint, after a faulty endpoint had written an earlier refusal once more on a kept connection: a refusal without the id of the request was always taken for one of the request under way.

Only the first answer on a connection may lack the id. Otherwise the outcome is unknown, and the connection is closed, since the answer to this request is still to come on it.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -87,10 +87,12 @@
 	if x.route.Kind == tamarackknot.RouteRepeatable && (len(x.body) > 0 || slices.Contains(bodylessMethods(), x.r.Method)) {
 		transport = x.server.keepAliveTransport
 	}
+	x.conn = httptrace.GotConnInfo{}
+	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
 	if x.retry != nil {
-		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: x.retrySent(x.retry)}))
+		trace.WroteRequest = x.retrySent(x.retry)
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if x.retry != nil && !errors.Is(err, errNotSent) {
 		// At least part of the request may have reached the endpoint.
 		x.retry.Sent()
@@ -99,6 +101,9 @@
 	return resp, err
 }
 
+// gotConn records the connection on which an attempt is sent.
+func (x *exchange) gotConn(info httptrace.GotConnInfo) { x.conn = info }
+
 // outgoing returns the request as it is sent to an address.
 func (x *exchange) outgoing(ctx context.Context, address string, a tamarackknot.EndpointAttempt) *http.Request {
 	req := (&http.Request{
@@ -245,18 +250,34 @@
 	}
 }
 
+// belongs reports whether an answer is one to this request. An endpoint may decline without
+// reading the request, and then names none; on a kept connection that may be a second copy of
+// its answer to an earlier request.
+func (x *exchange) belongs(a tamarackknot.EndpointAnswer) bool {
+	return a.RequestID == x.caller.ID || a.RequestID == "" && a.NotRun && !x.conn.Reused
+}
+
 // checkResponseHeader returns false, with the outcome, for a response that must
 // not be relayed: the endpoint declined the request, or the response belongs to
 // another request or lacks the stamp of an endpoint that ran it.
 func (x *exchange) checkResponseHeader(g *dispatch.Grant, resp *http.Response) (outcome, bool) {
 	a := x.server.cfg.Dialect.Answer(resp.StatusCode, resp.Header)
 	x.sent++
+	if !x.belongs(a) {
+		x.possibleRuns++
+		g.Done(dispatch.ResultFailed)
+		x.lastErr = "the answer belongs to another request"
+		// The answer to this request is still to come on the connection.
+		if x.conn.Conn != nil {
+			_ = x.conn.Conn.Close()
+		}
+		return outcomeUnknown, false
+	}
 	switch {
 	case a.Misplaced:
-	case a.RequestID == x.caller.ID && (a.NotRun || a.Signed):
+	case a.RequestID != "" && (a.NotRun || a.Signed):
 		g.Observe(a.Signals)
-	case a.RequestID == "" && a.NotRun:
-		// An endpoint may decline without reading the request.
+	case a.NotRun:
 		g.ObservePause(a.Signals.PauseUntil)
 	}
 	switch {
@@ -270,11 +291,6 @@
 		return outcomeNotRun, false
 	}
 	x.possibleRuns++
-	if a.RequestID != x.caller.ID {
-		g.Done(dispatch.ResultFailed)
-		x.lastErr = "the answer belongs to another request"
-		return outcomeUnknown, false
-	}
 	if !a.Signed || resp.Header.Get("Content-Encoding") != "" || resp.StatusCode < http.StatusOK {
 		g.Done(dispatch.ResultFailed)
 		x.lastErr = "the answer is not that of a run"
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -112,6 +113,12 @@
 	c.answered = append(c.answered, said(e, r))
 }
 
+func (c *testCrashes) answers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.answered)
+}
+
 // harness runs a Server in front of endpoints with handlers set by the test.
 type harness struct {
 	t          testing.TB
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -255,9 +256,14 @@
 			}
 		})
 	}
+	var h *harness
 	slow := events(5, func(i int, _ http.ResponseWriter) {
 		switch i {
 		case 3:
+			// The host counts the time from when it has read the first event.
+			for n := 0; n < 1000 && len(h.crashes.answers()) == 0; n++ {
+				time.Sleep(time.Millisecond)
+			}
 			time.Sleep(provenTime)
 		case 4:
 			panic(http.ErrAbortHandler)
@@ -280,13 +286,13 @@
 		"failure":                  {respond(http.StatusInternalServerError, "x"), nil, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, tamarackknot.Route{Kind: stream}, tt.handler)
+			h = newHarness(t, tamarackknot.Route{Kind: stream}, tt.handler)
 			go h.dispatcher.Run(t.Context())
 			_, _, _ = h.do(call{header: map[string]string{"Patience": "1500ms", "Parts": "common,own"}})
+			require.Equal(t, tt.answered, slices.Compact(h.crashes.answers()))
 			h.crashes.mu.Lock()
 			defer h.crashes.mu.Unlock()
 			require.Equal(t, tt.losses, h.crashes.losses)
-			require.Equal(t, tt.answered, slices.Compact(h.crashes.answered))
 		})
 	}
 }
@@ -372,6 +378,52 @@
 	require.Equal(t, "second", body)
 }
 
+// getOnKeptConnection sends a request that may use a kept connection to the endpoint, and
+// returns the status of the response.
+func (h *harness) getOnKeptConnection() int {
+	h.t.Helper()
+	r := h.request(h.t.Context(), call{method: http.MethodGet})
+	r.Close = false // the header would close the connection to the endpoint as well
+	resp, err := h.entryHost.Client().Do(r)
+	require.NoError(h.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(h.t, err)
+	require.NoError(h.t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+// TestRepeatedRefusal guards against an earlier refusal that an endpoint writes once more on a
+// kept connection and that is taken for one of the request under way, which may run, and
+// against further requests on a connection on which an answer is still to come.
+func TestRepeatedRefusal(t *testing.T) {
+	for name, id := range map[string]string{"names the earlier request": "id-0", "names none": ""} {
+		for kind, status := range map[string]int{"declined": http.StatusServiceUnavailable, "misplaced": http.StatusMisdirectedRequest} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				var mu sync.Mutex
+				conns := make(map[string]int)
+				h := newHarness(t, tamarackknot.Route{Kind: repeatable, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
+					mu.Lock()
+					conns[r.RemoteAddr]++
+					n := conns[r.RemoteAddr]
+					mu.Unlock()
+					if n == 1 {
+						respond(http.StatusOK, "x")(w, r)
+						return
+					}
+					w.Header().Set("Id", id)
+					w.Header().Set("NotRun", "1")
+					w.WriteHeader(status)
+				})
+				for _, expect := range []int{http.StatusOK, http.StatusBadGateway, http.StatusOK} {
+					require.Equal(t, expect, h.getOnKeptConnection())
+				}
+				require.Len(t, h.reached(), 3)
+				require.Len(t, conns, 2)
+			})
+		}
+	}
+}
+
 // TestDrain guards against callers that keep their connections to a draining
 // host.
 func TestDrain(t *testing.T) {
@@ -401,14 +453,7 @@
 		respond(http.StatusOK, "x")(w, r)
 	})
 	for _, status := range []int{http.StatusOK, http.StatusBadGateway} {
-		r := h.request(t.Context(), call{method: http.MethodGet})
-		r.Close = false // the header would close the connection to the endpoint as well
-		resp, err := h.entryHost.Client().Do(r)
-		require.NoError(t, err)
-		_, err = io.Copy(io.Discard, resp.Body)
-		require.NoError(t, err)
-		require.NoError(t, resp.Body.Close())
-		require.Equal(t, status, resp.StatusCode)
+		require.Equal(t, status, h.getOnKeptConnection())
 	}
 	require.Len(t, h.reached(), 2, "the second request reaches the endpoint once")
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -157,6 +158,7 @@
 	sent               int             // attempts that may have reached an endpoint
 	retry              *dispatch.Retry // allowed and not sent yet; nil if there is none
 	retryDecidedAt     time.Time
+	conn               httptrace.GotConnInfo // of the last attempt; zero if it got none
 	lastErr            string
 	originRecorded     bool
 	headerSent         bool // the response headers of a stream have been sent
