--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Pattern of the tests that KNOWN-RED.txt lists as failing.
 KNOWN_RED := $(shell sed -n 's/^skip: //p' KNOWN-RED.txt | paste -sd '|' -)
 
-.PHONY: all build demo test lint fmt fuzz scale soak bench generate clean
+.PHONY: all build demo test cross lint fmt fuzz scale soak bench generate clean
 
 all: build
 
@@ -28,13 +28,16 @@
 demo: build ## runs the system with simulated endpoints and sends cold and warm requests
 	bash scripts/demo.sh
 
-test: lint build ## formatter, linter, all tests and a short soak, with fixed seeds
+test: lint build cross ## formatter, linter, all tests and a short soak, with fixed seeds
 	go vet $(MODULES)
 	@cat KNOWN-RED.txt
 	go test -count=1 -timeout 30m -skip '$(KNOWN_RED)' $(MODULES)
 	go test -count=1 -race -skip 'TestManyEngines' $(RACE_PACKAGES)
 	$(BIN)/tamaracksoak --bin $(BIN) --seed 1 --seconds 5
 
+cross: ## builds and vets for the platforms that are supported
+	for arch in amd64 arm64; do CGO_ENABLED=0 GOARCH=$$arch go vet $(MODULES) || exit 1; done
+
 lint: $(GOLANGCI)
 	$(GOLANGCI) fmt --diff $(MODULES)
 	$(GOLANGCI) run $(MODULES)
