Order waiting requests by what can still meet its objective

A request past its objective was refused although a slot was about to come free, and one that could no longer meet its objective was served before those that could. The queue is ordered by priority, then by whether the objective can be met; at brittle and plain services a request whose objective has passed waits if the mean time per slot says that its turn comes before its deadline. Requests of other hosts count for 2 s after the planner's last message: places were left unused after it was lost.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -3,7 +3,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -110,7 +109,8 @@
 	Waits    Waits
 	d        *Dispatcher
 	req      *Request
-	started  bool // the answer has begun
+	at       time.Time // when the place was reserved
+	started  bool      // the answer has begun
 	once     sync.Once
 }
 
@@ -160,14 +160,17 @@
 	refused   []refusedDemand
 	forecasts map[target]time.Time
 	history   map[target]*requestHistory
+	slotTimes map[target]time.Duration // how long requests take a slot, on average
 	affinity  map[affinityKey]string
 	signals   map[startKey]*signalState
 	brittle   map[string]*brittleness // by service
 	// versions holds when each version of a service's endpoints was last listed.
-	versions  map[string]map[string]time.Time
-	changed   map[target]bool // targets whose demand changed since the last report
-	queueWake chan struct{}   // wakes Run when a request starts to wait
-	drainBy   time.Time       // when waiting requests are refused; zero unless the host shuts down
+	versions map[string]map[string]time.Time
+	// othersUntil is when the requests of other hosts no longer count; zero if they don't.
+	othersUntil time.Time
+	changed     map[target]bool // targets whose demand changed since the last report
+	queueWake   chan struct{}   // wakes Run when a request starts to wait
+	drainBy     time.Time       // when waiting requests are refused; zero unless the host shuts down
 }
 
 // target is a model of an engine service; model is empty for a plain service.
@@ -207,6 +210,7 @@
 		byService: make(map[string][]*endpoint),
 		forecasts: make(map[target]time.Time),
 		history:   make(map[target]*requestHistory),
+		slotTimes: make(map[target]time.Duration),
 		affinity:  make(map[affinityKey]string),
 		signals:   make(map[startKey]*signalState),
 		brittle:   make(map[string]*brittleness),
@@ -311,16 +315,9 @@
 	return tight
 }
 
-// enqueue inserts a waiting request; the queue is ordered by priority, then by
-// objective.
+// enqueue adds a waiting request.
 func (d *Dispatcher) enqueue(w *waiter) {
-	i, _ := slices.BinarySearchFunc(d.waiting, w, func(a, b *waiter) int {
-		if c := cmp.Compare(a.req.Priority, b.req.Priority); c != 0 {
-			return c
-		}
-		return a.req.Objective.Compare(b.req.Objective)
-	})
-	d.waiting = slices.Insert(d.waiting, i, w)
+	d.waiting = append(d.waiting, w)
 	wait.Wake(d.queueWake)
 	d.changed[target{w.req.Service, w.req.Model}] = true
 }
@@ -347,8 +344,11 @@
 // serveWaiting grants or refuses waiting requests where it can. The caller holds
 // d.mu.
 func (d *Dispatcher) serveWaiting(now time.Time) {
-	kept := d.waiting[:0]
-	for _, w := range d.waiting {
+	orderWaiting(d.waiting, now)
+	queue := slices.Clone(d.waiting)
+	clear(d.waiting)
+	d.waiting = d.waiting[:0] // those before the request that is looked at
+	for _, w := range queue {
 		r := d.turnedAway(w.req, now)
 		var g *Grant
 		lack := w.lack
@@ -368,13 +368,23 @@
 			r.Waits = w.waits
 			w.refused <- r
 		default:
-			kept = append(kept, w)
+			d.waiting = append(d.waiting, w)
 			continue
 		}
 		d.changed[target{w.req.Service, w.req.Model}] = true
 	}
-	clear(d.waiting[len(kept):])
-	d.waiting = kept
+}
+
+// expireOthers forgets the requests of other hosts once the planner has been lost for
+// othersMemory: most have ended, and nobody says what followed. d.mu is held.
+func (d *Dispatcher) expireOthers(now time.Time) {
+	if d.othersUntil.IsZero() || now.Before(d.othersUntil) {
+		return
+	}
+	d.othersUntil = time.Time{}
+	for _, e := range d.endpoints {
+		e.others = 0
+	}
 }
 
 // recordRefused keeps the demand of a refused request that a load of its model would serve.
@@ -435,6 +445,10 @@
 	if req.Model == "" {
 		return d.unmeetablePlain(req, now)
 	}
+	if d.isBrittle(req.Service, now) && now.After(req.Objective) && d.slotInTime(req, now) {
+		// Nobody waits at a brittle endpoint, so its queue is that of the hosts.
+		return nil
+	}
 	ready, known := d.forecasts[target{req.Service, req.Model}]
 	known = known && d.cfg.PlannerViewCurrent()
 	if at := d.pausedUntil(req.Service, req.Model, now); at.Add(minServiceTime).After(req.Deadline) && (!known || ready.After(at)) {
@@ -493,9 +507,9 @@
 }
 
 // unmeetablePlain returns a refusal if the objective of a request to a plain
-// service has passed.
+// service has passed and it is not expected to get a slot in time.
 func (d *Dispatcher) unmeetablePlain(req *Request, now time.Time) *Refusal {
-	if now.After(req.Objective) {
+	if now.After(req.Objective) && !d.slotInTime(req, now) {
 		return &Refusal{Reason: "all endpoints are full", RetryAt: now.Add(fullRetryDelay)}
 	}
 	return nil
@@ -536,6 +550,7 @@
 // tryGrant assigns the request to the best endpoint. If none can take it, it
 // returns nil and what is lacking.
 func (d *Dispatcher) tryGrant(req *Request, now time.Time) (*Grant, lack) {
+	d.expireOthers(now)
 	best, bestScore, missing := d.best(req, now)
 	if best == nil {
 		return nil, missing
@@ -547,7 +562,7 @@
 	d.recordAffinity(req, best.entry.ID)
 	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", bestScore,
 		"own", best.own, "others", best.others)
-	return &Grant{Endpoint: best.entry, d: d, req: req}, 0
+	return &Grant{Endpoint: best.entry, d: d, req: req, at: now}, 0
 }
 
 // preferredReplica returns the engine that this host prefers for a model, nil if
@@ -651,6 +666,9 @@
 	if e.running[k]--; e.running[k] <= 0 {
 		delete(e.running, k)
 	}
+	if r == ResultAnswered {
+		g.d.recordSlotTime(target{g.req.Service, g.req.Model}, now.Sub(g.at))
+	}
 	e.recordResult(r, g.req, g.d.declinePause(e, now), now)
 	g.d.changed[target{g.req.Service, g.req.Model}] = true
 }
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -48,6 +48,9 @@
 	// removalMargin is how long before its removal an endpoint stops getting
 	// requests.
 	removalMargin = 500 * time.Millisecond
+	// othersMemory is how long after the planner's last message the requests of other hosts
+	// count. What an endpoint declines later costs less than a place that nobody takes.
+	othersMemory = 2 * time.Second
 )
 
 // modelAdapter names a model and, if not empty, one of its adapters.
