Tell a host which requests of its crash records were answered

On a host that the others did not list, requests that crash endpoints were let through more often than the bound: its losses were counted without the answers that other hosts had seen. Answers are kept until they are sent to the host that recorded the loss.

--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -81,7 +81,7 @@
 				s.Losses[i].AliveMsAgo += age.Milliseconds()
 			}
 		}
-		l.merge(spreadMessage{Losses: s.Losses})
+		l.merge(spreadMessage{Losses: s.Losses}, "")
 	}
 	return true
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -79,6 +79,9 @@
 	// unsentLosses and unsentAnswers name the records that changed since the last message.
 	unsentLosses  map[*loss]map[causeID]bool
 	unsentAnswers map[causeID]bool
+	// unsentReplies holds, by host, causes of its losses that were answered later than it
+	// knows.
+	unsentReplies map[string]map[causeID]bool
 	probes        map[causeID]probe
 	logged        map[causeID]bool // causes of which a rejection is logged
 }
@@ -98,7 +101,7 @@
 	}
 	l := &List{
 		cfg: cfg, wake: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), checks: make(chan check, maxChecks),
-		unsentLosses: make(map[*loss]map[causeID]bool), unsentAnswers: make(map[causeID]bool),
+		unsentLosses: make(map[*loss]map[causeID]bool), unsentAnswers: make(map[causeID]bool), unsentReplies: make(map[string]map[causeID]bool),
 		probes: make(map[causeID]probe), logged: make(map[causeID]bool),
 	}
 	cfg.Peers.Handle(methodSpread, l.handleSpread)
@@ -141,7 +144,7 @@
 	now := l.cfg.Clock()
 	for i := range l.suspects {
 		s := &l.suspects[i]
-		if !s.applies(causes) || now >= s.bannedUntil && l.mayProbe(s.causes[0], r.ID, now) {
+		if !l.rejectsFor(s, causes, r.ID, now) {
 			continue
 		}
 		if !l.logged[s.causes[0]] {
@@ -154,6 +157,21 @@
 	return false
 }
 
+// rejectsFor reports whether a request is rejected because of a suspicion. A request that
+// crashed endpoints is on probation while a part of other prompts may be to blame as well:
+// that costs no other request anything. l.mu is held.
+func (l *List) rejectsFor(s *suspicion, causes []causeID, id string, now time.Duration) bool {
+	switch s.match(causes) {
+	case matchAll:
+		return now < s.bannedUntil || !l.mayProbe(s.causes[0], id, now)
+	case matchRequest:
+		request := causes[slices.IndexFunc(causes, isRequest)]
+		return !l.mayProbe(request, id, now)
+	default:
+		return false
+	}
+}
+
 // mayProbe reports whether this host may send a request whose cause is on probation: one
 // host at a time tries whether it still crashes endpoints. A request that waits for an
 // endpoint asks again and again. l.mu is held.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -119,6 +119,10 @@
 		"part in two requests, each sent to two": {
 			"e1:bad,#x e1:bad,#y e2:bad,#x e2:bad,#y", []string{"bad,#x", "bad,#y"}, []string{"bad,#z", "#x"},
 		},
+		"request, and a part of others in flight": {
+			"e1:#n e1:v,#y e2:#n e2:v,#z e3:#n e3:v,#w", []string{"v,#n", "#n", "u,#n"}, []string{"v", "v,#y", "u"},
+		},
+		"and the part answered":            {"e1:#x e1:v,#y e2:#x e2:v,#z e3:#x e3:v,#w +e4:v", []string{"#x", "u,#x"}, []string{"v", "v,#y"}},
 		"starts again, its entry is late":  {"e1:#x e2:#x e3:#x 3s e1:#y e2:#y e3:#y", []string{"#x", "#y"}, []string{"#z"}},
 		"the same, and with parts":         {"e1:a e2:a 3s e1:a", []string{"a"}, nil},
 		"several answers lost in a second": {"e1:#x e1:#x e1:#x", nil, []string{"#x"}},
@@ -161,6 +165,21 @@
 	require.True(t, tr.rejects("bad"), "the same request once it was lost")
 }
 
+// TestRequestBesidePart guards against a request that goes on crashing endpoints because a
+// part of the prompts beside it may be to blame, and against one that is rejected for good
+// although the part is.
+func TestRequestBesidePart(t *testing.T) {
+	tr := newTrial()
+	tr.play("e1:#x e1:v,#y e2:#x e2:v,#z e3:#x e3:v,#w")
+	require.False(t, tr.rejects("#x"), "a trial")
+	second := identity("#x")
+	second.ID = "second"
+	require.True(t, tr.Rejects(second), "the second one")
+	tr.play("+e4:#x")
+	require.False(t, tr.Rejects(second), "once it was answered")
+	require.True(t, tr.rejects("v"))
+}
+
 // TestProbeIsNotRetried guards against a request on probation that crashes a second
 // endpoint before the first crash is known.
 func TestProbeIsNotRetried(t *testing.T) {
@@ -250,6 +269,43 @@
 	}
 }
 
+// TestHostThatOthersDoNotList guards against a host that has just started, to which the others
+// send no changes yet, and which blames what the others know to be answered in place of what
+// crashes endpoints.
+func TestHostThatOthersDoNotList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		peers, clock := fake.NewPeers(fake.PeersConfig{}), func() time.Duration { return time.Since(began) + time.Hour }
+		newList := func(host string, others ...string) *List {
+			return New(Config{
+				Self: host, Peers: peers.Host(host), Store: fake.NewStreams().Client(host),
+				Others: func() []string { return others }, Clock: clock, Logger: log.New(io.Discard),
+			})
+		}
+		listed, started := newList("h"), newList("i", "h")
+		ctx, cancel := context.WithCancel(t.Context())
+		go listed.Run(ctx)
+		go started.Run(ctx)
+		defer func() {
+			cancel()
+			peers.Wait()
+			synctest.Wait()
+		}()
+		sound, crashing := identity("c,#sound"), identity("c,#crashing")
+		listed.RecordAnswer(tamarackknot.EndpointEntry{ID: "e9", Service: "s"}, sound)
+		time.Sleep(2 * pullInterval) // the started host has asked for all records
+		for _, id := range []string{"e1", "e2"} {
+			started.RecordLoss(tamarackknot.EndpointEntry{ID: id, Service: "s"}, sound)
+			started.RecordLoss(tamarackknot.EndpointEntry{ID: id, Service: "s"}, crashing)
+		}
+		started.RecordLoss(tamarackknot.EndpointEntry{ID: "e3", Service: "s"}, sound)
+		require.True(t, started.Rejects(sound), "it knows of no answer")
+		time.Sleep(300 * time.Millisecond)
+		require.False(t, started.Rejects(sound))
+		require.True(t, started.Rejects(crashing))
+	})
+}
+
 // TestBounds guards against records without limit, and against message parts that can't
 // be read.
 func TestBounds(t *testing.T) {
@@ -282,7 +338,7 @@
 	tr.play("e1:bad e1 e1")
 	tr.now += 500 * time.Millisecond
 	tr.RecordAlive(tamarackknot.EndpointEntry{ID: "e1", Service: "s"})
-	tr.merge(tr.all())
+	tr.merge(tr.all(), "")
 	tr.play("e2:bad")
 	require.False(t, tr.rejects("bad"), "one crash")
 }
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -73,6 +73,7 @@
 			return
 		case <-l.wake:
 			l.send(ctx, l.changes(), maxDirectHosts)
+			l.sendReplies(ctx)
 			if !wait.For(ctx, spreadInterval) {
 				return
 			}
@@ -173,9 +174,34 @@
 		hosts = min(hosts, fanout)
 	}
 	for _, i := range rand.Perm(len(others))[:min(len(others), hosts)] {
-		if err := l.cfg.Peers.Notify(ctx, others[i], methodSpread, m); err != nil {
-			l.cfg.Logger.Debug("cannot send records of crashes", "host", others[i], "error", err)
+		l.notify(ctx, others[i], m)
+	}
+}
+
+func (l *List) notify(ctx context.Context, host string, m spreadMessage) {
+	if err := l.cfg.Peers.Notify(ctx, host, methodSpread, m); err != nil {
+		l.cfg.Logger.Debug("cannot send records of crashes", "host", host, "error", err)
+	}
+}
+
+// sendReplies tells hosts which causes of their losses were answered. Other hosts do not list
+// a host that has just started, and send it no changes.
+func (l *List) sendReplies(ctx context.Context) {
+	l.mu.Lock()
+	replies, now := make(map[string]spreadMessage, len(l.unsentReplies)), l.cfg.Clock()
+	for host, causes := range l.unsentReplies {
+		var m spreadMessage
+		for c := range causes {
+			m.Answers = append(m.Answers, encodeAnswer(c, now-l.lastAnswer(c)))
 		}
+		replies[host] = m
+	}
+	clear(l.unsentReplies)
+	l.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(sendTimeout))
+	defer cancel()
+	for host, m := range replies {
+		l.notify(ctx, host, m)
 	}
 }
 
@@ -193,35 +219,41 @@
 		l.cfg.Logger.Debug("cannot ask for records of crashes", "host", host, "error", err)
 		return false
 	}
-	l.merge(m)
+	l.merge(m, "")
 	return true
 }
 
 func (l *List) handlePull(context.Context, string, json.RawMessage) (any, error) { return l.all(), nil }
 
-func (l *List) handleSpread(_ context.Context, _ string, params json.RawMessage) (any, error) {
+func (l *List) handleSpread(_ context.Context, from string, params json.RawMessage) (any, error) {
 	var m spreadMessage
 	if err := json.Unmarshal(params, &m); err != nil {
 		return nil, err
 	}
-	l.merge(m)
+	l.merge(m, from)
 	return nil, nil
 }
 
-// merge adds the records of another host.
-func (l *List) merge(m spreadMessage) {
+// merge adds the records of a host, which gets a reply unless from is empty.
+func (l *List) merge(m spreadMessage, from string) {
 	if len(m.Losses)+len(m.Answers) == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now, changed := l.cfg.Clock(), false
+	known := make(map[causeID]time.Duration, len(m.Answers))
 	for _, a := range m.Answers {
 		p, ok := decodeCause(a.Part, false)
 		if a.Request != "" {
 			p, ok = decodeCause(a.Request, true)
 		}
-		if at := max(now-millis(a.AgeMs), 1); ok && at-l.lastAnswer(p) > mergeTolerance {
+		if !ok {
+			continue
+		}
+		at := max(now-millis(a.AgeMs), 1)
+		known[p] = at
+		if at-l.lastAnswer(p) > mergeTolerance {
 			l.answersOf(p).put(p, at)
 			changed = true
 			if l.isOpen(p) {
@@ -239,10 +271,30 @@
 		if now-n.at <= lossRetention {
 			changed = l.mergeLoss(n) || changed
 		}
+		if from != "" {
+			l.noteReply(from, n.causes, known)
+		}
 	}
 	if changed {
 		l.update()
 	}
+	if len(l.unsentReplies) > 0 {
+		wait.Wake(l.wake)
+	}
+}
+
+// noteReply notes those causes of a loss of another host that were answered later than that
+// host knows. l.mu is held.
+func (l *List) noteReply(host string, causes map[causeID]bool, known map[causeID]time.Duration) {
+	for c := range causes {
+		if last := l.lastAnswer(c); last == 0 || last-known[c] <= mergeTolerance {
+			continue
+		}
+		if l.unsentReplies[host] == nil {
+			l.unsentReplies[host] = make(map[causeID]bool)
+		}
+		l.unsentReplies[host][c] = true
+	}
 }
 
 // addCauses adds those causes of a message that can be read.
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -203,18 +203,32 @@
 	return suspicion{causes: group, crashes: len(crashes), bannedUntil: last + ban}
 }
 
-// applies reports whether a request with these causes holds all parts of the group, so that
-// whichever of them is to blame is in it, and is one of the requests in the group. Several
-// requests with no part in common can't be told apart, and none of them is rejected.
-func (s *suspicion) applies(causes []causeID) bool {
-	parts, requests, matches := 0, 0, 0
+// match says which requests a suspicion concerns.
+type match int
+
+const (
+	// matchNone: whatever of the group is to blame, it is not in the request, or the request
+	// can't be told from others in the group.
+	matchNone match = iota
+	// matchRequest: the request is in the group but lacks parts that may be to blame in its
+	// place.
+	matchRequest
+	// matchAll: whatever of the group is to blame, it is in the request.
+	matchAll
+)
+
+// match returns how the suspicion concerns a request with these causes. Several requests with
+// no part in common can't be told apart, and none of them is rejected.
+func (s *suspicion) match(causes []causeID) match {
+	parts, missing, requests, matches := 0, 0, 0, 0
 	for _, c := range s.causes {
 		held := slices.Contains(causes, c)
 		switch {
-		case !c.request && !held:
-			return false
 		case !c.request:
 			parts++
+			if !held {
+				missing++
+			}
 		default:
 			requests++
 			if held {
@@ -222,5 +236,14 @@
 			}
 		}
 	}
-	return requests == 0 || matches > 0 && (requests == 1 || parts > 0)
+	switch {
+	case requests > 0 && matches == 0, requests > 1 && parts == 0:
+		return matchNone
+	case missing == 0:
+		return matchAll
+	case matches > 0 && s.crashes > minCrashes:
+		return matchRequest
+	default:
+		return matchNone
+	}
 }
