Send hosts only the endpoint entries that say something new

Cause: endpoints write their entries again every few seconds. When one changed, each of 294 hosts asked the planner for all that was newer than what it had read, which was nearly every entry, and its 2 s took 3.9 s of wall time: 2.7 s of processor time, 383 MB allocated, against 1.1 s and 130 MB in the intervals before (trial on a copy). From 18.0 to 20.5 s it logged nothing, and at 19 to 20 s all hosts fell back to the store at once. Ruled out: the lost store of its host alone, which began at 18.5 s.

- A host that asks for changes names what it needs: of entries that were only written again it gets the keys, and asks for all if it doesn't know one of them.
Earlier builds ignore the field and send all.
- While no planner is heard, 16 hosts read the list from the store; others ask these for half a second before they read it themselves.
- After a conflict the lease is read with a deadline, and a failure of it is logged: the read took 2 s of the 2 s for which a renewal may fail.

TestUnchanged, TestKnownRecords and TestReaders are new.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,12 @@
 	// startCheckInterval is the pause between two checks whether the list may be
 	// read for the first time.
 	startCheckInterval = 20 * time.Millisecond
+	// readersTime is how long a host asks those that read the store for others before it
+	// reads the store itself, and readersPause the pause between two questions. It then
+	// does not ask them for readersBackoff.
+	readersTime    = 500 * time.Millisecond
+	readersPause   = 100 * time.Millisecond
+	readersBackoff = 2 * time.Second
 	// settleTime is how long after a restore of the store a host reads all changes
 	// of the list. Stale entries expire within a few heartbeats.
 	settleTime = 6 * time.Second
@@ -50,10 +57,15 @@
 	RecoveryTime time.Duration
 	// PlannerState returns the planner's position in the list; ok is false while
 	// there is no other host that is a live planner. While it is fresh, this host
-	// reads changes with ReadPlanner instead of reading the store. Both may be
-	// nil.
+	// reads changes with ReadHost instead of reading the store. Nil means that there
+	// never is one.
 	PlannerState func() (state tamarackknot.StreamState, planner string, ok bool)
-	ReadPlanner  func(ctx context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error)
+	// ReadHost reads what a host knows of the list from a position on. Records may be
+	// left out that say nothing new of endpoints that are known.
+	ReadHost func(ctx context.Context, host string, from tamarackknot.Position, known func(id string) bool) (tamarackknot.StreamPage, error)
+	// Readers returns hosts that read the store for others while no planner is
+	// heard, none if this host is one of them. Nil means that it always is.
+	Readers func() []string
 	// RestoredRecently reports whether the store was restored from an older copy
 	// shortly before this host started. The list is not read until that is known.
 	// Nil means that it was not.
@@ -103,8 +115,17 @@
 	// applied is the planner's version of the list up to which this host has
 	// applied the changes.
 	applied plannerVersion
+	changes map[string]entryChange
+
+	// readersFailedUntil is until when the hosts that read the store for others are not
+	// asked. Only Run uses it.
+	readersFailedUntil time.Time
 }
 
+// entryChange says up to which record of an endpoint the list has been applied, and which of
+// them was the last that had to be propagated to other hosts.
+type entryChange struct{ applied, changed int64 }
+
 type plannerVersion struct {
 	planner string
 	version int64
@@ -119,6 +140,7 @@
 		rejected:     make(map[string]string),
 		unconfirmed:  make(map[string]bool),
 		refresh:      make(chan struct{}, 1),
+		changes:      make(map[string]entryChange),
 	}
 	w.current.Store(&Snapshot{})
 	return w
@@ -154,6 +176,25 @@
 	return ok && time.Since(state.ReadAt) <= maxPlannerAge && w.applied == plannerVersion{planner, state.Version}
 }
 
+// isKnown reports whether an endpoint is listed, and not only for a grace period.
+func (w *Watcher) isKnown(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, known := w.entries[id]
+	_, missing := w.missingUntil[id]
+	return known && !missing
+}
+
+// IsUnchanged reports whether a host that has read the list up to a position, of the same era
+// of the store, does not have to learn of a record: its endpoint has written the entry again
+// since, with nothing that must be propagated.
+func (w *Watcher) IsUnchanged(rec tamarackknot.KeyedRecord, from tamarackknot.Position) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c, known := w.changes[rec.Key]
+	return known && w.next.Era == from.Era && c.applied == rec.Offset && c.changed < from.Offset
+}
+
 // Refresh triggers the next read at once, for example when the planner has
 // announced a change. It does not block.
 func (w *Watcher) Refresh() {
@@ -183,7 +224,7 @@
 		w.Apply(nil, time.Now())
 		return true
 	}
-	page, err := w.cfg.ReadPlanner(ctx, next)
+	page, err := w.cfg.ReadHost(ctx, planner, next, w.isKnown)
 	if err != nil {
 		w.cfg.Logger.Debug("cannot read endpoint list through planner", "planner", planner, "error", err)
 		return false
@@ -191,6 +232,11 @@
 	w.mu.Lock()
 	w.applied = plannerVersion{planner, state.Version}
 	w.mu.Unlock()
+	return w.applyPage(page)
+}
+
+// applyPage applies what another host knows of the list, and reports whether it did.
+func (w *Watcher) applyPage(page tamarackknot.StreamPage) bool {
 	if page.Full {
 		return w.replaceAll(page)
 	}
@@ -203,6 +249,32 @@
 	return true
 }
 
+// followReaders applies what one of the hosts that read the store for others knows, and
+// reports whether this replaces a read of the store. At first they may not have read it
+// either, since they followed the planner too.
+func (w *Watcher) followReaders(ctx context.Context, next tamarackknot.Position) bool {
+	if w.cfg.Readers == nil || time.Now().Before(w.readersFailedUntil) {
+		return false
+	}
+	hosts := w.cfg.Readers()
+	if len(hosts) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(readersTime))
+	defer cancel()
+	for ctx.Err() == nil {
+		host := hosts[rand.IntN(len(hosts))]
+		page, err := w.cfg.ReadHost(ctx, host, next, w.isKnown)
+		if err == nil {
+			return w.applyPage(page)
+		}
+		w.cfg.Logger.Debug("cannot read endpoint list through host", "host", host, "error", err)
+		wait.For(ctx, readersPause)
+	}
+	w.readersFailedUntil = time.Now().Add(readersBackoff)
+	return false
+}
+
 // Run follows the list until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for !w.mayStart() && wait.For(ctx, startCheckInterval) {
@@ -273,6 +345,9 @@
 		}
 		return nil
 	}
+	if w.followReaders(ctx, next) {
+		return nil
+	}
 	page, err := w.cfg.Store.Read(ctx, tamarackknot.StreamEndpoints, next, time.Now())
 	if err != nil {
 		return err
@@ -305,6 +380,9 @@
 	}
 	first := w.next == (tamarackknot.Position{}) && len(w.entries) == 0
 	restored := !first && page.Next.Era > w.next.Era
+	if restored || first {
+		clear(w.changes)
+	}
 	if restored || first && w.restoredRecently() {
 		w.confirmFrom, w.settledAt = page.Next.Offset, now.Add(settleTime)
 		clear(w.unconfirmed)
@@ -388,6 +466,8 @@
 // changed. w.mu is held.
 func (w *Watcher) applyEntry(rec tamarackknot.KeyedRecord, now time.Time) bool {
 	old, known := w.entries[rec.Key]
+	change, counted := w.changes[rec.Key]
+	delete(w.changes, rec.Key)
 	if !known && rec.Offset < w.confirmFrom {
 		w.unconfirmed[rec.Key] = true
 		return false
@@ -406,7 +486,13 @@
 	}
 	if _, missing := w.missingUntil[e.ID]; !known || missing || needsPropagation(old, e) {
 		w.version++
+		counted = false
+	}
+	if !counted {
+		change.changed = rec.Offset
 	}
+	change.applied = rec.Offset
+	w.changes[rec.Key] = change
 	if !known || old.State != e.State {
 		w.cfg.Logger.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "state", e.State)
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -130,7 +131,7 @@
 		h, w, stop := start(t, Config{
 			RecoveryTime: recoveryTime,
 			PlannerState: func() (tamarackknot.StreamState, string, bool) { return planner.State(), "p", true },
-			ReadPlanner: func(ctx context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
+			ReadHost: func(ctx context.Context, _ string, from tamarackknot.Position, _ func(string) bool) (tamarackknot.StreamPage, error) {
 				return h.store.Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
 			},
 		})
@@ -174,7 +175,7 @@
 		var w *Watcher
 		h, w, stop := start(t, Config{
 			PlannerState: func() (tamarackknot.StreamState, string, bool) { return *state.Load(), "p", true },
-			ReadPlanner: func(_ context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
+			ReadHost: func(_ context.Context, _ string, from tamarackknot.Position, _ func(string) bool) (tamarackknot.StreamPage, error) {
 				relayed.Add(1)
 				return h.store.Read(context.Background(), tamarackknot.StreamEndpoints, from, time.Now())
 			},
@@ -263,7 +264,7 @@
 		planner := New(Config{Decode: decode, Logger: log.New(io.Discard)})
 		h, w, stop := start(t, Config{
 			PlannerState: func() (tamarackknot.StreamState, string, bool) { return planner.State(), "p", true },
-			ReadPlanner: func(ctx context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
+			ReadHost: func(ctx context.Context, _ string, from tamarackknot.Position, _ func(string) bool) (tamarackknot.StreamPage, error) {
 				page, err := h.store.Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
 				if errors.Is(err, tamarackknot.ErrExpired) {
 					return h.store.Newest(ctx, tamarackknot.StreamEndpoints)
@@ -294,3 +295,64 @@
 		require.Equal(t, []string{"e2"}, usable(planner))
 	})
 }
+
+// TestUnchanged guards against entries that go to all hosts whenever their endpoints write
+// them again, and against changes that are taken for such.
+func TestUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, w, stop := start(t, Config{})
+		defer stop()
+		newest := func(id string) tamarackknot.KeyedRecord {
+			page, err := h.store.Newest(t.Context(), tamarackknot.StreamEndpoints)
+			require.NoError(t, err)
+			i := slices.IndexFunc(page.Records, func(r tamarackknot.KeyedRecord) bool { return r.Key == id })
+			return page.Records[i]
+		}
+		for _, id := range []string{"same", "drains", "returns", "odd"} {
+			h.put(id, tamarackknot.EndpointReady)
+		}
+		time.Sleep(time.Second)
+		from := tamarackknot.Position{Offset: 4}
+		h.raw("returns", nil)
+		time.Sleep(time.Second)
+		h.put("same", tamarackknot.EndpointReady)
+		require.False(t, w.IsUnchanged(newest("same"), from), "the record has not been read")
+		h.put("drains", tamarackknot.EndpointDraining)
+		h.put("returns", tamarackknot.EndpointReady)
+		h.raw("odd", []byte("x"))
+		h.put("new", tamarackknot.EndpointReady)
+		time.Sleep(time.Second)
+		for id, expect := range map[string]bool{"same": true, "drains": false, "returns": false, "odd": false, "new": false} {
+			require.Equal(t, expect, w.IsUnchanged(newest(id), from), id)
+		}
+		require.False(t, w.IsUnchanged(newest("same"), tamarackknot.Position{}), "the host has read nothing")
+		require.False(t, w.IsUnchanged(newest("same"), tamarackknot.Position{Era: 1, Offset: 4}))
+	})
+}
+
+// TestReaders guards against hosts that all read the store when no planner is heard, and
+// against one that waits for hosts which have not read it either.
+func TestReaders(t *testing.T) {
+	for name, reader := range map[string]bool{"a reader has read the list": true, "no reader has": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var h harness
+				h, w, stop := start(t, Config{
+					Readers: func() []string { return []string{"r"} },
+					ReadHost: func(ctx context.Context, _ string, from tamarackknot.Position, _ func(string) bool) (tamarackknot.StreamPage, error) {
+						if !reader {
+							return tamarackknot.StreamPage{}, errors.New("not read recently")
+						}
+						return h.store.Client("r").Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
+					},
+				})
+				defer stop()
+				time.Sleep(time.Second)
+				h.store.SetDown("a", reader)
+				h.put("e1", tamarackknot.EndpointReady)
+				time.Sleep(readInterval + readersTime + 2*readersPause)
+				require.Equal(t, []string{"e1"}, usable(w))
+			})
+		})
+	}
+}
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -49,8 +49,9 @@
 	// them.
 	startReaders = 8
 	startFanout  = 4
-	// leaseWatchers is the number of hosts that read the lease often while no planner is
-	// heard. Each other one waits laterWatchDelay longer, in case none of these can.
+	// leaseWatchers is the number of hosts that read the lease often, and the list of
+	// endpoints for all, while no planner is heard. Each other one waits laterWatchDelay
+	// longer for the lease, in case none of these can read it.
 	leaseWatchers   = 16
 	laterWatchDelay = 1200 * time.Millisecond
 	// relayTimeout is how long this host waits for an announced version of the
@@ -115,7 +116,7 @@
 		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
 		Streams:      []tamarackknot.Stream{tamarackknot.StreamCatalog, tamarackknot.StreamEndpoints},
 		HasFollowers: c.holdsLease,
-		StartHosts:   c.startHosts, IsCurrent: c.isCurrent,
+		StartHosts:   c.startHosts, IsCurrent: c.isCurrent, IsUnchanged: c.isUnchanged,
 	})
 	c.reach = reach.New(reach.Config{Dial: cfg.dial, Endpoints: c.endpointAddresses, OnChange: c.isolationChanged, Logger: cfg.logger})
 	c.buildStreamWatchers()
@@ -163,6 +164,12 @@
 	c.hosts.Deregister(ctx)
 }
 
+// isUnchanged reports whether a record of a stream says nothing new to a host that has read the
+// stream up to a position.
+func (c *components) isUnchanged(stream tamarackknot.Stream, rec tamarackknot.KeyedRecord, from tamarackknot.Position) bool {
+	return stream == tamarackknot.StreamEndpoints && c.discovery.IsUnchanged(rec, from)
+}
+
 // buildStreamWatchers builds the components that follow the platform's streams, and
 // the dispatcher that they update.
 func (c *components) buildStreamWatchers() {
@@ -197,9 +204,10 @@
 		PlannerState:     c.plannerEndpointState,
 		HasFollowers:     c.holdsLease,
 		RestoredRecently: c.storeRestoredRecently,
-		ReadPlanner: func(ctx context.Context, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
-			return store.ReadPeer(ctx, c.fleet.Planner(), tamarackknot.StreamEndpoints, from)
+		ReadHost: func(ctx context.Context, host string, from tamarackknot.Position, known func(string) bool) (tamarackknot.StreamPage, error) {
+			return store.ReadPeer(ctx, host, tamarackknot.StreamEndpoints, from, known)
 		},
+		Readers: c.listReaders,
 		OnChange: func(snap *discovery.Snapshot) {
 			c.dispatch.SetEndpoints(snap.Endpoints, snap.ByService, !c.fleet.PlannerAlive())
 		},
@@ -513,6 +521,22 @@
 	}
 }
 
+// listReaders returns the hosts that read the list of endpoints from the store for others
+// while no planner is heard, none if this host is one of them.
+func (c *components) listReaders() []string {
+	before := c.hostsBefore(c.knownHosts())
+	if len(before) < leaseWatchers {
+		return nil
+	}
+	var hosts []string
+	for _, h := range before[:leaseWatchers] {
+		if h.Name != c.fleet.Planner() {
+			hosts = append(hosts, h.Name)
+		}
+	}
+	return hosts
+}
+
 // watchDelay returns how much longer this host waits between two reads of the lease: many
 // hosts that lose the planner at the same moment would read it for each other.
 func (c *components) watchDelay() time.Duration {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -426,8 +426,11 @@
 	}
 	// The stream has a newer record, from another host or from an append of
 	// this host whose answer was lost, or the store was restored.
-	newest, end, err := e.newest(ctx)
+	callCtx, cancel = context.WithDeadline(ctx, time.Now().Add(renewTimeout))
+	newest, end, err := e.newest(callCtx)
+	cancel()
 	if err != nil {
+		e.cfg.Logger.Warn("cannot read the lease after a conflict", "error", err)
 		return renewRetryDelay
 	}
 	if e.mayContinue(newest, end.Era) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,7 +56,10 @@
 	// IsCurrent reports whether this host has what the planner, which has read the stream
 	// recently, knows of it. Nil means that it never does.
 	IsCurrent func(tamarackknot.Stream) bool
-	Logger    *log.Logger
+	// IsUnchanged reports whether a record says nothing new to a host that has read the stream
+	// up to a position of the same era and knows its key. Nil means that each does.
+	IsUnchanged func(stream tamarackknot.Stream, rec tamarackknot.KeyedRecord, from tamarackknot.Position) bool
+	Logger      *log.Logger
 }
 
 var _ tamarackknot.Store = (*Store)(nil)
@@ -89,20 +93,24 @@
 }
 
 // recordsParams asks for the records from offset From of an era on. A host that sets Chunks
-// fetches large values in chunks.
+// fetches large values in chunks. One that sets Brief needs only the keys of records that say
+// nothing new.
 type recordsParams struct {
 	Stream tamarackknot.Stream `json:"stream"`
 	From   int64               `json:"from"`
 	Era    int64               `json:"era,omitempty"`
 	Chunks bool                `json:"chunks,omitempty"`
+	Brief  bool                `json:"brief,omitempty"`
 	// Listing asks for all records as one value. Earlier builds ignore it.
 	Listing bool `json:"listing,omitempty"`
 }
 
 type recordsResult struct {
 	Records []recordMessage `json:"records,omitempty"`
-	Next    int64           `json:"next"`
-	Era     int64           `json:"era,omitempty"`
+	// Unchanged holds the keys of the records that were left out.
+	Unchanged []string `json:"unchanged,omitempty"`
+	Next      int64    `json:"next"`
+	Era       int64    `json:"era,omitempty"`
 	// Full says that Records holds the newest record of each key.
 	Full bool `json:"full,omitempty"`
 	// AgeMs is the time since the platform's store was last read; -1 means never.
@@ -268,7 +276,7 @@
 	s.mu.Lock()
 	from := s.mirrors[stream].next
 	s.mu.Unlock()
-	r, err := s.askRecords(ctx, host, stream, from)
+	r, err := s.askRecords(ctx, host, stream, from, nil)
 	if err != nil {
 		return tamarackknot.StreamPage{}, err
 	}
@@ -279,10 +287,15 @@
 	return s.acceptPage(ctx, host, stream, r)
 }
 
-// askRecords asks a host for the records of a stream from a position on.
-func (s *Store) askRecords(ctx context.Context, host string, stream tamarackknot.Stream, from tamarackknot.Position) (recordsResult, error) {
+// askRecords asks a host for the records of a stream from a position on. If known is set,
+// those are left out that say nothing new and whose key it reports as known.
+func (s *Store) askRecords(ctx context.Context, host string, stream tamarackknot.Stream, from tamarackknot.Position, known func(string) bool) (recordsResult, error) {
 	var r recordsResult
-	err := s.callHost(ctx, host, methodRecords, recordsParams{Stream: stream, From: from.Offset, Era: from.Era, Chunks: true}, &r)
+	p := recordsParams{Stream: stream, From: from.Offset, Era: from.Era, Chunks: true, Brief: known != nil}
+	err := s.callHost(ctx, host, methodRecords, p, &r)
+	if err == nil && slices.ContainsFunc(r.Unchanged, func(key string) bool { return !known(key) }) {
+		return s.askRecords(ctx, host, stream, from, nil)
+	}
 	return r, err
 }
 
@@ -300,15 +313,17 @@
 	return page, nil
 }
 
-// ReadPeer returns the records of a stream from a position on that a host has mirrored.
-func (s *Store) ReadPeer(ctx context.Context, host string, stream tamarackknot.Stream, from tamarackknot.Position) (tamarackknot.StreamPage, error) {
-	return s.readHosts(ctx, []string{host}, stream, from, errStorePending)
+// ReadPeer returns the records of a stream from a position on that a host has mirrored, without
+// those that say nothing new and whose key is known. It fails if the host has not read the
+// stream within maxPeerAge.
+func (s *Store) ReadPeer(ctx context.Context, host string, stream tamarackknot.Stream, from tamarackknot.Position, known func(string) bool) (tamarackknot.StreamPage, error) {
+	return s.readHosts(ctx, []string{host}, stream, from, known, errStorePending)
 }
 
 // readPeers reads a stream through up to maxPeers randomly chosen hosts. If none
 // has newer or fresh enough data, it returns cause.
 func (s *Store) readPeers(ctx context.Context, stream tamarackknot.Stream, from tamarackknot.Position, cause error) (tamarackknot.StreamPage, error) {
-	return s.readHosts(ctx, s.randomHosts(maxPeers), stream, from, cause)
+	return s.readHosts(ctx, s.randomHosts(maxPeers), stream, from, nil, cause)
 }
 
 // randomHosts returns up to n other hosts in random order.
@@ -327,15 +342,15 @@
 
 // readHosts tries the hosts in order and merges the first usable answer into the
 // mirror.
-func (s *Store) readHosts(ctx context.Context, hosts []string, stream tamarackknot.Stream, from tamarackknot.Position, cause error) (tamarackknot.StreamPage, error) {
+func (s *Store) readHosts(ctx context.Context, hosts []string, stream tamarackknot.Stream, from tamarackknot.Position, known func(string) bool, cause error) (tamarackknot.StreamPage, error) {
 	for _, host := range hosts {
-		r, err := s.askRecords(ctx, host, stream, from)
+		r, err := s.askRecords(ctx, host, stream, from, known)
 		if err != nil {
 			s.cfg.Logger.Debug("cannot read stream through host", "host", host, "stream", stream, "error", err)
 			continue
 		}
 		next := r.next()
-		if order := next.Compare(from); r.AgeMs < 0 || order < 0 || order == 0 && r.age() > maxPeerAge {
+		if order := next.Compare(from); r.AgeMs < 0 || order < 0 || (order == 0 || known != nil) && r.age() > maxPeerAge {
 			continue
 		}
 		if next.Era != from.Era && !r.Full {
@@ -374,7 +389,7 @@
 	return out
 }
 
-func (s *Store) handleRecords(_ context.Context, from string, params json.RawMessage) (any, error) {
+func (s *Store) handleRecords(_ context.Context, caller string, params json.RawMessage) (any, error) {
 	var p recordsParams
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
@@ -392,15 +407,20 @@
 		Next: m.next.Offset, Era: m.next.Era, AgeMs: time.Since(m.readAt).Milliseconds(),
 		Full: p.From < m.listed || m.next.Era != p.Era,
 	}
+	from := tamarackknot.Position{Era: p.Era, Offset: p.From}
 	for _, rec := range m.records {
-		if r.Full || rec.Offset >= p.From {
+		switch {
+		case !r.Full && rec.Offset < p.From:
+		case !r.Full && p.Brief && rec.Value != nil && s.cfg.IsUnchanged != nil && s.cfg.IsUnchanged(p.Stream, rec, from):
+			r.Unchanged = append(r.Unchanged, rec.Key)
+		default:
 			r.Records = append(r.Records, recordMessage{KeyedRecord: rec})
 		}
 	}
 	switch {
 	case p.Chunks:
 		keepBack(r.Records)
-	case largest(r.Records) > maxInlineBytes && !s.admit(from, &transfer{until: time.Now().Add(inlineTransferTime)}):
+	case largest(r.Records) > maxInlineBytes && !s.admit(caller, &transfer{until: time.Now().Add(inlineTransferTime)}):
 		// A host that does not know chunks then asks another one.
 		return recordsResult{AgeMs: -1}, nil
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -280,3 +280,49 @@
 		})
 	}
 }
+
+// TestKnownRecords guards against a host that gets all records again whenever one has changed,
+// and against one that misses a record which it doesn't have.
+func TestKnownRecords(t *testing.T) {
+	for name, tt := range map[string]struct {
+		known   bool
+		earlier bool // the other host runs a build that leaves nothing out
+		expect  []string
+	}{
+		"known":                   {true, false, []string{"k2"}},
+		"not known":               {false, false, []string{"k1", "k2"}},
+		"known, an earlier build": {true, true, []string{"k1", "k2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := harness{fake.NewStreams(), fake.NewPeers(fake.PeersConfig{})}
+				reader, other := h.host("a", "b"), h.host("b", "a")
+				if !tt.earlier {
+					other.cfg.IsUnchanged = func(_ tamarackknot.Stream, rec tamarackknot.KeyedRecord, from tamarackknot.Position) bool {
+						return rec.Key == "k1" && from == at(1)
+					}
+				}
+				h.put(t, "k1", "v1")
+				page, err := reader.Newest(t.Context(), stream)
+				require.NoError(t, err)
+				_, err = other.Newest(t.Context(), stream)
+				require.NoError(t, err)
+				h.put(t, "k1", "v1")
+				h.put(t, "k2", "v2")
+				_, err = other.Read(t.Context(), stream, page.Next, time.Now())
+				require.NoError(t, err)
+				page, err = reader.ReadPeer(t.Context(), "b", stream, page.Next, func(string) bool { return tt.known })
+				require.NoError(t, err)
+				var keys []string
+				for _, r := range page.Records {
+					keys = append(keys, r.Key)
+				}
+				require.ElementsMatch(t, tt.expect, keys)
+				require.Equal(t, at(3), page.Next)
+				time.Sleep(maxPeerAge + time.Millisecond)
+				_, err = reader.ReadPeer(t.Context(), "b", stream, at(1), func(string) bool { return tt.known })
+				require.Error(t, err, "the other host has not read the stream recently")
+			})
+		})
+	}
+}
