Answer requests that arrive while a host stops

Callers of a host that stops under load got no answer to requests that it had just accepted. Cause: net/http returns without one for a request whose headers it has read after Shutdown began, also on a new connection, and the kernel resets connections that it has established and the process has not accepted yet.

Idle connections are closed; the end of the grace period still ends all. Shutdown isn't called any more.

--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -70,12 +70,13 @@
 type Daemon struct {
 	cfg Config
 	*components
-	registry metrics.Registry
-	mesh     *peer.Mesh
-	callers  *ingress.Server
-	leaving  atomic.Bool
-	running  sync.WaitGroup
-	servers  []*http.Server
+	registry    metrics.Registry
+	mesh        *peer.Mesh
+	callers     *ingress.Server
+	leaving     atomic.Bool
+	running     sync.WaitGroup
+	servers     []*http.Server
+	callerConns *ingress.ConnTimeouts
 }
 
 // New wires the components without starting them. It also sets the memory limit
@@ -250,9 +251,9 @@
 		return err
 	}
 	server := newServer(d.callers)
-	timeouts := ingress.NewConnTimeouts(d.callerLimits)
-	d.start(ctx, timeouts.Run)
-	d.serve(server, timeouts.Watch(server, l), failed)
+	d.callerConns = ingress.NewConnTimeouts(d.callerLimits)
+	d.start(ctx, d.callerConns.Run)
+	d.serve(server, d.callerConns.Watch(server, l), failed)
 	return nil
 }
 
@@ -285,7 +286,7 @@
 func (d *Daemon) serve(server *http.Server, l net.Listener, failed chan<- error) {
 	d.servers = append(d.servers, server)
 	d.running.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failed <- errors.Wrapf(err, "serve %s", l.Addr())
 		}
 	})
@@ -313,9 +314,8 @@
 	t := time.NewTimer(min(time.Until(started.Add(drainAcceptTime)), time.Until(end)))
 	defer t.Stop()
 	<-t.C
-	// The first server is that of callers; the others serve until the process
-	// exits.
-	if err := d.servers[0].Shutdown(ctx); err != nil {
+	// The other servers serve until the process exits.
+	if err := d.callerConns.Drain(ctx); err != nil {
 		d.cfg.Logger.Warn("requests aborted at the end of the grace period", "error", err)
 	}
 }
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 const (
@@ -18,13 +21,20 @@
 	// sweepInterval is how often connections are checked. A connection may
 	// exceed its limit by up to this long.
 	sweepInterval = 500 * time.Millisecond
+	// drainCheckInterval is the pause between two checks whether connections have drained.
+	// newConnTime is how long a drained server waits for the first request of a connection.
+	drainCheckInterval = 10 * time.Millisecond
+	newConnTime        = time.Second
 )
 
 // ConnTimeouts closes callers' connections that stay idle, or take to send a
 // request's headers, longer than the active configuration allows. The timeouts
 // of a net/http server can't be changed once it has started.
 type ConnTimeouts struct {
-	limits func() tamarackknot.CallerLimits
+	limits   func() tamarackknot.CallerLimits
+	listener net.Listener
+	ended    chan struct{} // closed when the listener accepts no more connections
+	end      sync.Once
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
@@ -32,7 +42,7 @@
 
 // NewConnTimeouts returns a ConnTimeouts that reads its limits with each sweep.
 func NewConnTimeouts(limits func() tamarackknot.CallerLimits) *ConnTimeouts {
-	return &ConnTimeouts{limits: limits, conns: make(map[*callerConn]bool)}
+	return &ConnTimeouts{limits: limits, ended: make(chan struct{}), conns: make(map[*callerConn]bool)}
 }
 
 // Watch installs hooks in s that track its connections and returns the listener
@@ -49,7 +59,48 @@
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 	s.ConnState = c.connStateChanged
-	return &callerListener{Listener: l, timeouts: c}
+	c.listener = newBacklogListener(l)
+	return &callerListener{Listener: c.listener, timeouts: c}
+}
+
+// Drain stops accepting connections and waits until the requests on all of them have been
+// answered, or ctx ends, whose error it then returns. Responses must close their connections.
+// Unlike Shutdown of a net/http server it answers requests that arrive meanwhile on
+// connections which the kernel had established.
+func (c *ConnTimeouts) Drain(ctx context.Context) error {
+	if err := c.listener.Close(); err != nil {
+		return errors.Wrap(err, "close the listener")
+	}
+	select {
+	case <-c.ended:
+	case <-ctx.Done():
+		return ctx.Err() //nolint:wrapcheck // of the caller
+	}
+	for c.closeIdle(time.Now()) > 0 {
+		if !wait.For(ctx, drainCheckInterval) {
+			return ctx.Err() //nolint:wrapcheck // of the caller
+		}
+	}
+	return nil
+}
+
+// closeIdle closes the connections on which no request is expected any more, and returns the
+// number of all others.
+func (c *ConnTimeouts) closeIdle(now time.Time) (busy int) {
+	var idle []net.Conn
+	c.mu.Lock()
+	for conn := range c.conns {
+		if conn.expectsRequest(now) {
+			busy++
+		} else {
+			idle = append(idle, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close() // net/http then reports StateClosed
+	}
+	return busy
 }
 
 func (c *ConnTimeouts) connStateChanged(conn net.Conn, state http.ConnState) {
@@ -117,6 +168,9 @@
 
 func (l *callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.timeouts.end.Do(func() { close(l.timeouts.ended) })
+	}
 	if err != nil {
 		return nil, err //nolint:wrapcheck // net/http checks the type of the error
 	}
@@ -131,6 +185,7 @@
 	mu    sync.Mutex
 	phase phase
 	since time.Time
+	used  bool // a request was received
 }
 
 type phase int
@@ -159,10 +214,17 @@
 func (c *callerConn) setPhase(p phase) {
 	now := time.Now()
 	c.mu.Lock()
-	c.phase, c.since = p, now
+	c.phase, c.since, c.used = p, now, true
 	c.mu.Unlock()
 }
 
+// expectsRequest reports whether a request is under way, or the first one may still come.
+func (c *callerConn) expectsRequest(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase != phaseIdle || !c.used && now.Sub(c.since) < newConnTime
+}
+
 func (c *callerConn) state() (phase, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
