Let a planner read the list of endpoints at the store itself

Deployments whose planner is one of their strongest hosts, such as the large one, are not concerned.

The holder of the lease reads the store.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -522,10 +522,10 @@
 }
 
 // listReaders returns the hosts that read the list of endpoints from the store for others
-// while no planner is heard, none if this host is one of them.
+// while no planner is heard, none if this host is one of them or plans itself.
 func (c *components) listReaders() []string {
 	before := c.hostsBefore(c.knownHosts())
-	if len(before) < leaseWatchers {
+	if c.holdsLease() || len(before) < leaseWatchers {
 		return nil
 	}
 	var hosts []string
