--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -336,17 +336,19 @@
 	for name, reader := range map[string]bool{"a reader has read the list": true, "no reader has": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var h harness
+				var store atomic.Pointer[fake.Streams]
 				h, w, stop := start(t, Config{
 					Readers: func() []string { return []string{"r"} },
 					ReadHost: func(ctx context.Context, _ string, from tamarackknot.Position, _ func(string) bool) (tamarackknot.StreamPage, error) {
-						if !reader {
+						s := store.Load()
+						if s == nil || !reader {
 							return tamarackknot.StreamPage{}, errors.New("not read recently")
 						}
-						return h.store.Client("r").Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
+						return s.Client("r").Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
 					},
 				})
 				defer stop()
+				store.Store(h.store)
 				time.Sleep(time.Second)
 				h.store.SetDown("a", reader)
 				h.put("e1", tamarackknot.EndpointReady)
