Share what the change wrote twice

Read once more as a whole, the work since had these twins, each of which is one piece now:

- discovery: the check for a recent planner (IsCurrent, followPlanner); the application of a page that continues the list (from the store, the planner, a reader); the removal of an entry, which also left its change record behind for good.
- fleet: the interval that grows with the hosts, three times.
- relay: the merge of what another host has read (pages, listings).
- planner: idle disks as a list in the order of the engines, so that no tie has to be broken by name, as before the map.

The holder of the lease no longer sorts all hosts at each of its reads to learn that it reads the store itself.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -167,13 +167,20 @@
 // IsCurrent reports whether this host has applied the list of a planner that has read it
 // recently.
 func (w *Watcher) IsCurrent() bool {
+	newest, ok := w.plannerVersion()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return ok && w.applied == newest
+}
+
+// plannerVersion returns the list of the planner; ok is false unless there is one that has read
+// it recently.
+func (w *Watcher) plannerVersion() (v plannerVersion, ok bool) {
 	if w.cfg.PlannerState == nil {
-		return false
+		return plannerVersion{}, false
 	}
 	state, planner, ok := w.cfg.PlannerState()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return ok && time.Since(state.ReadAt) <= maxPlannerAge && w.applied == plannerVersion{planner, state.Version}
+	return plannerVersion{planner, state.Version}, ok && time.Since(state.ReadAt) <= maxPlannerAge
 }
 
 // isKnown reports whether an endpoint is listed, and not only for a grace period.
@@ -204,18 +211,15 @@
 // followPlanner applies the planner's changes and reports whether this replaces a
 // read of the list.
 func (w *Watcher) followPlanner(ctx context.Context) bool {
-	if w.cfg.PlannerState == nil {
-		return false
-	}
-	state, planner, ok := w.cfg.PlannerState()
-	if !ok || time.Since(state.ReadAt) > maxPlannerAge {
+	newest, ok := w.plannerVersion()
+	if !ok {
 		return false
 	}
 	w.mu.Lock()
 	synced, next := w.synced, w.next
 	// An entry that changes on this host only, because the planner knew more of it
 	// before an outage, does not change the planner's version.
-	current := w.applied == plannerVersion{planner, state.Version} && len(w.missingUntil) == 0 && !time.Now().Before(w.settledAt)
+	current := w.applied == newest && len(w.missingUntil) == 0 && !time.Now().Before(w.settledAt)
 	w.mu.Unlock()
 	if !synced {
 		return false
@@ -224,18 +228,18 @@
 		w.Apply(nil, time.Now())
 		return true
 	}
-	page, err := w.cfg.ReadHost(ctx, planner, next, w.isKnown)
+	page, err := w.cfg.ReadHost(ctx, newest.planner, next, w.isKnown)
 	if err != nil {
-		w.cfg.Logger.Debug("cannot read endpoint list through planner", "planner", planner, "error", err)
+		w.cfg.Logger.Debug("cannot read endpoint list through planner", "planner", newest.planner, "error", err)
 		return false
 	}
 	w.mu.Lock()
-	w.applied = plannerVersion{planner, state.Version}
+	w.applied = newest
 	w.mu.Unlock()
 	return w.applyPage(page)
 }
 
-// applyPage applies what another host knows of the list, and reports whether it did.
+// applyPage applies a page that continues the list, and reports whether it did.
 func (w *Watcher) applyPage(page tamarackknot.StreamPage) bool {
 	if page.Full {
 		return w.replaceAll(page)
@@ -244,6 +248,7 @@
 	if page.Next.Compare(w.next) > 0 {
 		w.next = page.Next
 	}
+	w.recordRead(page)
 	w.mu.Unlock()
 	w.Apply(page.Records, time.Now())
 	return true
@@ -352,15 +357,7 @@
 	if err != nil {
 		return err
 	}
-	if page.Full {
-		w.replaceAll(page)
-		return nil
-	}
-	w.mu.Lock()
-	w.next = page.Next
-	w.recordRead(page)
-	w.mu.Unlock()
-	w.Apply(page.Records, time.Now())
+	w.applyPage(page)
 	return nil
 }
 
@@ -520,12 +517,18 @@
 		w.keepMissing(id, now)
 		return false
 	}
-	delete(w.entries, id)
-	w.version++
+	w.drop(id)
 	w.cfg.Logger.Info("endpoint removed", "endpoint", id, "service", e.Service)
 	return true
 }
 
+// drop deletes an entry that is listed. w.mu is held.
+func (w *Watcher) drop(id string) {
+	delete(w.entries, id)
+	delete(w.changes, id)
+	w.version++
+}
+
 // keepMissing starts the grace period of an entry that is missing from the list,
 // unless it has one. w.mu is held.
 func (w *Watcher) keepMissing(id string, now time.Time) {
@@ -547,8 +550,7 @@
 			continue
 		}
 		delete(w.missingUntil, id)
-		delete(w.entries, id)
-		w.version++
+		w.drop(id)
 		changed = true
 		w.cfg.Logger.Info("endpoint removed", "endpoint", id, "reason", "expired entry did not return")
 	}
@@ -564,9 +566,8 @@
 	}
 	_, known := w.entries[key]
 	if known {
-		w.version++
+		w.drop(key)
 	}
-	delete(w.entries, key)
 	return known
 }
 
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -524,8 +524,11 @@
 // listReaders returns the hosts that read the list of endpoints from the store for others
 // while no planner is heard, none if this host is one of them or plans itself.
 func (c *components) listReaders() []string {
+	if c.holdsLease() {
+		return nil
+	}
 	before := c.hostsBefore(c.knownHosts())
-	if c.holdsLease() || len(before) < leaseWatchers {
+	if len(before) < leaseWatchers {
 		return nil
 	}
 	var hosts []string
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -376,9 +376,9 @@
 		c.mu.Lock()
 		planner, all, leaving, behind := c.planner, !c.demandSynced, c.leaving, c.behind
 		fence, sequence, receivedAt := c.fence, c.lastSequence, c.lastSequenceAt
-		alive, lists, hosts := c.plannerAlive(), c.heldLists(), time.Duration(len(c.hosts))
+		alive, lists, hosts := c.plannerAlive(), c.heldLists(), len(c.hosts)
 		c.mu.Unlock()
-		interval := min(max(minDemandInterval, hosts*minDemandIntervalPerHost), longestDemandInterval)
+		interval := intervalOf(hosts, minDemandInterval, minDemandIntervalPerHost, longestDemandInterval)
 		if planner == "" || !alive || !urgent && !all && !behind && time.Since(lastSent) < interval {
 			continue
 		}
@@ -386,7 +386,7 @@
 		d.Host, d.Leaving = c.cfg.Self.Name, leaving
 		d.Isolated = c.cfg.Isolated != nil && c.cfg.Isolated()
 		running := runningCounts(d.Running)
-		due := time.Since(lastSent) >= min(max(maxDemandInterval, hosts*maxDemandIntervalPerHost), longestDemandInterval)
+		due := time.Since(lastSent) >= intervalOf(hosts, maxDemandInterval, maxDemandIntervalPerHost, longestDemandInterval)
 		if !urgent && !due && !all && !behind && len(d.Models)+len(d.Notices) == 0 && maps.Equal(running, last) {
 			continue
 		}
@@ -410,6 +410,11 @@
 	}
 }
 
+// intervalOf returns an interval that grows with the number of hosts between two bounds.
+func intervalOf(hosts int, least, perHost, most time.Duration) time.Duration {
+	return min(max(least, time.Duration(hosts)*perHost), most)
+}
+
 // heldLists returns the versions of the planner's lists that this host has. c.mu is held.
 func (c *Client) heldLists() *heldLists {
 	l := &heldLists{Fence: c.fence, Loads: true}
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -372,7 +372,7 @@
 		// The interval grows with the number of hosts because the planner's CPU
 		// share limits how many messages it can send. It stays below plannerTimeout
 		// so that the hosts keep counting the planner as alive.
-		interval := min(max(publishInterval, time.Duration(len(p.cfg.Hosts()))*publishIntervalPerHost), plannerTimeout/3)
+		interval := intervalOf(len(p.cfg.Hosts()), publishInterval, publishIntervalPerHost, plannerTimeout/3)
 		if _, held := p.cfg.LeaseHeld(); !held {
 			interval = standbyInterval
 		}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -28,8 +28,9 @@
 )
 
 // ConnTimeouts closes callers' connections that stay idle, or take to send a
-// request's headers, longer than the active configuration allows. The timeouts
-// of a net/http server can't be changed once it has started.
+// request's headers, longer than the active configuration allows, and drains them
+// when the server stops. The timeouts of a net/http server can't be changed once
+// it has started.
 type ConnTimeouts struct {
 	limits   func() tamarackknot.CallerLimits
 	listener net.Listener
@@ -76,7 +77,7 @@
 	case <-ctx.Done():
 		return ctx.Err() //nolint:wrapcheck // of the caller
 	}
-	for c.closeIdle(time.Now()) > 0 {
+	for c.closeIf(func(conn *callerConn) bool { return !conn.expectsRequest(time.Now()) }) > 0 {
 		if !wait.For(ctx, drainCheckInterval) {
 			return ctx.Err() //nolint:wrapcheck // of the caller
 		}
@@ -84,23 +85,22 @@
 	return nil
 }
 
-// closeIdle closes the connections on which no request is expected any more, and returns the
-// number of all others.
-func (c *ConnTimeouts) closeIdle(now time.Time) (busy int) {
-	var idle []net.Conn
+// closeIf closes the connections for which done is true, and returns the number of all others.
+func (c *ConnTimeouts) closeIf(done func(*callerConn) bool) (others int) {
+	var closing []net.Conn
 	c.mu.Lock()
 	for conn := range c.conns {
-		if conn.expectsRequest(now) {
-			busy++
+		if done(conn) {
+			closing = append(closing, conn)
 		} else {
-			idle = append(idle, conn)
+			others++
 		}
 	}
 	c.mu.Unlock()
-	for _, conn := range idle {
+	for _, conn := range closing {
 		_ = conn.Close() // net/http then reports StateClosed
 	}
-	return busy
+	return others
 }
 
 func (c *ConnTimeouts) connStateChanged(conn net.Conn, state http.ConnState) {
@@ -146,18 +146,11 @@
 	if idle <= 0 {
 		idle = defaultIdleTimeout
 	}
-	var expired []net.Conn
-	c.mu.Lock()
-	for conn := range c.conns {
+	c.closeIf(func(conn *callerConn) bool {
 		p, since := conn.state()
-		if waited := now.Sub(since); p == phaseIdle && waited > idle || p == phaseHeaders && waited > headers {
-			expired = append(expired, conn)
-		}
-	}
-	c.mu.Unlock()
-	for _, conn := range expired {
-		_ = conn.Close() // net/http then reports StateClosed
-	}
+		waited := now.Sub(since)
+		return p == phaseIdle && waited > idle || p == phaseHeaders && waited > headers
+	})
 }
 
 type callerListener struct {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -528,15 +528,15 @@
 		var best Move
 		var engine *EngineState
 		bestCost := math.Inf(1)
-		for i, freeMB := range free {
-			e := &p.Engines[i]
+		for _, disk := range free {
+			e := &p.Engines[disk.engine]
 			// The load must not displace another model from the disk.
-			if !e.FreeAt.IsZero() || model.WeightsMB > freeMB {
+			if !e.FreeAt.IsZero() || model.WeightsMB > disk.freeMB {
 				continue
 			}
 			move, _, cost := p.evaluate(e, model, ModelState{})
 			cost += delayCostPerSecond * float64(e.ColdLoads)
-			if cost < bestCost || cost == bestCost && engine != nil && e.ID < engine.ID {
+			if cost < bestCost {
 				best, engine, bestCost = move, e, cost
 			}
 		}
@@ -551,14 +551,19 @@
 // mayLoadCold reports whether another load from the weight store may start now.
 func (p *planState) mayLoadCold() bool { return p.ColdLoads < p.ColdLimit && p.ColdBudget > 0 }
 
-// freeDisks returns the free disk space in MB of the idle engines, by index, that can hold
-// another model.
-func (p *planState) freeDisks() map[int]float64 {
+// freeDisk is the free disk space of an engine.
+type freeDisk struct {
+	engine int // index
+	freeMB float64
+}
+
+// freeDisks returns the disks of the idle engines that can hold another model.
+func (p *planState) freeDisks() []freeDisk {
 	smallest := math.Inf(1)
 	for _, m := range p.Spec.Models {
 		smallest = min(smallest, m.WeightsMB)
 	}
-	out := make(map[int]float64)
+	var out []freeDisk
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		if e.Unavailable || !e.FreeAt.IsZero() {
@@ -569,7 +574,7 @@
 			free -= p.Spec.Models[name].WeightsMB
 		}
 		if free >= smallest {
-			out[i] = free
+			out = append(out, freeDisk{i, free})
 		}
 	}
 	return out
--- a/relay/listing.go
+++ b/relay/listing.go
@@ -131,10 +131,6 @@
 	if err := gob.NewDecoder(bytes.NewReader(value)).Decode(&page.Records); err != nil {
 		return tamarackknot.StreamPage{}, errors.Wrapf(err, "decode a listing of %s", host)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := s.mirrors[stream]
-	m.merge(page)
-	m.readAt, m.relayed = time.Now().Add(-r.age()), true
+	s.mergeRelayed(stream, page, r)
 	return page, nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -305,12 +305,17 @@
 		return tamarackknot.StreamPage{}, err
 	}
 	page := tamarackknot.StreamPage{Records: keyedRecords(r.Records), End: r.next(), Next: r.next(), Full: r.Full, Relayed: true}
+	s.mergeRelayed(stream, page, r)
+	return page, nil
+}
+
+// mergeRelayed merges a page that another host has read into the mirror.
+func (s *Store) mergeRelayed(stream tamarackknot.Stream, page tamarackknot.StreamPage, r recordsResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.mirrors[stream]
 	m.merge(page)
 	m.readAt, m.relayed = time.Now().Add(-r.age()), true
-	return page, nil
 }
 
 // ReadPeer returns the records of a stream from a position on that a host has mirrored, without
