Reject an answer that leaves out records which were asked for

A host ended when another one answered a question for all records with keys of unchanged ones: it looked them up with a function that is nil for such a question. The answer is an error now, and the next host or the store is asked. TestKeysNotAskedFor panicked before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -293,10 +293,15 @@
 	var r recordsResult
 	p := recordsParams{Stream: stream, From: from.Offset, Era: from.Era, Chunks: true, Brief: known != nil}
 	err := s.callHost(ctx, host, methodRecords, p, &r)
-	if err == nil && slices.ContainsFunc(r.Unchanged, func(key string) bool { return !known(key) }) {
+	switch {
+	case err != nil:
+		return r, err
+	case known == nil && len(r.Unchanged) > 0:
+		return r, errors.New("the other host left out records that it was asked for")
+	case slices.ContainsFunc(r.Unchanged, func(key string) bool { return !known(key) }):
 		return s.askRecords(ctx, host, stream, from, nil)
 	}
-	return r, err
+	return r, nil
 }
 
 // acceptPage completes the records of another host and merges them into the mirror.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"encoding/json"
 	"io"
 	"strings"
 	"testing"
@@ -326,3 +328,17 @@
 		})
 	}
 }
+
+// TestKeysNotAskedFor guards against a host that ends because another one leaves out records
+// although it was asked for all.
+func TestKeysNotAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := harness{fake.NewStreams(), fake.NewPeers(fake.PeersConfig{})}
+		reader := h.host("a", "b")
+		h.peers.Host("b").Handle(methodRecords, func(context.Context, string, json.RawMessage) (any, error) {
+			return recordsResult{Next: 3, Unchanged: []string{"k1"}}, nil
+		})
+		_, err := reader.ReadPeer(t.Context(), "b", stream, at(1), func(string) bool { return false })
+		require.Error(t, err)
+	})
+}
