--- a/review/trial/trial.go
+++ b/review/trial/trial.go
@@ -286,25 +286,40 @@
 	return out
 }
 
-// Configure writes the operator's configuration: one route to a plain service, and one to a
-// service of engines.
-func (t *Trial) Configure(version int) {
+// Configure writes the operator's configuration: one route to a service of engines, and one to a
+// plain service.
+func (t *Trial) Configure(version int) { t.ConfigureSplit(version, []string{"llm"}, nil) }
+
+// ConfigureSplit is Configure with a route that is split among services by weight.
+func (t *Trial) ConfigureSplit(version int, engines []string, weights []int) {
+	chat := map[string]any{
+		"name": "r-chat", "host": "app.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 15000, "sloMs": 600, "prio": 0,
+		"attempts": 2, "sticky": true, "canResume": true, "gapAimMs": 300,
+	}
+	services := []map[string]any{{"name": "desk", "healthPath": "/healthz", "maxConns": 110, "proto": "h1", "tls": false}}
+	split := []map[string]any{}
+	for i, name := range engines {
+		if weights != nil {
+			split = append(split, map[string]any{"svc": name, "weight": weights[i]})
+		}
+		services = append(services, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 370, "proto": "h1", "tls": false, "engine": map[string]any{
+			"slots": 64, "kvTokens": 121394, "kvTokenBytes": 327680, "linkMbps": 260000.0, "stride": 1, "maxCount": 12,
+			"hostMb": 130000.0, "diskMb": 1100000.0, "weightsMb": 220000.0, "loraSlots": 8, "loadsPerS": 4.2,
+			"models": []map[string]any{{"name": "m1", "weightsMb": 72700.0, "loadS": 6.0, "adapters": 0, "loraMb": 66.0, "warmS": 0.4, "diskS": 0.52}},
+		}})
+	}
+	if weights == nil {
+		chat["svc"] = engines[0]
+	} else {
+		chat["split"] = split
+	}
 	t.Store.PutJSON("keyed.op", "config", map[string]any{
 		"version": version,
-		"routes": []map[string]any{
-			{"name": "r-chat", "host": "app.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 15000, "sloMs": 600, "prio": 0,
-				"svc": "llm", "attempts": 2, "sticky": true, "canResume": true, "gapAimMs": 300},
-			{"name": "r-book", "host": "app.example", "pathPrefix": "/book/", "kind": "non_idempotent", "timeoutMs": 2500, "sloMs": 150, "prio": 1,
-				"svc": "desk", "attempts": 1},
-		},
-		"services": []map[string]any{
-			{"name": "llm", "healthPath": "/healthz", "maxConns": 370, "proto": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kvTokens": 121394, "kvTokenBytes": 327680, "linkMbps": 260000.0, "stride": 1, "maxCount": 12,
-				"hostMb": 130000.0, "diskMb": 1100000.0, "weightsMb": 220000.0, "loraSlots": 8, "loadsPerS": 4.2,
-				"models": []map[string]any{{"name": "m1", "weightsMb": 72700.0, "loadS": 6.0, "adapters": 0, "loraMb": 66.0, "warmS": 0.4, "diskS": 0.52}},
-			}},
-			{"name": "desk", "healthPath": "/healthz", "maxConns": 110, "proto": "h1", "tls": false},
-		},
-		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"routes": []map[string]any{chat, {
+			"name": "r-book", "host": "app.example", "pathPrefix": "/book/", "kind": "non_idempotent", "timeoutMs": 2500, "sloMs": 150, "prio": 1,
+			"svc": "desk", "attempts": 1,
+		}},
+		"services": services,
+		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
