Keep the versions listed lately where they outlive all hosts

Cause: a host that finds no record of a stream's origin goes on with it if the versions listed within the last minute are one. That list was in the memory of the process, so a process younger than a minute did not know of the version that had left before its start.

TestStreamsAfterLossOfAllHosts failed before the change in two cases, "the older version has left" and "one version, the record cannot be read": 200 for 503.

Change: the planner keeps the versions listed within the last minute in the store, by conditional appends, written when a version comes or is forgotten. A host in its first minute reads the record once, only when a stream of unknown origin asks for it, and sends a time to come back until it could. In a service that has had one version the streams go on.

TestVersions, TestStreamsAfterLossOfAllHosts, TestStoreCalls* and TestAllHostsRestart pass.

--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -9,9 +9,9 @@
 	"tamarackknot.example/tamarackknot"
 )
 
-// versionMemory is how long a version counts after no endpoint of it is listed: longer
+// VersionMemory is how long a version counts after no endpoint of it is listed: longer
 // than any caller comes back to a stream.
-const versionMemory = time.Minute
+const VersionMemory = time.Minute
 
 // defaultSlots applies to an endpoint without a number of slots in its service
 // and its entry.
@@ -81,7 +81,7 @@
 }
 
 // SingleVersion returns the version of the software of all endpoints of a service that
-// this host has listed within versionMemory. ok is false if there are several, if one is
+// this host has listed within VersionMemory. ok is false if there are several, if one is
 // unknown or if none is listed.
 func (d *Dispatcher) SingleVersion(service string) (version string, ok bool) {
 	d.mu.Lock()
@@ -96,19 +96,49 @@
 	return version, ok
 }
 
+// Versions returns the versions of each service that have been listed within VersionMemory,
+// in no order.
+func (d *Dispatcher) Versions() map[string][]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordVersions(time.Now())
+	out := make(map[string][]string, len(d.versions))
+	for service, seen := range d.versions {
+		out[service] = slices.Collect(maps.Keys(seen))
+	}
+	return out
+}
+
+// AddVersions takes versions of services as listed now: another host has listed them lately.
+func (d *Dispatcher) AddVersions(versions map[string][]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for service, names := range versions {
+		for _, name := range names {
+			d.recordVersion(service, name, now)
+		}
+	}
+}
+
+// recordVersion records that a version is listed. d.mu is held.
+func (d *Dispatcher) recordVersion(service, version string, now time.Time) {
+	seen := d.versions[service]
+	if seen == nil {
+		seen = make(map[string]time.Time)
+		d.versions[service] = seen
+	}
+	seen[version] = now
+}
+
 // recordVersions records the versions that are listed, and forgets those that have not
-// been for versionMemory. d.mu is held.
+// been for VersionMemory. d.mu is held.
 func (d *Dispatcher) recordVersions(now time.Time) {
 	for _, e := range d.endpoints {
-		seen := d.versions[e.entry.Service]
-		if seen == nil {
-			seen = make(map[string]time.Time)
-			d.versions[e.entry.Service] = seen
-		}
-		seen[e.entry.Version] = now
+		d.recordVersion(e.entry.Service, e.entry.Version, now)
 	}
 	for service, seen := range d.versions {
-		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) > versionMemory })
+		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) > VersionMemory })
 		if len(seen) == 0 {
 			delete(d.versions, service)
 		}
--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -114,6 +114,7 @@
 // replica is one start of an endpoint.
 type replica struct {
 	id, address string
+	version     string // of its software
 	born        time.Time
 	slots       int
 
@@ -469,7 +470,7 @@
 	for i := range clusterModels {
 		models = append(models, map[string]any{"name": modelName(i), "weightsMb": 70000, "loadS": 1.5, "warmS": 0.2, "diskS": 0.6})
 	}
-	routes := []map[string]any{{"name": "r", "host": "a", "pathPrefix": "/", "kind": "streaming", "svc": "s", "attempts": 1}}
+	routes := []map[string]any{{"name": "r", "host": "a", "pathPrefix": "/", "kind": "streaming", "svc": "s", "attempts": 1, "canResume": len(size.versions) > 0}}
 	services := []map[string]any{{"name": "s", "engine": map[string]any{
 		"slots": size.slots, "weightsMb": 220000, "loraSlots": 4, "hostMb": 150000, "diskMb": 1500000, "loadsPerS": 4, "models": models,
 	}}}
@@ -507,7 +508,7 @@
 func (c *cluster) startReplica(id string) {
 	now := time.Now().Truncate(time.Millisecond)
 	r := &replica{id: id, address: netAddress(id), born: now, state: tamarackknot.EndpointReady}
-	r.slots = c.size.slotsOf(r.service())
+	r.slots, r.version = c.size.slotsOf(r.service()), c.size.versionOf(id)
 	held := make(map[string][]string)
 	for i := range 3 {
 		held[modelName(i)] = nil
@@ -558,6 +559,9 @@
 // entry returns the record of the endpoint, with the models that an engine holds.
 func (r *replica) entry(state tamarackknot.EndpointState, held []string) []byte {
 	fields := map[string]any{"svc": r.service(), "addr": r.address, "zone": "z1", "slots": r.slots, "state": state, "born": r.born.UnixMilli()}
+	if r.version != "" {
+		fields["version"] = r.version
+	}
 	if r.service() != plainService {
 		models := make([]map[string]any, 0, len(held))
 		for _, name := range held {
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -94,6 +94,7 @@
 	hosts          *fleet.Registry
 	shares         *share.Hosts
 	origins        *origin.Registry
+	versions       *origin.Versions
 	crashes        *quarantine.List
 	reach          *reach.Monitor
 	publisher      *fleet.Publisher
@@ -128,7 +129,7 @@
 func (c *components) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
-		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.crashes.Run, c.crashes.RunStore, c.crashes.RunChecks, c.reach.Run, c.yieldLoop,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.versions.Run, c.crashes.Run, c.crashes.RunStore, c.crashes.RunChecks, c.reach.Run, c.yieldLoop,
 	}
 }
 
@@ -137,10 +138,10 @@
 	s := c.cfg.settings
 	return ingress.New(ingress.Config{
 		Catalog: c.catalog.Current, CatalogBehind: c.catalog.IsBehind,
-		Dispatch:  c.dispatch,
-		Budget:    &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Clock: c.cfg.clock},
-		Dialect:   platform.Dialect{},
-		Origins:   c.origins,
+		Dispatch: c.dispatch,
+		Budget:   &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Clock: c.cfg.clock},
+		Dialect:  platform.Dialect{},
+		Origins:  c.origins, VersionsKnown: c.versions.Known,
 		Crashes:   c.crashes,
 		HostCount: c.shares.Count,
 		Host:      s.Host,
@@ -242,6 +243,10 @@
 		OnDemand: func() { c.planner.Replan() },
 	})
 	c.origins = origin.New(origin.Config{Peers: c.cfg.peers, Others: c.otherHosts, Logger: logger})
+	c.versions = origin.NewVersions(origin.VersionsConfig{
+		Store: store, Keeps: c.holdsLease, Listed: c.dispatch.Versions, Add: c.dispatch.AddVersions, Memory: dispatch.VersionMemory,
+		FirstStart: s.FirstStart, Clock: c.cfg.clock, Logger: logger,
+	})
 	c.crashes = quarantine.New(quarantine.Config{
 		Self: s.Host, Peers: c.cfg.peers, Store: store, Others: c.otherHosts, Reachable: c.endpointReachable, Clock: c.cfg.clock, Logger: logger,
 	})
--- a/entry/hosted/size_test.go
+++ b/entry/hosted/size_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 
 	"tamarackknot.example/tamarackknot/fake"
 )
@@ -32,6 +33,18 @@
 	// storeBytes are the bytes a second that all reads of the store share; 0 means that they
 	// share nothing.
 	storeBytes int
+	// versions are those of the engines' software, in turn; nil if entries name none. Streams
+	// may then be resumed.
+	versions []string
+}
+
+// versionOf returns the version of the software of an endpoint.
+func (size clusterSize) versionOf(id string) string {
+	n, err := strconv.Atoi(id[1:])
+	if err != nil || len(size.versions) == 0 {
+		return ""
+	}
+	return size.versions[n%len(size.versions)]
 }
 
 // strongCores are the CPU cores of a strong host, as a multiple of those of another one.
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -20,10 +20,12 @@
 	if x.caller.Resumes != "" {
 		o, found, complete = x.server.cfg.Origins.Find(x.r.Context(), x.caller.Resumes)
 	}
-	if !found {
+	if !found && x.server.cfg.VersionsKnown(x.r.Context()) {
 		// With a single version there is nothing to mix up.
 		o.Service = x.service
 		o.Version, found = x.server.cfg.Dispatch.SingleVersion(x.service)
+	} else if !found {
+		complete = false
 	}
 	event := "stream resumed"
 	switch {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -59,6 +59,9 @@
 	Dialect       tamarackknot.Dialect
 	// Origins keeps the origins of resumable streams.
 	Origins tamarackknot.StreamOrigins
+	// VersionsKnown reports whether this host knows all versions of the endpoints' software
+	// that were listed lately, also before it started. Nil means that it does.
+	VersionsKnown func(ctx context.Context) bool
 	// Crashes relates crashes of endpoints to parts of prompts.
 	Crashes tamarackknot.CrashRecords
 	// HostCount returns the number of entry hosts that share the retry budget.
@@ -105,6 +108,9 @@
 	if cfg.Isolated == nil {
 		cfg.Isolated = func() bool { return false }
 	}
+	if cfg.VersionsKnown == nil {
+		cfg.VersionsKnown = func(context.Context) bool { return true }
+	}
 	s := &Server{cfg: cfg, counters: newCounters(cfg.Metrics)}
 	s.onceTransport, s.keepAliveTransport = newTransport(s.dialEndpoint, false), newTransport(s.dialEndpoint, true)
 	s.hostTransport = newTransport(cfg.Dial, false)
--- a/store.go
+++ b/store.go
@@ -71,6 +71,7 @@
 	StreamLease     Stream = "lease"
 	StreamHistory   Stream = "history"
 	StreamCrashes   Stream = "crashes"
+	StreamVersions  Stream = "versions"
 )
 
 // Store is the platform's store, which consists of keyed append-only streams.
