Take on what can be answered while a host shuts down, and cut with an answer

What callers saw: around a planned stop requests ended without a whole answer.

Cause: the listener, the queue and the grant of a free endpoint each decided for themselves what a leaving host does, and a grant was never refused. At the end all connections were closed, also those that had received nothing. And a connection could be closed between the check that it was idle and the read of the next request, which then ran.

Change: dispatch.Shutdown is asked on every way to an endpoint or another host. Late requests are taken only if their deadline is before the cut, the others get 503 with Retry-After and Connection: close. At the cut, requests whose answer has not begun get 503 or 502. What arrives on a connection that is about to be closed is not read. Each request that is cut has a log line.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	// the timeout of the caller or of the route expires.
 	Objective time.Time
 	Deadline  time.Time
+	// AnsweredBy is when the request gets its last answer at the latest.
+	AnsweredBy time.Time
 	// Arrived is when the host finished reading the request.
 	Arrived time.Time
 	// PromptParts are the ids of the prompt's parts in order. All but the last may
@@ -170,7 +172,7 @@
 	othersUntil time.Time
 	changed     map[target]bool // targets whose demand changed since the last report
 	queueWake   chan struct{}   // wakes Run when a request starts to wait
-	drainBy     time.Time       // when waiting requests are refused; zero unless the host shuts down
+	shutdown    *Shutdown       // nil unless the host shuts down
 }
 
 // target is a model of an engine service; model is empty for a plain service.
@@ -280,14 +282,6 @@
 	}
 }
 
-// Drain makes the Dispatcher refuse all requests that wait at or after the given
-// time: the host shuts down and other hosts can serve them.
-func (d *Dispatcher) Drain(by time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.drainBy = by
-}
-
 // recordRequest counts a request for its model and reports whether its objective
 // is shorter than a load of the model from disk.
 func (d *Dispatcher) recordRequest(req *Request, now time.Time) bool {
@@ -412,6 +406,9 @@
 	if r := d.rejected(req); r != nil {
 		return r
 	}
+	if r := d.leaving(req.AnsweredBy, now); r != nil {
+		return r
+	}
 	return d.elsewhere(req, now)
 }
 
@@ -427,8 +424,8 @@
 // its deadline, or if it must not wait any longer: the host is shutting down, or
 // there has been no forecast for too long.
 func (d *Dispatcher) unmeetable(req *Request, now time.Time) *Refusal {
-	if !d.drainBy.IsZero() && !now.Before(d.drainBy) {
-		return &Refusal{Reason: "the host is leaving", RetryAt: now}
+	if d.shutdown != nil && !now.Before(d.shutdown.WaitUntil) {
+		return d.shutdown.refusal(now)
 	}
 	if d.cfg.Isolated != nil && d.cfg.Isolated() {
 		return &Refusal{Reason: "this host reaches no endpoint", RetryAt: now.Add(fullRetryDelay)}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -212,6 +212,33 @@
 	})
 }
 
+// TestShutdownAdmits guards against requests that a host which shuts down takes on and then
+// can't answer, and against refusals of those that it can.
+func TestShutdownAdmits(t *testing.T) {
+	now := time.Now()
+	plan := &Shutdown{AcceptLongUntil: now, End: now.Add(4 * time.Second)}
+	cases := map[string]struct {
+		plan       *Shutdown
+		at         time.Duration
+		answeredIn time.Duration
+		admits     bool
+	}{
+		"no shutdown":                      {nil, 0, time.Minute, true},
+		"long and early":                   {plan, -time.Millisecond, time.Minute, true},
+		"long and late":                    {plan, 0, time.Minute, false},
+		"short and late":                   {plan, time.Second, 3 * time.Second, true},
+		"not quite short enough":           {plan, time.Second, 3*time.Second + 1, false},
+		"after the end, whatever it lasts": {plan, 5 * time.Second, time.Millisecond, false},
+		"its time is over, before the end": {plan, time.Second, -time.Millisecond, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			at := now.Add(tc.at)
+			require.Equal(t, tc.admits, tc.plan.admits(at.Add(tc.answeredIn), at))
+		})
+	}
+}
+
 // TestDrain guards against requests that wait at a host until the end of its
 // shutdown, although other hosts could serve them.
 func TestDrain(t *testing.T) {
@@ -221,8 +248,9 @@
 		h.SetView(tamarackknot.FleetView{Forecasts: []tamarackknot.ModelForecast{{Service: "s", Model: "m", ReadyAt: time.Now().Add(2 * time.Second)}}})
 		ctx, cancel := context.WithCancel(t.Context())
 		go h.Run(ctx)
-		h.Drain(time.Now().Add(time.Second))
 		started := time.Now()
+		until := started.Add(time.Second)
+		h.Shutdown(Shutdown{AcceptLongUntil: until, WaitUntil: until, End: until})
 		_, refusal := h.Acquire(t.Context(), request("s", "m"))
 		require.NotNil(t, refusal)
 		require.InDelta(t, time.Second, time.Since(started), float64(2*recheckInterval))
--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -209,7 +209,8 @@
 func (h *clusterHost) shutDown() {
 	ctx, cancel := context.WithDeadline(h.c.ctx, time.Now().Add(2*time.Second))
 	defer cancel()
-	h.leave(ctx, time.Now())
+	now := time.Now()
+	h.leave(ctx, dispatch.Shutdown{AcceptLongUntil: now, WaitUntil: now, End: now})
 	h.stop()
 }
 
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -151,11 +151,10 @@
 	})
 }
 
-// leave makes the other hosts go on without this one: requests that still wait at
-// drainBy are refused, and the lease is released before the others are told, so
-// that one of them can take it at once.
-func (c *components) leave(ctx context.Context, drainBy time.Time) {
-	c.dispatch.Drain(drainBy)
+// leave makes the other hosts go on without this one, which takes on only what plan allows.
+// The lease is released before the others are told, so that one of them can take it at once.
+func (c *components) leave(ctx context.Context, plan dispatch.Shutdown) {
+	c.dispatch.Shutdown(plan)
 	fence, planner := c.publisher.StepDown()
 	c.fleet.Leave()
 	c.lease.Release(ctx)
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/dispatch"
 	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/peer"
 	"tamarackknot.example/tamarackknot/platform"
@@ -39,8 +40,13 @@
 	// drainAcceptTime is how long a draining host still accepts connections. It
 	// exceeds maxAddressTTL because callers may cache addresses slightly longer.
 	drainAcceptTime = 3 * time.Second
+	// longAcceptTime is how long a draining host takes requests that may last until its
+	// end. Those that are sent within 3 s of the signal may be cut then; the rest is for
+	// the delay of the signal.
+	longAcceptTime = 2500 * time.Millisecond
 	// shutdownMargin is the time between the end of the shutdown and the end of
-	// the grace period, at which the platform kills the process.
+	// the grace period, at which the platform kills the process. Some of it is for the
+	// answers to requests that are cut.
 	shutdownMargin = 700 * time.Millisecond
 	// idleTimeout is the timeout of idle connections from the platform. The one
 	// of callers' connections is part of the configuration.
@@ -300,22 +306,21 @@
 
 // shutdown drains the host: it stops advertising its address, releases the lease
 // and waits for the requests in flight until shutdownMargin before the end of the
-// grace period.
+// grace period, when those that are left are cut.
 func (d *Daemon) shutdown(ctx context.Context) {
-	s := d.cfg.Settings
 	started := time.Now()
-	end := started.Add(s.Grace - shutdownMargin)
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
-	d.cfg.Logger.Info("draining", "until", end.Format(time.RFC3339Nano))
+	plan := dispatch.Shutdown{
+		AcceptLongUntil: started.Add(longAcceptTime), WaitUntil: started.Add(drainAcceptTime),
+		End: started.Add(d.cfg.Settings.Grace - shutdownMargin),
+	}
+	d.cfg.Logger.Info("draining", "until", plan.End.Format(time.RFC3339Nano))
 	d.leaving.Store(true)
 	d.callers.Drain()
-	d.leave(ctx, started.Add(drainAcceptTime))
-	t := time.NewTimer(min(time.Until(started.Add(drainAcceptTime)), time.Until(end)))
-	defer t.Stop()
-	<-t.C
+	untilEnd, cancel := context.WithDeadline(ctx, plan.End)
+	defer cancel()
+	d.leave(untilEnd, plan)
 	// The other servers serve until the process exits.
-	if err := d.callerConns.Drain(ctx); err != nil {
-		d.cfg.Logger.Warn("requests aborted at the end of the grace period", "error", err)
+	if err := d.callers.Finish(ctx, d.callerConns, plan); err != nil {
+		d.cfg.Logger.Warn("connections closed before the end of a request", "error", err)
 	}
 }
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -77,6 +77,12 @@
 	case <-ctx.Done():
 		return ctx.Err() //nolint:wrapcheck // of the caller
 	}
+	return c.WaitAnswered(ctx)
+}
+
+// WaitAnswered closes connections without a request and waits until there are no others, or
+// ctx ends, whose error it then returns.
+func (c *ConnTimeouts) WaitAnswered(ctx context.Context) error {
 	for c.closeIf(func(conn *callerConn) bool { return !conn.expectsRequest(time.Now()) }) > 0 {
 		if !wait.For(ctx, drainCheckInterval) {
 			return ctx.Err() //nolint:wrapcheck // of the caller
@@ -85,12 +91,14 @@
 	return nil
 }
 
-// closeIf closes the connections for which done is true, and returns the number of all others.
+// closeIf closes the connections for which done is true, and returns the number of all
+// others. done is called with the lock of the connection held. What arrives after that is
+// not read: a request must not run whose answer can't be sent.
 func (c *ConnTimeouts) closeIf(done func(*callerConn) bool) (others int) {
 	var closing []net.Conn
 	c.mu.Lock()
 	for conn := range c.conns {
-		if done(conn) {
+		if conn.endIf(done) {
 			closing = append(closing, conn)
 		} else {
 			others++
@@ -147,9 +155,8 @@
 		idle = defaultIdleTimeout
 	}
 	c.closeIf(func(conn *callerConn) bool {
-		p, since := conn.state()
-		waited := now.Sub(since)
-		return p == phaseIdle && waited > idle || p == phaseHeaders && waited > headers
+		waited := now.Sub(conn.since)
+		return conn.phase == phaseIdle && waited > idle || conn.phase == phaseHeaders && waited > headers
 	})
 }
 
@@ -179,6 +186,7 @@
 	phase phase
 	since time.Time
 	used  bool // a request was received
+	ended bool // the connection is about to be closed
 }
 
 type phase int
@@ -196,14 +204,25 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.ended {
+			return 0, net.ErrClosed
+		}
 		if c.phase == phaseIdle {
 			c.phase, c.since = phaseHeaders, time.Now()
 		}
-		c.mu.Unlock()
 	}
 	return n, err //nolint:wrapcheck // net/http checks the type of the error
 }
 
+// endIf marks the connection as ended if done is true.
+func (c *callerConn) endIf(done func(*callerConn) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = c.ended || done(c)
+	return c.ended
+}
+
 func (c *callerConn) setPhase(p phase) {
 	now := time.Now()
 	c.mu.Lock()
@@ -212,14 +231,7 @@
 }
 
 // expectsRequest reports whether a request is under way, or the first one may still come.
+// c.mu is held.
 func (c *callerConn) expectsRequest(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return c.phase != phaseIdle || !c.used && now.Sub(c.since) < newConnTime
 }
-
-func (c *callerConn) state() (phase, time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase, c.since
-}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -87,7 +87,7 @@
 	if x.route.Kind == tamarackknot.RouteRepeatable && (len(x.body) > 0 || slices.Contains(bodylessMethods(), x.r.Method)) {
 		transport = x.server.keepAliveTransport
 	}
-	x.conn = httptrace.GotConnInfo{}
+	x.conn, x.sentAt = httptrace.GotConnInfo{}, time.Now()
 	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
 	if x.retry != nil {
 		trace.WroteRequest = x.retrySent(x.retry)
@@ -146,6 +146,8 @@
 	outcomeCallerGone
 	// outcomeTimedOut: the deadline of the request has passed.
 	outcomeTimedOut
+	// outcomeCut: the host shuts down before the answer is complete.
+	outcomeCut
 )
 
 // bufferedResponse is a response of an endpoint with its complete body.
@@ -199,10 +201,10 @@
 	x.possibleRuns++
 	if x.r.Context().Err() != nil {
 		g.Done(dispatch.ResultDisconnected)
-		return outcomeCallerGone
+	} else {
+		g.Done(dispatch.ResultFailed)
+		x.recordLost(g, progress{}, err)
 	}
-	g.Done(dispatch.ResultFailed)
-	x.recordLost(g, progress{}, err)
 	return x.adjustOutcome(outcomeUnknown)
 }
 
@@ -237,10 +239,12 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errPartialEvent, errNoEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT)
 }
 
-// adjustOutcome returns outcomeCallerGone if the caller has disconnected, and
-// outcomeTimedOut in place of outcomeUnknown after the deadline.
+// adjustOutcome returns outcomeCallerGone if the caller has disconnected, outcomeCut if the
+// request is cut, and outcomeTimedOut in place of outcomeUnknown after the deadline.
 func (x *exchange) adjustOutcome(o outcome) outcome {
 	switch {
+	case x.isCut():
+		return outcomeCut
 	case x.r.Context().Err() != nil:
 		return outcomeCallerGone
 	case o == outcomeUnknown && !time.Now().Before(x.deadline):
--- a/ingress/host.go
+++ b/ingress/host.go
@@ -80,6 +80,10 @@
 // forward serves a request by one of the hosts or, if none of the first can, with the
 // refusal.
 func (x *exchange) forward(hosts []tamarackknot.HostEntry, refusal *dispatch.Refusal) {
+	if r := x.server.cfg.Dispatch.Leaving(x.deadline); r != nil {
+		x.respondFailed(r, nil)
+		return
+	}
 	if x.forwardedBy != "" {
 		x.w.Header().Set(headerIsolated, "1")
 		x.refuse(refusal.Reason, time.Time{})
@@ -96,7 +100,7 @@
 		case err == nil:
 			_ = resp.Body.Close()
 			x.lastErr = "the other host may not send it to an endpoint, or reaches none"
-		case x.r.Context().Err() != nil:
+		case x.callerLeft():
 			x.abortCallerGone()
 		case errors.Is(err, errNotSent):
 			x.lastErr = err.Error()
@@ -146,6 +150,7 @@
 func (x *exchange) sendToHost(ctx context.Context, host tamarackknot.HostEntry) (*http.Response, error) {
 	req := x.outgoing(ctx, host.Address, tamarackknot.EndpointAttempt{Deadline: x.deadline})
 	req.Header.Set(headerForwardedBy, x.server.cfg.Host)
+	x.sentAt = time.Now()
 	return x.server.hostTransport.RoundTrip(req)
 }
 
@@ -162,13 +167,17 @@
 		x.w.Header().Set("Retry-After", after)
 	}
 	x.w.WriteHeader(resp.StatusCode)
+	x.headerSent = true
 	x.server.counters.forwarded.Inc(1)
 	err := x.copyFromHost(resp.Body)
 	x.log("answered through another host", "host", host.Name, "status", resp.StatusCode, "error", err)
 	switch {
 	case err == nil:
-	case x.r.Context().Err() != nil:
+	case x.callerLeft():
 		x.abortCallerGone()
+	case x.isCut():
+		x.logCut()
+		panic(http.ErrAbortHandler)
 	default:
 		panic(http.ErrAbortHandler)
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -50,6 +50,9 @@
 			failure = resp
 		case outcomeCallerGone:
 			x.abortCallerGone()
+		case outcomeCut:
+			x.endCut()
+			return
 		case outcomeTimedOut:
 			x.fail(http.StatusGatewayTimeout, "the endpoint did not answer in time")
 			return
@@ -75,6 +78,10 @@
 	g, refusal := x.server.cfg.Dispatch.Acquire(x.r.Context(), &x.request)
 	if g == nil {
 		x.waits = x.waits.Add(refusal.Waits)
+		if x.isCut() {
+			x.logCut()
+			refusal.Reason, refusal.RetryAt = errCut.Error(), time.Now()
+		}
 		return nil, refusal
 	}
 	x.endpoint = g.Endpoint.ID
@@ -152,11 +159,15 @@
 // attempt: the endpoint's error response, or whether the request may have run.
 func (x *exchange) respondFailed(refusal *dispatch.Refusal, failure *bufferedResponse) {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.callerLeft():
 		x.abortCallerGone()
 	case failure != nil:
 		x.relay(failure)
 	case x.possibleRuns == 0 && refusal != nil:
+		if x.forwardedBy != "" && x.server.cfg.Dispatch.Leaving(x.deadline) != nil {
+			// Another host may serve it.
+			x.w.Header().Set(headerIsolated, "1")
+		}
 		x.refuse(refusal.Reason, refusal.RetryAt)
 	case x.possibleRuns == 0:
 		x.refuse(x.lastErr, time.Now().Add(declinedRetryDelay))
@@ -182,6 +193,7 @@
 	for name, values := range x.server.cfg.Dialect.Relay(from) {
 		h[name] = slices.Clone(values)
 	}
+	x.closeIfDraining()
 }
 
 // relay sends the response of an endpoint to the caller.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -90,8 +90,11 @@
 	keepAliveTransport *http.Transport
 	hostTransport      *http.Transport
 	draining           atomic.Bool
-	failedDials        atomic.Int64 // failed connections to endpoints since the last success
-	counters           counters
+	// cut ends when the answers that are not complete are cut.
+	cut         context.Context
+	cutNow      context.CancelFunc
+	failedDials atomic.Int64 // failed connections to endpoints since the last success
+	counters    counters
 }
 
 // New returns a Server.
@@ -114,17 +117,15 @@
 	s := &Server{cfg: cfg, counters: newCounters(cfg.Metrics)}
 	s.onceTransport, s.keepAliveTransport = newTransport(s.dialEndpoint, false), newTransport(s.dialEndpoint, true)
 	s.hostTransport = newTransport(cfg.Dial, false)
+	s.cut, s.cutNow = context.WithCancel(context.Background())
 	return s
 }
 
-// Drain makes the server close each connection after its next response.
-func (s *Server) Drain() { s.draining.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	ctx, release := s.untilCut(r.Context())
+	defer release()
+	r = r.WithContext(ctx)
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), forwardedBy: r.Header.Get(headerForwardedBy)}
 	r.Header.Del(headerForwardedBy)
 	for _, filter := range []func(*exchange) bool{
@@ -167,7 +168,8 @@
 	conn               httptrace.GotConnInfo // of the last attempt; zero if it got none
 	lastErr            string
 	originRecorded     bool
-	headerSent         bool // the response headers of a stream have been sent
+	headerSent         bool      // the response headers of a stream, or of another host, have been sent
+	sentAt             time.Time // of the last attempt; zero if there was none
 	firstEventAt       time.Time
 	endpoint           string
 	// lastEventAt is when the last event was relayed, longestGap the longest
@@ -262,7 +264,7 @@
 		return false
 	case err != nil:
 		// The caller has disconnected, so there is nobody to respond to.
-		x.log("caller disconnected while sending the body", "error", err)
+		x.log("caller disconnected while sending the body", "error", err, "leaving", x.server.draining.Load())
 		panic(http.ErrAbortHandler)
 	}
 	x.body, x.bodyRead = buf.Bytes(), true
@@ -279,7 +281,7 @@
 	x.service = pickShare(x.route.Shares)
 	x.request = dispatch.Request{
 		ID: x.caller.ID, Service: x.service, Model: x.caller.Model, Adapter: x.caller.Adapter,
-		Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline,
+		Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
 		Objective: x.arrived.Add(x.route.Objective), PromptParts: x.caller.Parts, Content: x.contentID(),
 	}
 	if pool, ok := x.server.cfg.Catalog().Catalog.Services[x.service]; !ok || pool.Engine == nil {
@@ -312,6 +314,7 @@
 
 func (x *exchange) writeError(status int, reason string) {
 	x.log("answered", "status", status, "reason", reason)
+	x.closeIfDraining()
 	if !x.bodyRead {
 		x.discardBody()
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -73,6 +73,9 @@
 			return
 		case outcomeCallerGone:
 			x.abortCallerGone()
+		case outcomeCut:
+			x.endCut()
+			return
 		case outcomeFailed:
 			failure = resp
 		case outcomeTimedOut:
@@ -146,7 +149,10 @@
 		g.Done(dispatch.ResultAnswered)
 		x.server.cfg.Crashes.RecordAnswer(g.Endpoint, x.request.Identity())
 		return outcomeDone, nil
-	case x.r.Context().Err() != nil || errors.Is(err, errCallerWrite):
+	case x.isCut():
+		g.Done(dispatch.ResultDisconnected)
+		return outcomeCut, nil
+	case x.callerLeft() || errors.Is(err, errCallerWrite):
 		g.Done(dispatch.ResultDisconnected)
 		return outcomeCallerGone, nil
 	}
