Look up what began a stream before its service is chosen

Cause: the service was drawn by weight first, and the origin looked up later; if they differed, the stream was refused. A stream of unknown origin went on in whichever service was drawn.

Change: the origin comes first and is the service while the route leads to it. If it is not known, the stream goes on only where the route has one service whose endpoints have one version.

--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -63,6 +63,56 @@
 	}
 }
 
+// TestResumedStreamOnSplitRoute guards against a stream that is refused, or goes on at
+// another service, since the service of its route is drawn again when it is taken up.
+func TestResumedStreamOnSplitRoute(t *testing.T) {
+	const tries = 20
+	shares := func(names ...string) (out []tamarackknot.Share) {
+		for i, name := range names {
+			out = append(out, tamarackknot.Share{Service: name, Weight: 1 + 9*i})
+		}
+		return out
+	}
+	cases := map[string]struct {
+		shares  []tamarackknot.Share
+		known   bool // which service began it
+		reached []string
+	}{
+		"the service with the smaller share began it": {shares("s", "t"), true, []string{"a"}},
+		"the service with the larger share began it":  {shares("t", "s"), true, []string{"a"}},
+		"the route has left the service":              {shares("t"), true, nil},
+		"not known, one service and one version":      {shares("s"), false, []string{"a"}},
+		"not known, each service has one version":     {shares("s", "t"), false, nil},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, tamarackknot.Route{Kind: stream, Resumable: true, Attempts: 2}, events(4, nil), events(4, nil))
+			go h.dispatcher.Run(t.Context())
+			b := h.entries["b"]
+			b.Service = "t"
+			h.entries["b"] = b
+			h.dispatcher.SetEndpoints(h.entries, map[string][]string{"s": {"a"}, "t": {"b"}}, true)
+			h.view.Catalog.Routes[0].Shares = tc.shares
+			h.view.Route("a.example", "/p/").Shares = tc.shares
+			if tc.known {
+				h.origins.Record("r0", tamarackknot.StreamOrigin{Service: "s", Version: "1"})
+			}
+			for range tries {
+				resp, _, err := h.do(call{header: map[string]string{"Resumes": "r0", "After": "1"}})
+				require.NoError(t, err)
+				want := http.StatusOK
+				if tc.reached == nil {
+					want = http.StatusServiceUnavailable
+				}
+				require.Equal(t, want, resp.StatusCode)
+			}
+			for _, id := range h.reached() {
+				require.Contains(t, tc.reached, id)
+			}
+		})
+	}
+}
+
 // setVersions sets the versions of the endpoints in order.
 func (h *harness) setVersions(versions ...string) {
 	var ids []string
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -23,7 +23,7 @@
 func (x *exchange) serve() {
 	defer x.cancelRetry()
 	x.announceBrittle()
-	if x.isolated() {
+	if x.forwardOnly || x.isolated() {
 		x.serveIsolated()
 		return
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -129,7 +129,7 @@
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), forwardedBy: r.Header.Get(headerForwardedBy)}
 	r.Header.Del(headerForwardedBy)
 	for _, filter := range []func(*exchange) bool{
-		(*exchange).selectRoute, (*exchange).readHeader, (*exchange).readBody, (*exchange).chooseService,
+		(*exchange).selectRoute, (*exchange).readHeader, (*exchange).readBody, (*exchange).findOrigin, (*exchange).chooseService,
 	} {
 		if !filter(x) {
 			return
@@ -150,6 +150,10 @@
 	limits      tamarackknot.CallerLimits
 	route       *tamarackknot.Route
 	caller      tamarackknot.CallerRequest
+	// origin is what began the stream that the caller takes up again; nil for other requests.
+	origin *tamarackknot.StreamOrigin
+	// forwardOnly says that only another host may send the request to an endpoint.
+	forwardOnly bool
 	service     string
 	body        []byte
 	// bodyRead is true once the request body has been read completely.
@@ -271,14 +275,18 @@
 	return true
 }
 
-// chooseService picks the service of the route, or one of its shares at random
-// by weight.
+// chooseService picks the service that began the stream or, for all other requests, the one
+// of the route or one of its shares at random by weight.
 func (x *exchange) chooseService() bool {
 	if len(x.route.Shares) == 0 {
 		x.refuse("the route has no service", x.arrived.Add(noConfigRetryDelay))
 		return false
 	}
-	x.service = pickShare(x.route.Shares)
+	if x.origin != nil {
+		x.service = x.origin.Service
+	} else {
+		x.service = pickShare(x.route.Shares)
+	}
 	x.request = dispatch.Request{
 		ID: x.caller.ID, Service: x.service, Model: x.caller.Model, Adapter: x.caller.Adapter,
 		Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
@@ -287,6 +295,9 @@
 	if pool, ok := x.server.cfg.Catalog().Catalog.Services[x.service]; !ok || pool.Engine == nil {
 		x.request.Model, x.request.Adapter = "", ""
 	}
+	if x.origin != nil {
+		x.request.Pinned, x.request.Version = true, x.origin.Version
+	}
 	if x.forwardedBy == "" {
 		// The host that forwards a request has counted it.
 		x.server.cfg.Budget.RecordRequest(x.service)
--- a/ingress/share.go
+++ b/ingress/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"tamarackknot.example/tamarackknot"
 )
@@ -20,3 +21,8 @@
 	}
 	return shares[len(shares)-1].Service
 }
+
+// allows reports whether a route leads to a service.
+func allows(shares []tamarackknot.Share, service string) bool {
+	return slices.ContainsFunc(shares, func(s tamarackknot.Share) bool { return s.Service == service })
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -50,9 +50,6 @@
 // serveStream relays a stream event by event and resumes it at another endpoint
 // if the route allows it.
 func (x *exchange) serveStream() {
-	if !x.findOrigin() {
-		return
-	}
 	lastEvent := x.caller.LastEvent
 	var failure *bufferedResponse
 	for {
