Test that a request which crosses the close of its connection does not run

Callers saw a request run whose answer could not be sent; many connections are closed at once when a configuration lowers the idle timeout.

Evidence: with the check in callerConn.Read taken out, the first case of TestRequestThatCrossesClose fails (the request ran) and ends the test.

--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -113,3 +114,56 @@
 		})
 	}
 }
+
+// crossingConn is a connection on which a request arrives just before the server closes it.
+type crossingConn struct {
+	net.Conn
+	arrive func()
+	closed atomic.Bool
+}
+
+func (c *crossingConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.arrive()
+	}
+	return c.Conn.Close()
+}
+
+// TestRequestThatCrossesClose guards against a request that runs although its connection has
+// been chosen to be closed, so that its answer can't be sent.
+func TestRequestThatCrossesClose(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	for name, end := range map[string]func(ctx context.Context, c *ConnTimeouts) error{
+		"idle for too long":   func(_ context.Context, c *ConnTimeouts) error { c.sweep(time.Now().Add(time.Hour)); return nil },
+		"the host shuts down": func(ctx context.Context, c *ConnTimeouts) error { return c.WaitAnswered(ctx) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				served := 0
+				c := NewConnTimeouts(func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{IdleTimeout: time.Minute} })
+				s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					served++
+					w.WriteHeader(http.StatusNoContent)
+				})}
+				l := make(pipeListener)
+				go func() { _ = s.Serve(c.Watch(s, l)) }()
+				client, server := net.Pipe()
+				in := bufio.NewReader(client)
+				l <- &crossingConn{Conn: server, arrive: func() {
+					_, err := io.WriteString(client, request)
+					require.NoError(t, err)
+					time.Sleep(time.Second)
+				}}
+				_, err := io.WriteString(client, request)
+				require.NoError(t, err)
+				_, err = http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				time.Sleep(2 * newConnTime)
+				require.NoError(t, end(t.Context(), c))
+				synctest.Wait()
+				require.Equal(t, 1, served, "requests that ran")
+				require.NoError(t, s.Close())
+			})
+		})
+	}
+}
