Give up a silent endpoint only when another one can go on

Cause: after a pause a resumable stream ended its attempt first and asked later whether the retry budget, the other endpoints and the shutdown of the host allowed another one. If not, the answer of a sound endpoint was thrown away. Endpoints that are silent together stall many streams at once.

Change: the attempt ends once another endpoint can take the stream and the retry is allowed; until then it goes on.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -495,6 +495,19 @@
 	return d.canContinue(req)
 }
 
+// CanServe reports whether an endpoint can take a request at once.
+func (d *Dispatcher) CanServe(req *Request) bool {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.turnedAway(req, now) != nil {
+		return false
+	}
+	d.expireOthers(now)
+	best, _, _ := d.best(req, now)
+	return best != nil
+}
+
 // canContinue is CanContinue with d.mu held.
 func (d *Dispatcher) canContinue(req *Request) bool {
 	return slices.ContainsFunc(d.byService[req.Service], func(e *endpoint) bool {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -128,7 +128,10 @@
 		return true
 	}
 	hosts := x.server.cfg.HostCount()
-	retry, d := x.server.cfg.Budget.AllowRetry(x.service, hosts)
+	retry, d := x.retry, dispatch.RetryDecision{Allowed: true}
+	if retry == nil {
+		retry, d = x.server.cfg.Budget.AllowRetry(x.service, hosts)
+	}
 	event := "retrying request"
 	if !d.Allowed {
 		event = "retry denied"
--- a/ingress/shutdown_test.go
+++ b/ingress/shutdown_test.go
@@ -183,7 +183,7 @@
 	}
 }
 
-// fill takes all places of the endpoints.
+// fill leaves the endpoints one place each, and takes all.
 func (h *harness) fill(t *testing.T) {
 	t.Helper()
 	for id, e := range h.entries {
@@ -191,6 +191,12 @@
 		h.entries[id] = e
 	}
 	h.setVersions("1")
+	h.takeAll(t)
+}
+
+// takeAll takes all places of the listed endpoints.
+func (h *harness) takeAll(t *testing.T) {
+	t.Helper()
 	for {
 		ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(50*time.Millisecond))
 		g, _ := h.dispatcher.Acquire(ctx, &dispatch.Request{Service: "s", Deadline: time.Now().Add(time.Minute)})
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -20,11 +19,6 @@
 	// eventWriteTimeout limits the write of one event, so that a caller that
 	// stops reading does not occupy an endpoint's slot.
 	eventWriteTimeout = 3 * time.Second
-	// A resumable stream moves to another endpoint after a pause of
-	// minStallTimeout or stallTimeoutGaps gap objectives of the route,
-	// whichever is longer. Both values are well above the pauses of a busy endpoint.
-	minStallTimeout  = 2 * time.Second
-	stallTimeoutGaps = 8
 	// eventBufferBytes is the size of the read buffer; longer lines are read in
 	// parts.
 	eventBufferBytes = 4 << 10
@@ -108,8 +102,8 @@
 func (x *exchange) attemptStream(g *dispatch.Grant, lastEvent *string) (outcome, *bufferedResponse) {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	stall := x.startStallTimer(cancel)
-	defer stall.Stop()
+	stall := x.watchStall(g, cancel)
+	defer func() { x.retry = stall.stop() }()
 	resp, err := x.send(ctx, g.Endpoint, tamarackknot.EndpointAttempt{
 		Endpoint: g.Endpoint.ID, Deadline: x.deadline, Urgency: urgency(x.route.Priority), LastEvent: *lastEvent,
 	})
@@ -124,18 +118,14 @@
 		return x.readStreamFailure(g, resp)
 	}
 	var p progress
-	movable := false
 	err = x.copyEvents(resp, lastEvent, func() {
 		g.Started()
 		if p.events == 0 {
-			movable = x.pin(g)
+			x.pin(g)
+			stall.setNext(g)
 		}
 		x.recordEvent(g, &p)
-		if movable {
-			stall.Reset(x.stallTimeout())
-		} else {
-			stall.Stop()
-		}
+		stall.eventReceived()
 	})
 	if err == nil && p.events == 0 && *lastEvent == "" {
 		err = errNoEvent
@@ -189,30 +179,10 @@
 }
 
 // pin restricts the stream, whose first event an endpoint sent, to the version of that
-// endpoint's software: what two versions write does not fit together. It reports whether
-// another endpoint could go on.
-func (x *exchange) pin(g *dispatch.Grant) bool {
+// endpoint's software: what two versions write does not fit together.
+func (x *exchange) pin(g *dispatch.Grant) {
 	x.request.Pinned, x.request.Version = true, g.Endpoint.Version
 	x.recordOrigin()
-	other := x.request
-	other.Exclude = append(slices.Clone(other.Exclude), g.Endpoint.ID)
-	return x.server.cfg.Dispatch.CanContinue(&other)
-}
-
-// startStallTimer returns a timer that cancels the attempt if the endpoint
-// stalls and the stream can resume at another one. It must be reset after each
-// event.
-func (x *exchange) startStallTimer(cancel context.CancelFunc) *time.Timer {
-	if !x.route.Resumable || x.possibleRuns+1 >= x.route.Attempts {
-		return time.AfterFunc(time.Until(x.deadline), func() {})
-	}
-	return time.AfterFunc(x.stallTimeout(), cancel)
-}
-
-// stallTimeout returns the pause after which a resumable stream moves to another
-// endpoint.
-func (x *exchange) stallTimeout() time.Duration {
-	return max(minStallTimeout, stallTimeoutGaps*x.route.GapObjective)
 }
 
 // readStreamFailure reads an endpoint's error response, which is not a stream.
