Bound the memory of all answers that are buffered

What callers saw elsewhere (a report of operators): an endpoint sent bytes without end, and the host ran out of memory. Here one answer was bounded, by 8 MB, all together were not: 16 kept 135 MB of the 284 MB of a host.

Cause: a limit for each answer and none for their sum.

Change: beyond 64 KB each, all answers and events share 16 MB; one that finds none left is given up.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -26,9 +26,6 @@
 	maxIdleConnsPerEndpoint = 8
 	// maxResponseHeaderBytes limits the headers of a response.
 	maxResponseHeaderBytes = 64 << 10
-	// maxBufferedResponse limits the body, in bytes, of a response that is read
-	// completely before it is sent to the caller.
-	maxBufferedResponse = 8 << 20
 	// responseGrace is how long after the deadline sent to an endpoint its
 	// response is still awaited, because the response tells whether the request
 	// ran.
@@ -155,6 +152,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// release returns the memory of the body.
+	release func()
 }
 
 // attempt sends the request to an endpoint and reads the complete response.
@@ -169,14 +168,14 @@
 	if o, ok := x.checkResponseHeader(g, resp); !ok {
 		return o, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
-	if err != nil || len(body) > maxBufferedResponse {
+	body, release, err := x.server.buffers.readAll(resp.Body)
+	if err != nil {
 		g.Done(dispatch.ResultFailed)
 		x.recordLost(g, progress{}, err)
 		x.lastErr = "the endpoint broke off its answer"
 		return x.adjustOutcome(outcomeUnknown), nil
 	}
-	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, release: release}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		g.Done(dispatch.ResultFailed)
 		x.server.cfg.Crashes.RecordAlive(g.Endpoint)
@@ -218,7 +217,6 @@
 }
 
 // recordLost records that the endpoint did not complete its answer, which has come so far.
-// err is nil if the answer is too long.
 func (x *exchange) recordLost(g *dispatch.Grant, p progress, err error) {
 	x.server.cfg.Logger.Info("answer lost", "request", x.caller.ID, "service", x.service, "model", x.caller.Model,
 		"content", x.request.Content, "parts", strings.Join(x.caller.Parts, ","), "endpoint", g.Endpoint.ID, "born", g.Endpoint.Born.UnixMilli(),
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -32,6 +32,7 @@
 		return
 	}
 	var failure *bufferedResponse
+	defer func() { failure.discard() }()
 	for {
 		g, refusal := x.acquire()
 		if g == nil && x.servedElsewhere(refusal) {
@@ -45,8 +46,10 @@
 		switch o {
 		case outcomeDone:
 			x.relay(resp)
+			resp.discard()
 			return
 		case outcomeFailed:
+			failure.discard()
 			failure = resp
 		case outcomeCallerGone:
 			x.abortCallerGone()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -94,6 +94,7 @@
 	cut         context.Context
 	cutNow      context.CancelFunc
 	failedDials atomic.Int64 // failed connections to endpoints since the last success
+	buffers     bufferSpace
 	counters    counters
 }
 
@@ -114,7 +115,7 @@
 	if cfg.VersionsKnown == nil {
 		cfg.VersionsKnown = func(context.Context) bool { return true }
 	}
-	s := &Server{cfg: cfg, counters: newCounters(cfg.Metrics)}
+	s := &Server{cfg: cfg, counters: newCounters(cfg.Metrics), buffers: newBufferSpace()}
 	s.onceTransport, s.keepAliveTransport = newTransport(s.dialEndpoint, false), newTransport(s.dialEndpoint, true)
 	s.hostTransport = newTransport(cfg.Dial, false)
 	s.cut, s.cutNow = context.WithCancel(context.Background())
