Let only events of a stream go on with it

Cause: whatever an endpoint answered with status 200 was relayed as events, also when it was to go on after another one. An answer without a length that ended with its connection before its first event counted as the end.

Change: the first event of an endpoint that goes on has fields only and a later id; an end without an event has to be marked by the answer. A line longer than the read buffer is one line (TestLongLineOfEvent).

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -46,6 +46,7 @@
 func (x *exchange) serveStream() {
 	lastEvent := x.caller.LastEvent
 	var failure *bufferedResponse
+	defer func() { failure.discard() }()
 	for {
 		g, refusal := x.acquire()
 		if g == nil && x.servedElsewhere(refusal) {
@@ -68,6 +69,7 @@
 			x.endCut()
 			return
 		case outcomeFailed:
+			failure.discard()
 			failure = resp
 		case outcomeTimedOut:
 			x.endFailedStream(nil, failure)
@@ -187,7 +189,7 @@
 
 // readStreamFailure reads an endpoint's error response, which is not a stream.
 func (x *exchange) readStreamFailure(g *dispatch.Grant, resp *http.Response) (outcome, *bufferedResponse) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
+	body, release, err := x.server.buffers.readAll(resp.Body)
 	if err != nil {
 		g.Done(dispatch.ResultFailed)
 		x.lastErr = "the endpoint broke off its answer"
@@ -195,7 +197,7 @@
 	}
 	g.Done(dispatch.ResultFailed)
 	x.lastErr = "the endpoint answered with a failure"
-	return outcomeFailed, &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	return outcomeFailed, &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, release: release}
 }
 
 // urgency maps a route's priority to the endpoints' range of 0 (first) to 9.
@@ -223,41 +225,67 @@
 	rc := http.NewResponseController(x.w)
 	// A deadline left in place would fail later responses on the connection.
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	space := reservation{space: x.server.buffers}
+	defer space.release()
+	id, check := *lastEvent, continuation{last: *lastEvent}
 	var event []byte
-	id := *lastEvent
 	for {
-		line, err := in.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return errLongEvent
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
+		var err error
+		event, id, err = readEvent(in, event[:0], id, &space)
+		if errors.Is(err, io.EOF) {
+			return x.endOfEvents(rc, resp, event, &check)
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
-				return x.writeEvent(rc, resp.Header, event)
-			}
-			if errors.Is(err, io.EOF) {
-				return errPartialEvent
-			}
 			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			if v, ok := eventID(line); ok {
-				id = v
-			}
-			continue
+		if !check.follows(event, id) {
+			return errOtherAnswer
 		}
 		if err := x.writeEvent(rc, resp.Header, event); err != nil {
 			return err
 		}
 		*lastEvent = id
-		event = event[:0]
 		eventSent()
 	}
 }
 
+// endOfEvents handles the end of a stream after its last event, with what follows that.
+func (x *exchange) endOfEvents(rc *http.ResponseController, resp *http.Response, rest []byte, check *continuation) error {
+	switch {
+	case len(bytes.TrimSpace(rest)) > 0:
+		return errPartialEvent
+	case !check.mayEnd(resp):
+		return errNoEvent
+	default:
+		return x.writeEvent(rc, resp.Header, rest)
+	}
+}
+
+// readEvent appends the next event to a buffer and returns it with its id, or the one before
+// if it has none. With io.EOF it returns what follows the last event.
+func readEvent(in *bufio.Reader, event []byte, id string, space *reservation) ([]byte, string, error) {
+	begin := 0 // of the line in event
+	for {
+		part, err := in.ReadSlice('\n')
+		event = append(event, part...)
+		line := event[begin:]
+		switch {
+		case len(event) > maxEventBytes || !space.hold(len(event)):
+			return event, id, errLongEvent
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return event, id, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return event, id, nil
+		}
+		if v, ok := eventID(line); ok {
+			id = v
+		}
+		begin = len(event)
+	}
+}
+
 func eventID(line []byte) (string, bool) {
 	s, ok := strings.CutPrefix(string(line), "id:")
 	return strings.TrimSpace(s), ok
