Count the orders of an earlier process when its successor releases the lease

Cause: a process that took the lease after its host's own earlier record set the time of the last order as if none had been sent within the gap, and told the next holder so when it released the lease.

Change: after a record of an earlier process of the host, the start of the process counts as the time of the last order; it is never set back.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -532,7 +532,7 @@
 		// If only the answer was lost, the next check finds a record of this host.
 		return jitter
 	}
-	e.acquired(now, after, gap, holderMayOrder)
+	e.acquired(now, after, gap, newest, holderMayOrder)
 	return renewInterval
 }
 
@@ -596,15 +596,20 @@
 }
 
 // acquired records that this host took the lease with the record before end, and
-// may order after the gap. holderMayOrder is as that of the earlier holder.
-func (e *Elector) acquired(now time.Duration, end tamarackknot.Position, gap time.Duration, holderMayOrder bool) {
+// may order after the gap. holderMayOrder is as that of the holder with the newest record
+// before; newest is nil if there was none.
+func (e *Elector) acquired(now time.Duration, end tamarackknot.Position, gap time.Duration, newest *record, holderMayOrder bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.held, e.fence, e.end = true, fenceAt(end), end
 	e.renewedAt, e.attemptedAt, e.validUntil, e.failing = now, now, now+leaseTTL, false
 	e.acknowledgedAt, e.hostsReadAt = -maxPromised, -maxPromised
 	e.ordersFrom = now + gap
-	e.lastOrderAt = e.ordersFrom - e.firstOrderGap(0)
+	e.lastOrderAt = max(e.lastOrderAt, e.ordersFrom-e.firstOrderGap(0))
+	if newest != nil && newest.Holder == e.cfg.Host && newest.Incarnation != e.cfg.Incarnation {
+		// The record does not tell when the earlier process of this host sent its last order.
+		e.lastOrderAt = max(e.lastOrderAt, e.startedAt)
+	}
 	if e.promised && holderMayOrder {
 		// A promise may have been given while the record was on its way.
 		e.keepPromise()
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -228,6 +228,66 @@
 	requireGapAfterRelease(t, "b", "2")
 }
 
+// TestReleaseAfterRestart guards against a host that orders within the gap after a process
+// whose successor on the same host released the lease: the successor does not know of the
+// orders of the one before.
+func TestReleaseAfterRestart(t *testing.T) {
+	cases := map[string]struct {
+		released bool // by the first process, otherwise it is killed
+		orders   bool // of the second process
+		held     time.Duration
+		atMost   time.Duration // after the last order
+	}{
+		"killed, released at once":               {false, false, 0, 5 * time.Second},
+		"killed, released within the gap":        {false, false, 1300 * time.Millisecond, 5 * time.Second},
+		"killed, released after the gap":         {false, false, 4 * time.Second, 7 * time.Second},
+		"killed, the successor orders":           {false, true, time.Second, 5 * time.Second},
+		"released, then released again at once":  {true, false, 0, 5 * time.Second},
+		"released, then released within the gap": {true, false, time.Second, 5 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(false)
+				var lastOrder time.Time
+				order := func(e *Elector) {
+					_, ended, ok := e.BeginOrder()
+					require.True(t, ok)
+					ended()
+					lastOrder = time.Now()
+				}
+				first := h.elector("a", "1")
+				stop := h.run(t, first)
+				time.Sleep(2 * time.Second)
+				order(first)
+				if tc.released {
+					first.Release(t.Context())
+				}
+				stop()
+				time.Sleep(300 * time.Millisecond)
+				second := h.elector("a", "2")
+				stop = h.run(t, second)
+				for !mayOrder(second) {
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(tc.held)
+				if tc.orders {
+					order(second)
+				}
+				second.Release(t.Context())
+				stop()
+				next := h.elector("b", "1")
+				defer h.run(t, next)()
+				for !mayOrder(next) {
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.GreaterOrEqual(t, time.Since(lastOrder), 3*time.Second)
+				require.Less(t, time.Since(lastOrder), tc.atMost)
+			})
+		})
+	}
+}
+
 // requireGapAfterRelease lets host a order and release the lease, b take it and release it
 // within the gap, and requires that the next process waits for the gap after a's order.
 func requireGapAfterRelease(t *testing.T, host, incarnation string) {
