Believe removals when only this host was away from the store

It took its own absence for the store's.

With the evidence left unused four cases of TestRemovalAfterAbsence fail.

Change: the planner says since when its reads have not failed, in a field that the build before leaves out and ignores; and endpoints that have written their entries as often as they should show that the store was there. Either ends the doubt.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -53,8 +53,11 @@
 	// Decode decodes an entry; the time is that of the read.
 	Decode func(tamarackknot.KeyedRecord, time.Time) (tamarackknot.EndpointEntry, error)
 	// RecoveryTime is how long after a failed read disappearing entries are kept
-	// for a grace period.
+	// for a grace period, unless the store was there all the while.
 	RecoveryTime time.Duration
+	// Heartbeat is about how often endpoints write their entries. Zero means that it is not
+	// known.
+	Heartbeat time.Duration
 	// PlannerState returns the planner's position in the list; ok is false while
 	// there is no other host that is a live planner. While it is fresh, this host
 	// reads changes with ReadHost instead of reading the store. Nil means that there
@@ -97,9 +100,16 @@
 	entries      map[string]tamarackknot.EndpointEntry
 	missingUntil map[string]time.Time // disappeared entries, with the end of their grace period
 	rejected     map[string]string    // reasons already logged, by key
-	failedAt     time.Time            // last failed read
-	synced       bool
-	next         tamarackknot.Position
+	failedAt     time.Time            // last failed read; zero if the store was there all the while
+	// readableSince is since when reads of the store have not failed; zero before the first
+	// one. currentAt is when the list was last known to be current, awayFrom when it was
+	// before the failed reads.
+	readableSince time.Time
+	currentAt     time.Time
+	awayFrom      time.Time
+	restoredAt    time.Time // when the list was read after a restore of the store
+	synced        bool
+	next          tamarackknot.Position
 	// confirmFrom is the end of the list when it was first read after a restore of
 	// the store. A record before it that names an unknown endpoint may describe
 	// one that has left, so it is ignored until the endpoint writes again.
@@ -161,7 +171,7 @@
 func (w *Watcher) State() tamarackknot.StreamState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return tamarackknot.StreamState{Version: w.version, ReadAt: w.readAt}
+	return tamarackknot.StreamState{Version: w.version, ReadAt: w.readAt, ReadableSince: w.readableSince}
 }
 
 // IsCurrent reports whether this host has applied the list of a planner that has read it
@@ -215,6 +225,7 @@
 	if !ok {
 		return false
 	}
+	w.trustPlanner()
 	w.mu.Lock()
 	synced, next := w.synced, w.next
 	// An entry that changes on this host only, because the planner knew more of it
@@ -225,7 +236,7 @@
 		return false
 	}
 	if current {
-		w.Apply(nil, time.Now())
+		w.setCurrent(time.Now())
 		return true
 	}
 	page, err := w.cfg.ReadHost(ctx, newest.planner, next, w.isKnown)
@@ -239,6 +250,52 @@
 	return w.applyPage(page)
 }
 
+// trustPlanner ends the doubt about removals if the planner has read the store without a
+// failure since before this host could not: it was only this host that was away.
+func (w *Watcher) trustPlanner() {
+	state, _, ok := w.cfg.PlannerState()
+	if !ok || state.ReadableSince.IsZero() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.failedAt.IsZero() && state.ReadableSince.Before(w.awayFrom) {
+		w.endDoubt("planner")
+	}
+}
+
+// trustHeartbeats ends the doubt about removals if some endpoint has written its entry as
+// often as in the time since the failed reads began: it could reach the store all the while.
+// The page was read from the store. w.mu is held.
+func (w *Watcher) trustHeartbeats(page tamarackknot.StreamPage, now time.Time) {
+	if w.failedAt.IsZero() || w.awayFrom.IsZero() || w.cfg.Heartbeat <= 0 || page.Relayed || page.Full {
+		return
+	}
+	written := make(map[string]int)
+	most := 0
+	for _, rec := range page.Records {
+		written[rec.Key]++
+		most = max(most, written[rec.Key])
+	}
+	if time.Duration(most)*w.cfg.Heartbeat >= now.Sub(w.awayFrom) {
+		w.endDoubt("heartbeats")
+	}
+}
+
+// endDoubt takes the store as there all the while. w.mu is held.
+func (w *Watcher) endDoubt(by string) {
+	w.cfg.Logger.Info("store was available while this host could not read it", "failedMsAgo", time.Since(w.failedAt).Milliseconds(), "shownBy", by)
+	w.failedAt = time.Time{}
+}
+
+// setCurrent records that the list is current, and applies what has expired.
+func (w *Watcher) setCurrent(now time.Time) {
+	w.mu.Lock()
+	w.currentAt = now
+	w.mu.Unlock()
+	w.Apply(nil, now)
+}
+
 // applyPage applies a page that continues the list, and reports whether it did.
 func (w *Watcher) applyPage(page tamarackknot.StreamPage) bool {
 	if page.Full {
@@ -248,9 +305,12 @@
 	if page.Next.Compare(w.next) > 0 {
 		w.next = page.Next
 	}
+	now := time.Now()
+	w.trustHeartbeats(page, now)
 	w.recordRead(page)
+	w.currentAt = now
 	w.mu.Unlock()
-	w.Apply(page.Records, time.Now())
+	w.Apply(page.Records, now)
 	return true
 }
 
@@ -325,14 +385,28 @@
 func (w *Watcher) recordFailure() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failedAt = time.Now()
+	now := time.Now()
+	if !w.isRecent(w.failedAt, now) {
+		w.awayFrom = w.currentAt
+	}
+	w.failedAt, w.readableSince = now, time.Time{}
+}
+
+// isRecent reports whether disappearing entries are kept after what happened at a time. w.mu
+// is held.
+func (w *Watcher) isRecent(at, now time.Time) bool {
+	return !at.IsZero() && now.Sub(at) < w.cfg.RecoveryTime
 }
 
 // recordRead updates readAt after a read of the list. A relayed read does not
 // count, because the other host may follow this one. w.mu is held.
 func (w *Watcher) recordRead(page tamarackknot.StreamPage) {
-	if !page.Relayed {
-		w.readAt = time.Now()
+	if page.Relayed {
+		return
+	}
+	w.readAt = time.Now()
+	if w.readableSince.IsZero() {
+		w.readableSince = w.readAt
 	}
 }
 
@@ -398,12 +472,13 @@
 	if restored {
 		w.readBefore = min(w.next.Offset, w.confirmFrom)
 		w.version++
-		w.failedAt = now
+		w.restoredAt = now
 		w.cfg.Logger.Info("endpoint list read again after a restore of the store", "eraBefore", w.next.Era, "era", page.Next.Era,
 			"listed", len(page.Records), "missing", len(w.missingUntil))
 	}
 	w.synced, w.next = true, page.Next
 	w.recordRead(page)
+	w.currentAt = now
 	w.mu.Unlock()
 	w.Apply(append(page.Records, missing...), now)
 	return true
@@ -513,7 +588,7 @@
 	if !known {
 		return false
 	}
-	if !w.failedAt.IsZero() && now.Sub(w.failedAt) < w.cfg.RecoveryTime && e.State == tamarackknot.EndpointReady {
+	if (w.isRecent(w.failedAt, now) || w.isRecent(w.restoredAt, now)) && e.State == tamarackknot.EndpointReady {
 		w.keepMissing(id, now)
 		return false
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -16,6 +16,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/fake"
+	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
 func decode(rec tamarackknot.KeyedRecord, _ time.Time) (tamarackknot.EndpointEntry, error) {
@@ -120,6 +121,84 @@
 	})
 }
 
+// TestRemovalAfterAbsence guards against a host that was cut off from a store which others
+// could reach, and then keeps entries that endpoints removed; and against one that believes
+// removals after an outage of the store, in which entries expire.
+func TestRemovalAfterAbsence(t *testing.T) {
+	const (
+		heartbeat = 1200 * time.Millisecond
+		// toldTime is within how long a removal must be applied: the rest of 2 s is for the
+		// requests that are on their way.
+		toldTime = 1500 * time.Millisecond
+	)
+	cases := map[string]struct {
+		away    time.Duration
+		outage  bool          // nobody reaches the store
+		planner bool          // another host plans, and has read the store before
+		removed time.Duration // after the return
+		kept    bool
+	}{
+		"the host was away":                         {away: 3500 * time.Millisecond, removed: 500 * time.Millisecond},
+		"the host was away for long":                {away: 12 * time.Second, removed: 500 * time.Millisecond},
+		"the host was away, the planner was not":    {away: 3500 * time.Millisecond, planner: true, removed: 500 * time.Millisecond},
+		"the host was away briefly":                 {away: 1500 * time.Millisecond, removed: 500 * time.Millisecond},
+		"the store was away":                        {away: 5 * time.Second, outage: true, removed: 300 * time.Millisecond, kept: true},
+		"the store was away, entries expired there": {away: 5 * time.Second, outage: true, removed: 0, kept: true},
+		"the store was away, the planner too":       {away: 5 * time.Second, outage: true, planner: true, removed: 300 * time.Millisecond, kept: true},
+		"the store was away for two heartbeats":     {away: 2*heartbeat + 100*time.Millisecond, outage: true, removed: 300 * time.Millisecond, kept: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var plannerSince time.Time // zero while the planner is not heard
+				var store *fake.Streams
+				cfg := Config{Heartbeat: heartbeat, PlannerState: func() (tamarackknot.StreamState, string, bool) {
+					return tamarackknot.StreamState{Version: time.Now().UnixNano(), ReadAt: time.Now(), ReadableSince: plannerSince}, "p", !plannerSince.IsZero()
+				}, ReadHost: func(ctx context.Context, host string, from tamarackknot.Position, _ func(string) bool) (tamarackknot.StreamPage, error) {
+					page, err := store.Client(host).Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
+					page.Relayed = true
+					return page, err
+				}}
+				started := time.Now()
+				h, w, stop := start(t, cfg)
+				defer stop()
+				store = h.store
+				silent := false
+				ctx, cancel := context.WithCancel(t.Context())
+				for i, id := range []string{"e1", "e2", "e3", "e4"} {
+					go func() {
+						for wait.For(ctx, time.Duration(i)*heartbeat/4); ctx.Err() == nil; wait.For(ctx, heartbeat) {
+							if !silent {
+								h.put(id, tamarackknot.EndpointReady)
+							}
+						}
+					}()
+				}
+				h.put("x", tamarackknot.EndpointReady)
+				time.Sleep(4 * time.Second)
+				require.Contains(t, usable(w), "x")
+				h.store.SetDown("a", true)
+				silent = tc.outage
+				time.Sleep(tc.away)
+				h.store.SetDown("a", false)
+				silent = false
+				if tc.planner {
+					plannerSince = started
+					if tc.outage {
+						plannerSince = time.Now()
+					}
+				}
+				time.Sleep(tc.removed)
+				h.raw("x", nil)
+				time.Sleep(toldTime)
+				require.Equal(t, tc.kept, slices.Contains(usable(w), "x"))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // TestMissingEntryOfFollowers guards against grace periods of a removed entry that add up: the
 // planner's, and after it those of the hosts that follow it; and against an entry that returns
 // to the planner only.
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -200,7 +200,7 @@
 		OnChange: func(v *catalog.View) { c.dispatch.SetPools(v.Catalog.Services) },
 	})
 	c.discovery = discovery.New(discovery.Config{
-		Store: store, Decode: platform.DecodeEndpoint, RecoveryTime: s.RecoveryTime, Logger: logger,
+		Store: store, Decode: platform.DecodeEndpoint, RecoveryTime: s.RecoveryTime, Heartbeat: s.Heartbeat, Logger: logger,
 		PlannerState:     c.plannerEndpointState,
 		HasFollowers:     c.holdsLease,
 		RestoredRecently: c.storeRestoredRecently,
--- a/fleet.go
+++ b/fleet.go
@@ -137,6 +137,8 @@
 	Version int64
 	// ReadAt is when the stream was last read to its end; zero means never.
 	ReadAt time.Time
+	// ReadableSince is since when reads have not failed. Zero means that it is not known.
+	ReadableSince time.Time
 }
 
 // EngineView describes the models and the load of a model engine.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -120,13 +120,19 @@
 type streamMessage struct {
 	Version int64 `json:"v"`
 	AgeMs   int64 `json:"ageMs"` // -1: never read
+	// ReadableMs is for how long reads have not failed; 0 if the planner does not say.
+	ReadableMs int64 `json:"readableMs,omitempty"`
 }
 
 func encodeStream(s tamarackknot.StreamState, now time.Time) streamMessage {
 	if s.ReadAt.IsZero() {
 		return streamMessage{AgeMs: -1}
 	}
-	return streamMessage{Version: s.Version, AgeMs: now.Sub(s.ReadAt).Milliseconds()}
+	m := streamMessage{Version: s.Version, AgeMs: now.Sub(s.ReadAt).Milliseconds()}
+	if !s.ReadableSince.IsZero() {
+		m.ReadableMs = max(now.Sub(s.ReadableSince).Milliseconds(), 0)
+	}
+	return m
 }
 
 func decodeStream(m streamMessage, now time.Time) tamarackknot.StreamState {
@@ -134,6 +140,9 @@
 	if m.AgeMs >= 0 {
 		s.ReadAt = now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	}
+	if m.ReadableMs > 0 {
+		s.ReadableSince = now.Add(-time.Duration(m.ReadableMs) * time.Millisecond)
+	}
 	return s
 }
 
