Restore the garbage collection percentage after tests of the daemon

A daemon sets it to 400 for its process. In the test binary it stayed so for all later tests, whose clusters then took up to 16.7 GB together, seen in one run of the package; TestLargeConfigurationFaults alone takes 2.8 GB.

--- a/entry/hosted/hosted_test.go
+++ b/entry/hosted/hosted_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +46,9 @@
 		RecoveryTime: 3 * time.Second, EnginesEnforceFencing: true, RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second,
 		LoadWindow: 5 * time.Second, LoadFactor: 1.1, CPUCores: 1, AddressTTL: 5 * time.Second,
 	}}
+	// New sets it for the process; the clusters of other tests need less memory without.
+	percent := debug.SetGCPercent(100)
+	t.Cleanup(func() { debug.SetGCPercent(percent) })
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	d := New(Config{Settings: h.settings, Logger: log.New(io.Discard)})
