--- a/origin/versions_test.go
+++ b/origin/versions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,33 +21,54 @@
 // versionsHost is a host that keeps or reads the record of versions.
 type versionsHost struct {
 	*Versions
-	listed map[string][]string
+	end context.CancelFunc
+
+	mu     sync.Mutex
+	listed []string
 	keeps  bool
-	end    context.CancelFunc
 }
 
 func startVersions(ctx context.Context, store *fake.Streams, name string, first, keeps bool, listed ...string) *versionsHost {
-	h := &versionsHost{listed: map[string][]string{}, keeps: keeps}
-	h.add(map[string][]string{"s": listed})
+	h := &versionsHost{listed: listed, keeps: keeps}
 	started := time.Now()
 	h.Versions = NewVersions(VersionsConfig{
-		Store: store.Client(name), Keeps: func() bool { return h.keeps }, FirstStart: first, Memory: testMemory,
-		Listed: func() map[string][]string { return map[string][]string{"s": slices.Clone(h.listed["s"])} },
-		Add:    h.add, Clock: func() time.Duration { return time.Since(started) + time.Hour }, Logger: log.New(io.Discard),
+		Store: store.Client(name), Keeps: h.isKeeper, FirstStart: first, Memory: testMemory,
+		Listed: h.versions, Add: h.add, Clock: func() time.Duration { return time.Since(started) + time.Hour }, Logger: log.New(io.Discard),
 	})
 	ctx, h.end = context.WithCancel(ctx)
 	go h.Run(ctx)
 	return h
 }
 
+func (h *versionsHost) isKeeper() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.keeps
+}
+
+func (h *versionsHost) versions() map[string][]string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return map[string][]string{"s": slices.Clone(h.listed)}
+}
+
 func (h *versionsHost) add(versions map[string][]string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, v := range versions["s"] {
-		if !slices.Contains(h.listed["s"], v) {
-			h.listed["s"] = append(h.listed["s"], v)
+		if !slices.Contains(h.listed, v) {
+			h.listed = append(h.listed, v)
 		}
 	}
 }
 
+// set changes what the host lists and whether it keeps the record.
+func (h *versionsHost) set(keeps bool, listed ...string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.keeps, h.listed = keeps, listed
+}
+
 // TestVersions guards against a host that takes what it has listed since its start for all
 // versions that were listed lately.
 func TestVersions(t *testing.T) {
@@ -64,7 +86,7 @@
 		"the answer to the keeper's write was lost": {first: true, fault: func(s *fake.Streams, k *versionsHost) { s.LoseAnswers(1); k.add(map[string][]string{"s": {"3"}}) }, known: true, want: []string{"1", "2", "3"}},
 		"a write of an earlier keeper arrives late": {first: true, fault: func(s *fake.Streams, k *versionsHost) {
 			s.DelayAppends(tamarackknot.StreamVersions, 1, 3*time.Second)
-			k.listed["s"] = []string{"0"}
+			k.set(true, "0")
 			time.Sleep(keepInterval)
 			k.end()
 			next := startVersions(context.Background(), s, "next", false, true, "4")
@@ -72,7 +94,7 @@
 			next.end()
 		}, known: true, want: []string{"1", "2", "4"}},
 		"another writer left something": {first: true, fault: func(s *fake.Streams, k *versionsHost) {
-			k.keeps = false
+			k.set(false, "1")
 			_, _ = s.Put(context.Background(), tamarackknot.StreamVersions, versionsKey, []byte("{"))
 		}, known: false, want: []string{"2"}},
 	}
@@ -93,7 +115,7 @@
 				time.Sleep(time.Second + tc.wait)
 				reader := startVersions(ctx, store, "reader", false, false, "2")
 				require.Equal(t, tc.known, reader.Known(ctx))
-				require.ElementsMatch(t, tc.want, reader.listed["s"])
+				require.ElementsMatch(t, tc.want, reader.versions()["s"])
 				calls := store.Calls()
 				for range 100 {
 					reader.Known(ctx)
