Let the stand-ins of endpoints go on after the last event of a caller

The stand-in sent a stream that was taken up again from its beginning, which the check of what goes on with a stream now rejects, as it should: a caller would get events twice. Cause: that check came after the test, and the package was not run as a whole between.

Change: the stand-in goes on after Last-Event-Id, as endpoints do. The expectations of the test stay.

--- a/entry/hosted/serving_test.go
+++ b/entry/hosted/serving_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -242,7 +243,11 @@
 		_, _ = io.WriteString(w, plainAnswer)
 		return
 	}
-	for i := range answerEvents {
+	first := 0
+	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	for i := first; i < answerEvents; i++ {
 		if bad && i == s.crashEvents {
 			crash(asked.body)
 			panic(http.ErrAbortHandler)
