--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -150,25 +150,29 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var plannerSince time.Time // zero while the planner is not heard
-				var store *fake.Streams
+				var plannerSince atomic.Pointer[time.Time] // nil while the planner is not heard
+				var store atomic.Pointer[fake.Streams]
 				cfg := Config{Heartbeat: heartbeat, PlannerState: func() (tamarackknot.StreamState, string, bool) {
-					return tamarackknot.StreamState{Version: time.Now().UnixNano(), ReadAt: time.Now(), ReadableSince: plannerSince}, "p", !plannerSince.IsZero()
+					since := plannerSince.Load()
+					if since == nil {
+						return tamarackknot.StreamState{}, "", false
+					}
+					return tamarackknot.StreamState{Version: time.Now().UnixNano(), ReadAt: time.Now(), ReadableSince: *since}, "p", true
 				}, ReadHost: func(ctx context.Context, host string, from tamarackknot.Position, _ func(string) bool) (tamarackknot.StreamPage, error) {
-					page, err := store.Client(host).Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
+					page, err := store.Load().Client(host).Read(ctx, tamarackknot.StreamEndpoints, from, time.Now())
 					page.Relayed = true
 					return page, err
 				}}
 				started := time.Now()
 				h, w, stop := start(t, cfg)
 				defer stop()
-				store = h.store
-				silent := false
+				store.Store(h.store)
+				var silent atomic.Bool
 				ctx, cancel := context.WithCancel(t.Context())
 				for i, id := range []string{"e1", "e2", "e3", "e4"} {
 					go func() {
 						for wait.For(ctx, time.Duration(i)*heartbeat/4); ctx.Err() == nil; wait.For(ctx, heartbeat) {
-							if !silent {
+							if !silent.Load() {
 								h.put(id, tamarackknot.EndpointReady)
 							}
 						}
@@ -178,15 +182,16 @@
 				time.Sleep(4 * time.Second)
 				require.Contains(t, usable(w), "x")
 				h.store.SetDown("a", true)
-				silent = tc.outage
+				silent.Store(tc.outage)
 				time.Sleep(tc.away)
 				h.store.SetDown("a", false)
-				silent = false
+				silent.Store(false)
 				if tc.planner {
-					plannerSince = started
+					since := started
 					if tc.outage {
-						plannerSince = time.Now()
+						since = time.Now()
 					}
+					plannerSince.Store(&since)
 				}
 				time.Sleep(tc.removed)
 				h.raw("x", nil)
