Wait for the end of the server before closing it in TestShutdown

The race detector's run of ingress failed once: Serve returned "Server closed" for "use of closed network connection". Cause: the test closed the server while Serve was between the closed listener and its return, which then names the server. Change: the test waits for Serve first, which ends by itself when the listener is drained.

--- a/ingress/shutdown_test.go
+++ b/ingress/shutdown_test.go
@@ -177,8 +177,8 @@
 			}
 			require.NoError(t, <-finished)
 			require.Less(t, time.Since(started), testEnd+cutAnswerTime)
+			require.ErrorIs(t, <-served, net.ErrClosed, "the listener was closed, not the server")
 			_ = server.Close()
-			require.ErrorIs(t, <-served, net.ErrClosed)
 		})
 	}
 }
