Define workspaces, quotas and the seams for work on load and zones

Nothing changes for requests: the two new filters of ingress accept all of them, and the cost of another failure domain moves into a file of its own.

--- a/callerrequest.go
+++ b/callerrequest.go
@@ -17,6 +17,9 @@
 	Adapter string
 	// Credentials prove who the caller is; empty if it names none.
 	Credentials string
+	// Tokens is the size of the request: the tokens of its prompt and those that it may
+	// generate.
+	Tokens RequestTokens
 	// Parts are the ids of the prompt's parts in order.
 	Parts []string
 	// LastEvent is the id of the last event that the caller received of a
@@ -27,6 +30,15 @@
 	Resumes string
 }
 
+// RequestTokens is the size of a request in tokens.
+type RequestTokens struct {
+	// Known says that the caller has named the size, Malformed that it can't be read.
+	Known     bool
+	Malformed bool
+	Prompt    float64
+	Output    float64
+}
+
 // ContentID identifies what a request asks for, whichever attempt of its caller it is.
 type ContentID [8]byte
 
@@ -87,6 +99,10 @@
 	Urgency int
 	// LastEvent is the id of the event after which a stream resumes.
 	LastEvent string
+	// Authenticated says that the configuration has workspaces. The endpoint then gets the
+	// name of the caller's workspace, if it has one, and no credentials.
+	Authenticated bool
+	Workspace     string
 }
 
 // EndpointAnswer holds the metadata in the header of an endpoint's response.
--- a/catalog.go
+++ b/catalog.go
@@ -24,6 +24,9 @@
 	Routes   []Route
 	Services map[string]PoolSpec
 	Limits   CallerLimits
+	// Workspaces are those whose callers may use routes that are not anonymous. If there are
+	// none, requests need no key.
+	Workspaces []Workspace
 }
 
 // CallerLimits limits what a caller may send.
@@ -55,6 +58,8 @@
 	Attempts int
 	// Resumable says that a stream may be resumed at another endpoint.
 	Resumable bool
+	// Anonymous routes need no key.
+	Anonymous bool
 }
 
 // Share is the weight of a service in a route.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,8 +44,13 @@
 	Service string
 	Model   string
 	Adapter string
-	// Priority is that of the route; 0 is served first.
-	Priority int
+	// Workspace is that of the caller; empty if it has none. WorkspacePriority goes before
+	// Priority, which is that of the route; 0 is served first.
+	Workspace         string
+	WorkspacePriority int
+	Priority          int
+	// Tokens is the size of the request; zero if the caller names none.
+	Tokens tamarackknot.RequestTokens
 	// Objective is when the first byte of the answer is due; Deadline is when
 	// the timeout of the caller or of the route expires.
 	Objective time.Time
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -15,9 +15,6 @@
 	affinityBonus = 0.05
 	// preferredReplicaBonus is for the replica of a model that this host prefers.
 	preferredReplicaBonus = 0.12
-	// crossDomainPenalty is for an endpoint in another failure domain. It is small,
-	// so that it decides only between endpoints with nearly the same load.
-	crossDomainPenalty = 0.08
 	// prefillWeight is added for each prompt in prefill, because an engine
 	// processes prompts one after another.
 	prefillWeight = 0.08
@@ -135,9 +132,7 @@
 	if req.Model != "" {
 		s += prefillWeight * float64(e.prefilling)
 	}
-	if e.entry.FailureDomain != failureDomain {
-		s += crossDomainPenalty
-	}
+	s += domainCost(e, failureDomain)
 	return s + failurePenalty*e.decayedFailureRate(now)
 }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -9,13 +9,13 @@
 // slotTimeWeight is the weight of one request in the average time that requests take a slot.
 const slotTimeWeight = 0.1
 
-// orderWaiting orders requests by priority, then by objective. Of those for plain services,
+// orderWaiting orders requests by the priority of their workspace and that of their route, then by objective. Of those for plain services,
 // which are short, the ones that can still meet their objective come first: otherwise a queue
 // that is longer than the objective makes all of them late.
 func orderWaiting(waiting []*waiter, now time.Time) {
 	slices.SortStableFunc(waiting, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), cmp.Compare(a.req.lateness(now), b.req.lateness(now)),
-			a.req.Objective.Compare(b.req.Objective))
+		return cmp.Or(cmp.Compare(a.req.WorkspacePriority, b.req.WorkspacePriority), cmp.Compare(a.req.Priority, b.req.Priority),
+			cmp.Compare(a.req.lateness(now), b.req.lateness(now)), a.req.Objective.Compare(b.req.Objective))
 	})
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -57,6 +57,10 @@
 	Dispatch      *dispatch.Dispatcher
 	Budget        *dispatch.RetryBudget
 	Dialect       tamarackknot.Dialect
+	// Authenticator finds the workspaces of callers, and Quotas holds their quotas. Nil means
+	// that no request needs a key, or that there are no quotas.
+	Authenticator tamarackknot.Authenticator
+	Quotas        tamarackknot.Quotas
 	// Origins keeps the origins of resumable streams.
 	Origins tamarackknot.StreamOrigins
 	// VersionsKnown reports whether this host knows all versions of the endpoints' software
@@ -130,7 +134,8 @@
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), forwardedBy: r.Header.Get(headerForwardedBy)}
 	r.Header.Del(headerForwardedBy)
 	for _, filter := range []func(*exchange) bool{
-		(*exchange).selectRoute, (*exchange).readHeader, (*exchange).readBody, (*exchange).findOrigin, (*exchange).chooseService,
+		(*exchange).selectRoute, (*exchange).readHeader, (*exchange).authenticate, (*exchange).readBody, (*exchange).takeQuota,
+		(*exchange).findOrigin, (*exchange).chooseService,
 	} {
 		if !filter(x) {
 			return
@@ -151,6 +156,8 @@
 	limits      tamarackknot.CallerLimits
 	route       *tamarackknot.Route
 	caller      tamarackknot.CallerRequest
+	// workspace is that of the caller; nil if the route is anonymous or there are none.
+	workspace *tamarackknot.Workspace
 	// origin is what began the stream that the caller takes up again; nil for other requests.
 	origin *tamarackknot.StreamOrigin
 	// forwardOnly says that only another host may send the request to an endpoint.
@@ -290,9 +297,15 @@
 	}
 	x.request = dispatch.Request{
 		ID: x.caller.ID, Service: x.service, Model: x.caller.Model, Adapter: x.caller.Adapter,
-		Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
+		Tokens: x.caller.Tokens, Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
 		Objective: x.arrived.Add(x.route.Objective), PromptParts: x.caller.Parts, Content: x.contentID(),
 	}
+	if x.workspace != nil {
+		x.request.Workspace = x.workspace.Name
+		if x.workspace.HasPriority {
+			x.request.WorkspacePriority = x.workspace.Priority
+		}
+	}
 	if pool, ok := x.server.cfg.Catalog().Catalog.Services[x.service]; !ok || pool.Engine == nil {
 		x.request.Model, x.request.Adapter = "", ""
 	}
