Authenticate callers by the keys of their workspaces

The configuration's tenants were passed over: endpoints ran any request and got the caller's Authorization header.

Requests on routes that are not anonymous now need a key that the configuration in force holds, and endpoints get the workspace's name in place of the key. Where revocation is strict, a host serves keys only while its configuration is known to have been the newest within the limit; the planner passes the time of its read on, counted from the report that a message answers.

--- a/catalog.go
+++ b/catalog.go
@@ -24,9 +24,12 @@
 	Routes   []Route
 	Services map[string]PoolSpec
 	Limits   CallerLimits
-	// Workspaces are those whose callers may use routes that are not anonymous. If there are
-	// none, requests need no key.
-	Workspaces []Workspace
+	// Authenticated says that requests on routes that are not anonymous need the key of one of
+	// the workspaces.
+	Authenticated bool
+	Workspaces    []Workspace
+	// Warnings name the parts of the configuration that are not valid and left out.
+	Warnings []string
 }
 
 // CallerLimits limits what a caller may send.
@@ -218,4 +221,6 @@
 	// Isolated says that the host reaches no endpoint; only in the planner's list of live
 	// hosts.
 	Isolated bool `json:"isolated,omitempty"`
+	// Workspaces says that the host takes requests from others with a proof of their key.
+	Workspaces bool `json:"workspaces,omitempty"`
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/times"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -72,7 +73,13 @@
 	MayStart func() bool
 	// OnChange is called with each version that comes into force. It may be nil.
 	OnChange func(*View)
-	Logger   *log.Logger
+	// ShortPoll says that the configuration must be confirmed often, so that a read of the
+	// store must not wait long for a change. Nil means that it never must.
+	ShortPoll func() bool
+	// Clock returns the time since boot, including the time of suspension. Nil means the
+	// system's clock.
+	Clock  func() time.Duration
+	Logger *log.Logger
 }
 
 // Watcher follows the configuration in the platform's store. The version in force
@@ -90,10 +97,16 @@
 	// next is the position after what was read of the stream, also through other hosts.
 	next   atomic.Pointer[tamarackknot.Position]
 	readAt atomic.Pointer[time.Time] // last read of the store by this host, or by another one for it
+	// lastRead is the version that was read last of the stream, in its order.
+	lastRead     atomic.Int64
+	confirmation confirmation
 }
 
 // New returns a Watcher without a configuration; Run reads the first one.
 func New(cfg Config) *Watcher {
+	if cfg.Clock == nil {
+		cfg.Clock = times.SinceBoot
+	}
 	w := &Watcher{cfg: cfg, catchUp: make(chan struct{}, 1), reading: make(chan struct{}, 1)}
 	w.next.Store(&tamarackknot.Position{})
 	return w
@@ -255,6 +268,7 @@
 }
 
 func (w *Watcher) poll(ctx context.Context, synced bool) error {
+	begun := w.cfg.Clock()
 	if !synced {
 		page, err := w.cfg.Store.Newest(ctx, tamarackknot.StreamCatalog)
 		if err != nil {
@@ -266,11 +280,11 @@
 		}
 		w.apply(page)
 		w.advance(page.Next)
-		w.recordRead(page)
+		w.recordRead(page, begun)
 		return nil
 	}
 	longPoll := readWait
-	if w.cfg.HasFollowers != nil && w.cfg.HasFollowers() {
+	if w.cfg.HasFollowers != nil && w.cfg.HasFollowers() || w.cfg.ShortPoll != nil && w.cfg.ShortPoll() {
 		longPoll = followedReadWait
 	}
 	// Hosts that follow this one wait for an answer that has begun to arrive.
@@ -284,7 +298,7 @@
 	}
 	w.apply(page)
 	w.advance(page.Next)
-	w.recordRead(page)
+	w.recordRead(page, begun)
 	if page.Relayed {
 		// Another host answers without a long poll.
 		wait.For(ctx, relayPause)
@@ -292,11 +306,16 @@
 	return nil
 }
 
-// recordRead updates readAt after a read of the stream. A relayed read does not
+// recordRead updates readAt after a read of the stream that began at a time on Clock, and
+// confirms the version that it has shown to be the newest one. A relayed read does not
 // count, because the other host may follow this one.
-func (w *Watcher) recordRead(page tamarackknot.StreamPage) {
-	if !page.Relayed {
-		w.recordAnswer()
+func (w *Watcher) recordRead(page tamarackknot.StreamPage, begun time.Duration) {
+	if page.Relayed {
+		return
+	}
+	w.recordAnswer()
+	if page.Next.Compare(page.End) >= 0 {
+		w.Confirm(w.lastRead.Load(), begun)
 	}
 }
 
@@ -315,6 +334,7 @@
 	if at := w.readAt.Load(); at != nil {
 		s.ReadAt = *at
 	}
+	s.ConfirmedAt = w.confirmation.at(s.Version)
 	return s
 }
 
@@ -326,6 +346,7 @@
 			continue
 		}
 		if c != nil {
+			w.lastRead.Store(c.Version)
 			w.offer(c, page.Relayed)
 		}
 	}
@@ -352,6 +373,9 @@
 	}
 	w.cfg.Logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services),
 		"relayed", relayed, "behindMs", w.behindFor().Milliseconds())
+	for _, warning := range c.Warnings {
+		w.cfg.Logger.Warn("part of the configuration is not valid and left out", "version", c.Version, "what", warning)
+	}
 	if c.Version >= w.observed.Load() {
 		w.behind.Store(nil)
 	}
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -26,6 +26,7 @@
 	"tamarackknot.example/tamarackknot/reach"
 	"tamarackknot.example/tamarackknot/relay"
 	"tamarackknot.example/tamarackknot/share"
+	"tamarackknot.example/tamarackknot/workspace"
 )
 
 const (
@@ -77,8 +78,9 @@
 	dial ingress.DialFunc
 	// clock returns the time since boot, including the time of suspension. Nil
 	// means the system's clock.
-	clock  func() time.Duration
-	logger *log.Logger
+	clock   func() time.Duration
+	logger  *log.Logger
+	metrics metrics.Registry
 }
 
 // components are the parts of an entry host between the platform, the engines and
@@ -101,6 +103,7 @@
 	fleet          *fleet.Client
 	planner        *planner.Controller
 	dispatch       *dispatch.Dispatcher
+	workspaces     *workspace.Authority
 	plannerStreams atomic.Pointer[plannerStreams]
 	startBy        time.Time // when a starting host stops waiting for the planner
 	planFrom       time.Time // when any host may plan at the first start
@@ -111,7 +114,7 @@
 	s := cfg.settings
 	c := &components{cfg: cfg, startBy: time.Now().Add(startTimeout), planFrom: time.Now().Add(firstPlanDelay), self: tamarackknot.HostEntry{
 		Name: s.Host, Incarnation: cfg.incarnation, FailureDomain: s.FailureDomain,
-		Address: s.CallerAddress, PeerAddress: s.PeerAddress, CPUCores: s.CPUCores,
+		Address: s.CallerAddress, PeerAddress: s.PeerAddress, CPUCores: s.CPUCores, Workspaces: true,
 	}}
 	c.store = relay.New(relay.Config{
 		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
@@ -140,8 +143,8 @@
 		Catalog: c.catalog.Current, CatalogBehind: c.catalog.IsBehind,
 		Dispatch: c.dispatch,
 		Budget:   &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Clock: c.cfg.clock},
-		Dialect:  platform.Dialect{},
-		Origins:  c.origins, VersionsKnown: c.versions.Known,
+		Dialect:  platform.Dialect{}, Authenticator: c.workspaces,
+		Origins: c.origins, VersionsKnown: c.versions.Known,
 		Crashes:   c.crashes,
 		HostCount: c.shares.Count,
 		Host:      s.Host,
@@ -196,8 +199,15 @@
 			}
 			return store.ReadNewer(ctx, host, tamarackknot.StreamCatalog)
 		},
-		MayStart: c.mayReadCatalog,
-		OnChange: func(v *catalog.View) { c.dispatch.SetPools(v.Catalog.Services) },
+		MayStart:  c.mayReadCatalog,
+		ShortPoll: c.mustConfirmCatalog, Clock: c.cfg.clock,
+		OnChange: func(v *catalog.View) {
+			c.workspaces.Set(v.Catalog)
+			c.dispatch.SetPools(v.Catalog.Services)
+		},
+	})
+	c.workspaces = workspace.New(workspace.Config{
+		ConfirmedAt: c.catalog.ConfirmedAt, Limit: c.revocationLimit(), Clock: c.cfg.clock, Logger: logger, Metrics: c.cfg.metrics,
 	})
 	c.discovery = discovery.New(discovery.Config{
 		Store: store, Decode: platform.DecodeEndpoint, RecoveryTime: s.RecoveryTime, Heartbeat: s.Heartbeat, Logger: logger,
@@ -300,6 +310,9 @@
 	}
 	// The version must be observed before mayReadCatalog relies on the planner.
 	c.catalog.ObserveVersion(catalog.Version)
+	if catalog.ConfirmedAt > 0 {
+		c.catalog.Confirm(catalog.Version, catalog.ConfirmedAt)
+	}
 	old := c.plannerStreams.Swap(streams)
 	if old == nil || old.endpoints.Version != endpoints.Version {
 		c.discovery.Refresh()
@@ -334,6 +347,9 @@
 	if streams == nil || c.fleet.Planner() == c.self.Name || !c.fleet.PlannerAlive() || time.Since(streams.catalog.ReadAt) > maxCatalogAge {
 		return false
 	}
+	if !c.confirmedByPlanner() {
+		return false
+	}
 	return c.catalogVersion() >= streams.catalog.Version || time.Since(streams.catalogSeenAt) < relayTimeout
 }
 
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -110,6 +110,7 @@
 		store:   platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
 		control: platform.NewWeightClient(platform.Config{}),
 		dial:    platform.NewDialer().DialContext,
+		metrics: d.registry,
 	})
 	d.callers = d.newCallerServer(d.registry)
 	return d
--- /dev/null
+++ b/entry/hosted/workspaces.go
@@ -0,0 +1,40 @@
+package hosted
+
+import (
+	"time"
+
+	"tamarackknot.example/tamarackknot/internal/times"
+)
+
+// maxConfirmationAge is the age of the planner's last confirmation of the configuration from
+// which a host confirms it itself. It leaves time for a read before keys are no longer served.
+const maxConfirmationAge = 2 * time.Second
+
+// revocationLimit returns how long keys are served after the configuration was last known to
+// be the newest one, 0 for any time.
+func (c *components) revocationLimit() time.Duration {
+	if !c.cfg.settings.StrictRevocation {
+		return 0
+	}
+	return c.cfg.settings.RevocationTime
+}
+
+// mustConfirmCatalog reports whether keys are served only while the configuration is confirmed
+// again and again.
+func (c *components) mustConfirmCatalog() bool {
+	catalog := c.currentCatalog()
+	return c.revocationLimit() > 0 && catalog != nil && catalog.Authenticated
+}
+
+// confirmedByPlanner reports whether this host need not confirm the configuration itself.
+func (c *components) confirmedByPlanner() bool {
+	return !c.mustConfirmCatalog() || c.now()-c.catalog.ConfirmedAt() <= maxConfirmationAge
+}
+
+// now returns the time since boot, including the time of suspension.
+func (c *components) now() time.Duration {
+	if c.cfg.clock != nil {
+		return c.cfg.clock()
+	}
+	return times.SinceBoot()
+}
--- a/fleet.go
+++ b/fleet.go
@@ -139,6 +139,9 @@
 	ReadAt time.Time
 	// ReadableSince is since when reads have not failed. Zero means that it is not known.
 	ReadableSince time.Time
+	// ConfirmedAt is the newest time since boot, including suspension, at which Version is
+	// known to have been the newest one; 0 if it never was.
+	ConfirmedAt time.Duration
 }
 
 // EngineView describes the models and the load of a model engine.
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -275,6 +275,11 @@
 	if echo >= c.startedAt && receivedAt-echo > maxExchangeTime {
 		catalog.ReadAt, endpoints.ReadAt = time.Time{}, time.Time{}
 	}
+	if m.Catalog.ConfirmedMsAgo > 0 && echo >= c.startedAt && echo <= receivedAt {
+		// The planner has sent the message after it received the report that it names, so
+		// this is never too late.
+		catalog.ConfirmedAt = max(echo-time.Duration(m.Catalog.ConfirmedMsAgo)*time.Millisecond, 0)
+	}
 	return catalog, endpoints
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -122,6 +122,9 @@
 	AgeMs   int64 `json:"ageMs"` // -1: never read
 	// ReadableMs is for how long reads have not failed; 0 if the planner does not say.
 	ReadableMs int64 `json:"readableMs,omitempty"`
+	// ConfirmedMsAgo is the time in ms since Version was known to be the newest one, rounded
+	// up; 0 if it never was, or if the planner does not say.
+	ConfirmedMsAgo int64 `json:"confirmedMsAgo,omitempty"`
 }
 
 func encodeStream(s tamarackknot.StreamState, now time.Time) streamMessage {
@@ -135,6 +138,15 @@
 	return m
 }
 
+// confirmedMsAgo returns the age of a confirmation. It must be determined after the echo of the
+// message, since the process may be suspended in between.
+func confirmedMsAgo(s tamarackknot.StreamState, now time.Duration) int64 {
+	if s.ConfirmedAt <= 0 {
+		return 0
+	}
+	return (now - s.ConfirmedAt).Milliseconds() + 1
+}
+
 func decodeStream(m streamMessage, now time.Time) tamarackknot.StreamState {
 	s := tamarackknot.StreamState{Version: m.Version}
 	if m.AgeMs >= 0 {
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -552,11 +552,13 @@
 	}
 	sentAt := p.cfg.Clock()
 	s.sends = append(s.sends[max(len(s.sends)-maxSends+1, 0):], sentMessage{s.sequence, sentAt})
+	echoMs, catalog := s.echoMs, p.cfg.Catalog()
 	m := viewMessage{
 		Fence: r.fence, Sequence: s.sequence, LeaseEnd: r.leaseEnd.Offset, LeaseEra: r.leaseEnd.Era,
-		Catalog: encodeStream(p.cfg.Catalog(), time.Now()), Endpoints: encodeStream(p.cfg.Endpoints(), time.Now()),
-		SentMs: sentAt.Milliseconds(), EchoMs: s.echoMs, Brittle: r.brittle,
+		Catalog: encodeStream(catalog, time.Now()), Endpoints: encodeStream(p.cfg.Endpoints(), time.Now()),
+		SentMs: sentAt.Milliseconds(), EchoMs: echoMs, Brittle: r.brittle,
 	}
+	m.Catalog.ConfirmedMsAgo = confirmedMsAgo(catalog, p.cfg.Clock())
 	m.MembersAgeMs = p.membersAge(r.membersReadAt)
 	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
 	if s.fence != r.fence || r.now.Sub(s.fullViewAt) >= interval {
--- a/ingress/content.go
+++ b/ingress/content.go
@@ -11,9 +11,14 @@
 // path and query, the model and the body.
 func (x *exchange) contentID() tamarackknot.ContentID {
 	h := sha256.New()
+	credentials := []byte(x.caller.Credentials)
+	if x.workspace != nil {
+		// A host that gets the request from another one does not know the key itself.
+		credentials = x.key[:]
+	}
 	var size [8]byte
 	for _, field := range [][]byte{
-		[]byte(x.service), []byte(x.caller.Credentials), []byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI),
+		[]byte(x.service), credentials, []byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI),
 		[]byte(x.caller.Model), []byte(x.caller.Adapter), x.body,
 	} {
 		// The size keeps neighbouring fields apart.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -103,6 +103,7 @@
 
 // outgoing returns the request as it is sent to an address.
 func (x *exchange) outgoing(ctx context.Context, address string, a tamarackknot.EndpointAttempt) *http.Request {
+	a.Authenticated, a.Workspace = x.authenticated, x.workspaceName()
 	req := (&http.Request{
 		Method:        x.r.Method,
 		URL:           &url.URL{Scheme: "http", Host: address, Opaque: x.r.RequestURI},
--- a/ingress/host.go
+++ b/ingress/host.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -91,6 +92,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline.Add(responseGrace))
 	defer cancel()
+	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h tamarackknot.HostEntry) bool { return !x.understands(h) })
 	for _, host := range hosts[:min(len(hosts), maxForwards)] {
 		resp, err := x.sendToHost(ctx, host)
 		switch {
@@ -150,6 +152,9 @@
 func (x *exchange) sendToHost(ctx context.Context, host tamarackknot.HostEntry) (*http.Response, error) {
 	req := x.outgoing(ctx, host.Address, tamarackknot.EndpointAttempt{Deadline: x.deadline})
 	req.Header.Set(headerForwardedBy, x.server.cfg.Host)
+	if x.workspace != nil {
+		req.Header.Set(headerProof, x.server.cfg.Authenticator.Prove(x.key, x.provenMessage()))
+	}
 	x.sentAt = time.Now()
 	return x.server.hostTransport.RoundTrip(req)
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -87,6 +87,11 @@
 		}
 		return nil, refusal
 	}
+	if d := x.checkKey(); d != tamarackknot.AuthGranted {
+		g.Done(dispatch.ResultDisconnected)
+		x.waits = x.waits.Add(g.Waits)
+		return nil, keyRefusal(d)
+	}
 	x.endpoint = g.Endpoint.ID
 	x.waits = x.waits.Add(g.Waits)
 	x.server.counters.waited.Update(g.Waits.Total().Milliseconds())
@@ -169,6 +174,8 @@
 		x.abortCallerGone()
 	case failure != nil:
 		x.relay(failure)
+	case x.possibleRuns == 0 && x.checkKey() == tamarackknot.AuthUnknown:
+		x.failUnauthorized("the key has been taken away")
 	case x.possibleRuns == 0 && refusal != nil:
 		if x.forwardedBy != "" && x.server.cfg.Dispatch.Leaving(x.deadline) != nil {
 			// Another host may serve it.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -158,6 +158,9 @@
 	caller      tamarackknot.CallerRequest
 	// workspace is that of the caller; nil if the route is anonymous or there are none.
 	workspace *tamarackknot.Workspace
+	key       tamarackknot.KeyHash // of the caller, if it has a workspace
+	// authenticated says that the configuration has workspaces.
+	authenticated bool
 	// origin is what began the stream that the caller takes up again; nil for other requests.
 	origin *tamarackknot.StreamOrigin
 	// forwardOnly says that only another host may send the request to an endpoint.
@@ -199,7 +202,7 @@
 		x.refuse("no configuration is known yet", x.arrived.Add(noConfigRetryDelay))
 		return false
 	}
-	x.version, x.limits = view.Catalog.Version, view.Catalog.Limits
+	x.version, x.limits, x.authenticated = view.Catalog.Version, view.Catalog.Limits, view.Catalog.Authenticated
 	x.route = view.Route(x.r.Host, x.r.URL.EscapedPath())
 	if x.route == nil && x.server.cfg.CatalogBehind() {
 		x.caller, _ = x.server.cfg.Dialect.Request(x.r.Header) // for the log only
@@ -364,7 +367,7 @@
 		route, objective, gapObjective = x.route.Name, x.route.Objective, x.route.GapObjective
 	}
 	all := append([]any{
-		"request", x.caller.ID, "route", route, "version", x.version, "model", x.caller.Model, "adapter", x.caller.Adapter,
+		"request", x.caller.ID, "route", route, "version", x.version, "workspace", x.workspaceName(), "model", x.caller.Model, "adapter", x.caller.Adapter,
 		"prompt", lastPart(x.caller.Parts), "endpoint", x.endpoint, "sent", x.sent, "ran", x.possibleRuns,
 		"ms", time.Since(x.arrived).Milliseconds(), "objectiveMs", objective.Milliseconds(), "gapObjectiveMs", gapObjective.Milliseconds(),
 	}, kv...)
--- a/ingress/workspace.go
+++ b/ingress/workspace.go
@@ -1,4 +1,116 @@
 package ingress
 
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/dispatch"
+)
+
+const (
+	// headerProof shows another host which key the caller of a forwarded request has.
+	headerProof = "Entry-Workspace-Proof"
+	// uncertainRetryDelay is the Retry-After of a request whose key can't be checked since this
+	// host does not know whether its configuration is the newest.
+	uncertainRetryDelay = 500 * time.Millisecond
+	bearerScheme        = "Bearer"
+)
+
+// errUncertain is why the key of a request can't be checked.
+var errUncertain = errors.New("it is not known whether the configuration is the newest")
+
+// needsKey reports whether the request needs the key of a workspace.
+func (x *exchange) needsKey() bool { return x.authenticated && !x.route.Anonymous }
+
 // authenticate finds the caller's workspace. It returns false after an answer.
-func (*exchange) authenticate() bool { return true }
+func (x *exchange) authenticate() bool {
+	proof := x.r.Header.Get(headerProof)
+	x.r.Header.Del(headerProof)
+	if !x.needsKey() {
+		return true
+	}
+	if x.server.cfg.Authenticator == nil {
+		x.refuse("this host can't check keys", time.Time{})
+		return false
+	}
+	key, ok := x.callerKey(proof)
+	if !ok {
+		x.failUnauthorized("the request has no key")
+		return false
+	}
+	w, decision := x.server.cfg.Authenticator.Authenticate(x.r.Context(), key)
+	if decision != tamarackknot.AuthGranted {
+		x.failKey(decision)
+		return false
+	}
+	x.workspace, x.key = w, key
+	return true
+}
+
+// callerKey returns the hash of the caller's key, also of a request that another host has
+// forwarded.
+func (x *exchange) callerKey(proof string) (key tamarackknot.KeyHash, ok bool) {
+	scheme, text, _ := strings.Cut(x.caller.Credentials, " ")
+	if text = strings.TrimSpace(text); text != "" && strings.EqualFold(scheme, bearerScheme) {
+		return tamarackknot.HashKey(text), true
+	}
+	if x.forwardedBy == "" || proof == "" {
+		return key, false
+	}
+	return x.server.cfg.Authenticator.FindProven(proof, x.provenMessage())
+}
+
+// provenMessage returns what of a request a proof belongs to.
+func (x *exchange) provenMessage() string {
+	return strings.Join([]string{x.caller.ID, x.r.Method, x.r.Host, x.r.RequestURI}, "\n")
+}
+
+// checkKey repeats the check of the caller's key before the request is sent. The decision is
+// AuthGranted if it needs none.
+func (x *exchange) checkKey() tamarackknot.AuthDecision {
+	if x.workspace == nil {
+		return tamarackknot.AuthGranted
+	}
+	return x.server.cfg.Authenticator.Check(x.key)
+}
+
+// keyRefusal returns the refusal of a request whose key did not hold any more when it was to be
+// sent.
+func keyRefusal(d tamarackknot.AuthDecision) *dispatch.Refusal {
+	r := &dispatch.Refusal{Reason: "the key has been taken away"}
+	if d == tamarackknot.AuthUncertain {
+		r.Reason, r.RetryAt = errUncertain.Error(), time.Now().Add(uncertainRetryDelay)
+	}
+	return r
+}
+
+// failKey answers a request whose key does not hold, or can't be checked.
+func (x *exchange) failKey(d tamarackknot.AuthDecision) {
+	if d == tamarackknot.AuthUnknown {
+		x.failUnauthorized("the key is not known")
+		return
+	}
+	x.refuse(errUncertain.Error(), time.Now().Add(uncertainRetryDelay))
+}
+
+func (x *exchange) failUnauthorized(reason string) {
+	x.w.Header().Set("WWW-Authenticate", bearerScheme)
+	x.fail(http.StatusUnauthorized, reason)
+}
+
+// workspaceName returns the name of the caller's workspace, empty if there is none.
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// understands reports whether another host can check the key of the request.
+func (x *exchange) understands(host tamarackknot.HostEntry) bool {
+	return x.workspace == nil || host.Workspaces
+}
--- a/workspace.go
+++ b/workspace.go
@@ -43,7 +43,7 @@
 const (
 	// AuthGranted: the key belongs to a workspace.
 	AuthGranted AuthDecision = iota
-	// AuthUnknown: no configuration in force holds the key.
+	// AuthUnknown: the newest configuration does not hold the key.
 	AuthUnknown
 	// AuthUncertain: it is not known whether the configuration of this host is the newest.
 	AuthUncertain
@@ -57,6 +57,10 @@
 	// Check repeats the check of Authenticate without waiting. It is called when a request is
 	// sent to an endpoint.
 	Check(key KeyHash) AuthDecision
+	// Prove returns what shows another host that this one has received a key with a message,
+	// and FindProven the key of such a proof, if it is known.
+	Prove(key KeyHash, message string) string
+	FindProven(proof, message string) (key KeyHash, ok bool)
 }
 
 // QuotaDecision says whether a request fits into the quota of its workspace.
