Keep the quotas of workspaces over all hosts

Each workspace has an owner among the live hosts, chosen by hashing, that holds its token bucket. Other hosts ask it for the cost of a request, and in advance where they have many. The next host in the order grants while the owner does not answer. Unused credit expires after a second and is given back.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -23,6 +23,7 @@
 	"tamarackknot.example/tamarackknot/planner"
 	"tamarackknot.example/tamarackknot/platform"
 	"tamarackknot.example/tamarackknot/quarantine"
+	"tamarackknot.example/tamarackknot/quota"
 	"tamarackknot.example/tamarackknot/reach"
 	"tamarackknot.example/tamarackknot/relay"
 	"tamarackknot.example/tamarackknot/share"
@@ -104,6 +105,7 @@
 	planner        *planner.Controller
 	dispatch       *dispatch.Dispatcher
 	workspaces     *workspace.Authority
+	quotas         *quota.Keeper
 	plannerStreams atomic.Pointer[plannerStreams]
 	startBy        time.Time // when a starting host stops waiting for the planner
 	planFrom       time.Time // when any host may plan at the first start
@@ -132,7 +134,7 @@
 func (c *components) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
-		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.versions.Run, c.crashes.Run, c.crashes.RunStore, c.crashes.RunChecks, c.reach.Run, c.yieldLoop,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.versions.Run, c.crashes.Run, c.crashes.RunStore, c.crashes.RunChecks, c.reach.Run, c.quotas.Run, c.yieldLoop,
 	}
 }
 
@@ -143,7 +145,7 @@
 		Catalog: c.catalog.Current, CatalogBehind: c.catalog.IsBehind,
 		Dispatch: c.dispatch,
 		Budget:   &dispatch.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Clock: c.cfg.clock},
-		Dialect:  platform.Dialect{}, Authenticator: c.workspaces,
+		Dialect:  platform.Dialect{}, Authenticator: c.workspaces, Quotas: c.quotas,
 		Origins: c.origins, VersionsKnown: c.versions.Known,
 		Crashes:   c.crashes,
 		HostCount: c.shares.Count,
@@ -268,6 +270,10 @@
 		Promise: c.lease.Promise, OnPlannerLeft: c.lease.Wake, Clock: c.cfg.clock,
 	})
 	c.publisher.Bind(c.fleet)
+	c.quotas = quota.New(quota.Config{
+		Self: s.Host, Peers: c.cfg.peers, Hosts: c.fleet.Hosts, PlannerHeardAt: c.fleet.PlannerHeardAt, Limit: c.workspaceQuota,
+		Slack: s.QuotaSlack, Clock: c.cfg.clock, Logger: logger, Metrics: c.cfg.metrics,
+	})
 	c.planner = planner.New(planner.Config{
 		Host: s.Host, Lease: c.lease, HoldsLease: c.holdsLease,
 		Control:         c.cfg.control,
--- a/entry/hosted/workspaces.go
+++ b/entry/hosted/workspaces.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/internal/times"
 )
 
@@ -38,3 +39,9 @@
 	}
 	return times.SinceBoot()
 }
+
+// workspaceQuota returns the quota of a workspace in the configuration in force.
+func (c *components) workspaceQuota(workspace string) (tamarackknot.Quota, bool) {
+	w, ok := c.workspaces.Named(workspace)
+	return w.Quota, ok
+}
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -149,6 +149,14 @@
 	return !c.plannerSeenAt.IsZero() && time.Since(c.plannerSeenAt) < plannerTimeout
 }
 
+// PlannerHeardAt returns when the last message of a planner was received, on Clock; 0 if none
+// was.
+func (c *Client) PlannerHeardAt() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastSequenceAt
+}
+
 // Planner returns the name of the planner that sent the last accepted message.
 func (c *Client) Planner() string {
 	c.mu.Lock()
--- a/ingress/host.go
+++ b/ingress/host.go
@@ -92,6 +92,8 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline.Add(responseGrace))
 	defer cancel()
+	// The host that sends the request to an endpoint takes its cost.
+	x.returnQuota()
 	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h tamarackknot.HostEntry) bool { return !x.understands(h) })
 	for _, host := range hosts[:min(len(hosts), maxForwards)] {
 		resp, err := x.sendToHost(ctx, host)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -100,6 +100,8 @@
 	failedDials atomic.Int64 // failed connections to endpoints since the last success
 	buffers     bufferSpace
 	counters    counters
+	// quotaWaiting is the number of requests that wait for room in their quota.
+	quotaWaiting atomic.Int64
 }
 
 // New returns a Server.
@@ -133,6 +135,7 @@
 	r = r.WithContext(ctx)
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), forwardedBy: r.Header.Get(headerForwardedBy)}
 	r.Header.Del(headerForwardedBy)
+	defer x.returnQuota()
 	for _, filter := range []func(*exchange) bool{
 		(*exchange).selectRoute, (*exchange).readHeader, (*exchange).authenticate, (*exchange).readBody, (*exchange).takeQuota,
 		(*exchange).findOrigin, (*exchange).chooseService,
@@ -159,6 +162,7 @@
 	// workspace is that of the caller; nil if the route is anonymous or there are none.
 	workspace *tamarackknot.Workspace
 	key       tamarackknot.KeyHash // of the caller, if it has a workspace
+	quotaCost float64              // taken from the quota of the workspace and not given back
 	// authenticated says that the configuration has workspaces.
 	authenticated bool
 	// origin is what began the stream that the caller takes up again; nil for other requests.
@@ -324,13 +328,18 @@
 
 // refuse responds 503: the request did not run and may be retried at retryAt.
 func (x *exchange) refuse(reason string, retryAt time.Time) {
+	x.refuseWith(http.StatusServiceUnavailable, reason, retryAt)
+}
+
+// refuseWith is refuse with a status that makes the same promise.
+func (x *exchange) refuseWith(status int, reason string, retryAt time.Time) {
 	h := x.w.Header()
 	if !retryAt.IsZero() {
 		after := max(time.Until(retryAt).Seconds(), 0)
 		h.Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
 	}
 	x.server.counters.refused.Inc(1)
-	x.writeError(http.StatusServiceUnavailable, reason)
+	x.writeError(status, reason)
 }
 
 // fail responds with an error status. For a status of 500 or above, the request
--- a/workspace/authority.go
+++ b/workspace/authority.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// Named returns a workspace of the configuration in force; ok is false if there is none of
+// the name.
+func (a *Authority) Named(name string) (w tamarackknot.Workspace, ok bool) {
+	return a.directory.named(name)
+}
+
 // isCurrent reports whether the configuration in force was confirmed recently enough to
 // serve keys, and logs when that changes.
 func (a *Authority) isCurrent() bool {
--- a/workspace/directory.go
+++ b/workspace/directory.go
@@ -122,6 +122,17 @@
 	return nil
 }
 
+// named returns the workspace of a name.
+func (d *directory) named(name string) (tamarackknot.Workspace, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	e := d.byName[name]
+	if e == nil {
+		return tamarackknot.Workspace{}, false
+	}
+	return *e.workspace, true
+}
+
 // withPrefix returns the keys that begin with the first bytes of one.
 func (d *directory) withPrefix(prefix uint64) []tamarackknot.KeyHash {
 	d.mu.RLock()
