--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -10,33 +10,64 @@
 // refused.
 const maxPromise = 10 * time.Second
 
+// toleratedPart is the part of what may exceed a quota that its bucket grants: what is refused
+// below the quota is lost. The rest is for changes of owners.
+const toleratedPart = 2.0 / 3
+
 // bucket is the token bucket of a workspace. Times are on Clock.
 type bucket struct {
-	perSecond, capacity float64
-	level               float64
-	at                  time.Duration // of level
+	limit
+	level float64
+	at    time.Duration // of level
 	// promisedAt is when the last of the callers that were told to come back finds room.
 	promisedAt time.Duration
 }
 
 // newBucket returns a bucket that has filled since a time.
-func newBucket(q tamarackknot.Quota, slack float64, since time.Duration) *bucket {
+func newBucket(l limit, since time.Duration) *bucket {
 	b := &bucket{at: since}
-	b.setQuota(q, slack)
+	b.setLimit(l)
 	return b
 }
 
-// setQuota changes the limit. What a higher burst adds counts at once.
-func (b *bucket) setQuota(q tamarackknot.Quota, slack float64) {
-	capacity := q.Burst + slack
-	if capacity == b.capacity && q.PerSecond == b.perSecond {
+// limit is the rate at which a bucket fills, and how much it holds.
+type limit struct{ perSecond, capacity float64 }
+
+// tolerance is by how much a quota may be exceeded within a window: by a fraction of what it
+// allows then, and by a constant.
+type tolerance struct {
+	window time.Duration
+	excess float64
+	slack  float64
+}
+
+// limitOf returns the limit of the bucket that holds a quota. Within each window the bucket
+// grants what the quota allows then, its rate and one burst, and toleratedPart of what may
+// exceed that. It holds half of a burst; the rest comes with its rate, so that a workspace
+// that uses all of its quota gets it evenly.
+func limitOf(q tamarackknot.Quota, t tolerance) limit {
+	if t.window <= 0 {
+		return limit{q.PerSecond, q.Burst}
+	}
+	seconds := t.window.Seconds()
+	allowed := (q.PerSecond*seconds+q.Burst)*(1+toleratedPart*t.excess) + toleratedPart*t.slack
+	capacity := q.Burst/2 + toleratedPart*t.slack
+	return limit{(allowed - capacity) / seconds, capacity}
+}
+
+// part returns an equal part of a limit.
+func (l limit) part(n int) limit { return limit{l.perSecond / float64(n), l.capacity / float64(n)} }
+
+// setLimit changes the limit. What a higher capacity adds counts at once.
+func (b *bucket) setLimit(l limit) {
+	if l == b.limit {
 		return
 	}
-	if b.capacity > 0 && capacity > b.capacity {
-		b.level += capacity - b.capacity
+	if b.capacity > 0 && l.capacity > b.capacity {
+		b.level += l.capacity - b.capacity
 	}
-	b.perSecond, b.capacity = q.PerSecond, capacity
-	b.level = min(b.level, capacity)
+	b.limit = l
+	b.level = min(b.level, l.capacity)
 }
 
 func (b *bucket) fill(now time.Duration) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -48,9 +48,6 @@
 	// returnInterval is the pause between two rounds in which hosts give back what they did
 	// not use.
 	returnInterval = 250 * time.Millisecond
-	// slackPart is the part of the slack of quotas that is added to the capacity of buckets;
-	// the rest is for changes of owners.
-	slackPart = 0.5
 	// idleTime is how long the state of a workspace without requests is kept.
 	idleTime = 30 * time.Second
 
@@ -69,8 +66,11 @@
 	PlannerHeardAt func() time.Duration
 	// Limit returns the quota of a workspace in the configuration in force.
 	Limit func(workspace string) (tamarackknot.Quota, bool)
-	// Slack is by how much the requests of a workspace may exceed its quota.
-	Slack float64
+	// The requests of a workspace may exceed what its quota allows within Window by the fraction
+	// Excess of it, and by Slack.
+	Window time.Duration
+	Excess float64
+	Slack  float64
 	// Clock returns the time since boot, including the time of suspension. Nil means the
 	// system's clock.
 	Clock   func() time.Duration
@@ -246,12 +246,12 @@
 	defer k.mu.Unlock()
 	now := k.cfg.Clock()
 	a := k.account(workspace, now)
-	if n := float64(len(k.hosts)); n > 0 {
-		part := tamarackknot.Quota{PerSecond: q.PerSecond / n, Burst: q.Burst / n}
+	if n := len(k.hosts); n > 0 {
+		part := k.limit(q).part(n)
 		if a.local == nil {
-			a.local = newBucket(part, 0, now)
+			a.local = newBucket(part, now)
 		}
-		a.local.setQuota(part, slackPart*k.cfg.Slack/n)
+		a.local.setLimit(part)
 		if taken, _ := a.local.take(cost, 0, now); taken > 0 {
 			k.counters.granted.Inc(1)
 			return tamarackknot.QuotaDecision{Allowed: true}
@@ -341,6 +341,11 @@
 	return busiest.cost
 }
 
+// limit returns the limit of the bucket that holds a quota.
+func (k *Keeper) limit(q tamarackknot.Quota) limit {
+	return limitOf(q, tolerance{k.cfg.Window, k.cfg.Excess, k.cfg.Slack})
+}
+
 // holders returns the owner of a workspace's quota and the host that follows it, by the list
 // of the planner that this host knows. k.mu is held.
 func (k *Keeper) holders(workspace string, now time.Duration) []string {
@@ -493,11 +498,11 @@
 		if standby {
 			since, b.standbyTo = now, now+standbyTime
 		}
-		b.bucket = newBucket(q, slackPart*k.cfg.Slack, since)
+		b.bucket = newBucket(k.limit(q), since)
 		k.buckets[p.Workspace] = b
 		k.cfg.Logger.Info("quota taken over", "workspace", p.Workspace, "standby", standby, "sinceMs", (now - since).Milliseconds())
 	}
-	b.setQuota(q, slackPart*k.cfg.Slack)
+	b.setLimit(k.limit(q))
 	if !standby {
 		b.standbyTo = 0
 		return b
@@ -544,7 +549,7 @@
 	}
 }
 
-// Run gives back what this host did not use until ctx ends.
+// Run gives back what this host did not use, and follows the list of hosts, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for wait.For(ctx, returnInterval) {
 		for host, returns := range k.expire() {
@@ -565,6 +570,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.cfg.Clock()
+	k.refreshHosts(now)
 	out := make(map[string][]returnParams)
 	for workspace, a := range k.accounts {
 		if a.expire(now); a.expired > 0 {
