Confirm the configuration and find the owners of quotas right after a start

Before the planner is heard, owners are now chosen among the hosts that were registered at the start, and the first read of the store after a start does not wait.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -76,6 +76,9 @@
 	// ShortPoll says that the configuration must be confirmed often, so that a read of the
 	// store must not wait long for a change. Nil means that it never must.
 	ShortPoll func() bool
+	// ConfirmNow reports whether the version in force has not been confirmed for so long that
+	// the next read of the store must not wait at all. Nil means that it never must.
+	ConfirmNow func() bool
 	// Clock returns the time since boot, including the time of suspension. Nil means the
 	// system's clock.
 	Clock  func() time.Duration
@@ -100,6 +103,8 @@
 	// lastRead is the version that was read last of the stream, in its order.
 	lastRead     atomic.Int64
 	confirmation confirmation
+	// confirmedNowAt is when the store was last read without waiting; only Run uses it.
+	confirmedNowAt time.Duration
 }
 
 // New returns a Watcher without a configuration; Run reads the first one.
@@ -283,10 +288,7 @@
 		w.recordRead(page, begun)
 		return nil
 	}
-	longPoll := readWait
-	if w.cfg.HasFollowers != nil && w.cfg.HasFollowers() || w.cfg.ShortPoll != nil && w.cfg.ShortPoll() {
-		longPoll = followedReadWait
-	}
+	longPoll := w.longPoll(begun)
 	// Hosts that follow this one wait for an answer that has begun to arrive.
 	answered := tamarackknot.WithAnswerHook(ctx, sync.OnceFunc(w.recordAnswer))
 	page, err := w.cfg.Store.Read(answered, tamarackknot.StreamCatalog, *w.next.Load(), time.Now().Add(longPoll))
@@ -306,6 +308,20 @@
 	return nil
 }
 
+// longPoll returns how long a read of the store that begins now, on Clock, may wait for a change.
+func (w *Watcher) longPoll(now time.Duration) time.Duration {
+	switch {
+	case w.cfg.ConfirmNow != nil && w.cfg.ConfirmNow() && now-w.confirmedNowAt > followedReadWait:
+		// A read may not confirm the version, for example after a restore of the store.
+		w.confirmedNowAt = now
+		return 0
+	case w.cfg.HasFollowers != nil && w.cfg.HasFollowers() || w.cfg.ShortPoll != nil && w.cfg.ShortPoll():
+		return followedReadWait
+	default:
+		return readWait
+	}
+}
+
 // recordRead updates readAt after a read of the stream that began at a time on Clock, and
 // confirms the version that it has shown to be the newest one. A relayed read does not
 // count, because the other host may follow this one.
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -107,6 +108,9 @@
 	workspaces     *workspace.Authority
 	quotas         *quota.Keeper
 	plannerStreams atomic.Pointer[plannerStreams]
+	startedAt      time.Duration // since boot
+	startList      sync.Once     // guards hostsAtStart
+	hostsAtStart   []tamarackknot.HostEntry
 	startBy        time.Time // when a starting host stops waiting for the planner
 	planFrom       time.Time // when any host may plan at the first start
 }
@@ -118,6 +122,7 @@
 		Name: s.Host, Incarnation: cfg.incarnation, FailureDomain: s.FailureDomain,
 		Address: s.CallerAddress, PeerAddress: s.PeerAddress, CPUCores: s.CPUCores, Workspaces: true,
 	}}
+	c.startedAt = c.now()
 	c.store = relay.New(relay.Config{
 		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
 		Streams:      []tamarackknot.Stream{tamarackknot.StreamCatalog, tamarackknot.StreamEndpoints},
@@ -202,7 +207,7 @@
 			return store.ReadNewer(ctx, host, tamarackknot.StreamCatalog)
 		},
 		MayStart:  c.mayReadCatalog,
-		ShortPoll: c.mustConfirmCatalog, Clock: c.cfg.clock,
+		ShortPoll: c.mustConfirmCatalog, ConfirmNow: c.mustConfirmNow, Clock: c.cfg.clock,
 		OnChange: func(v *catalog.View) {
 			c.workspaces.Set(v.Catalog)
 			c.dispatch.SetPools(v.Catalog.Services)
@@ -271,7 +276,7 @@
 	})
 	c.publisher.Bind(c.fleet)
 	c.quotas = quota.New(quota.Config{
-		Self: s.Host, Peers: c.cfg.peers, Hosts: c.fleet.Hosts, PlannerHeardAt: c.fleet.PlannerHeardAt, Limit: c.workspaceQuota,
+		Self: s.Host, Peers: c.cfg.peers, Hosts: c.quotaHosts, PlannerHeardAt: c.plannerHeardAt, Limit: c.workspaceQuota,
 		Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: s.QuotaSlack, Clock: c.cfg.clock, Logger: logger, Metrics: c.cfg.metrics,
 	})
 	c.planner = planner.New(planner.Config{
