--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -374,6 +374,9 @@
 	w.cfg.Logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services),
 		"relayed", relayed, "behindMs", w.behindFor().Milliseconds())
 	for _, warning := range c.Warnings {
+		if old != nil && slices.Contains(old.Catalog.Warnings, warning) {
+			continue
+		}
 		w.cfg.Logger.Warn("part of the configuration is not valid and left out", "version", c.Version, "what", warning)
 	}
 	if c.Version >= w.observed.Load() {
