Decide about keys by the version that confirms them, also for proofs

The directory now names its own version, and confirmations are kept by version. - A store restored without a configuration confirmed what was read before (TestConfirmation/restored_without_a_configuration failed before), and a page read by another host confirmed the newest version in it though it was cut off. - A key that moved to another workspace while its request waited ran as one of the former.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -95,10 +95,9 @@
 	// hosts and at the store only one at a time takes this host's link.
 	reading chan struct{}
 	// next is the position after what was read of the stream, also through other hosts.
-	next   atomic.Pointer[tamarackknot.Position]
-	readAt atomic.Pointer[time.Time] // last read of the store by this host, or by another one for it
-	// lastRead is the version that was read last of the stream, in its order.
-	lastRead     atomic.Int64
+	next         atomic.Pointer[tamarackknot.Position]
+	readAt       atomic.Pointer[time.Time] // last read of the store by this host, or by another one for it
+	lastRead     readVersion
 	confirmation confirmation
 }
 
@@ -315,7 +314,7 @@
 	}
 	w.recordAnswer()
 	if page.Next.Compare(page.End) >= 0 {
-		w.Confirm(w.lastRead.Load(), begun)
+		w.Confirm(w.lastRead.current(), begun)
 	}
 }
 
@@ -345,10 +344,18 @@
 			w.cfg.Logger.Error("configuration rejected", "offset", rec.Offset, "error", err)
 			continue
 		}
-		if c != nil {
-			w.lastRead.Store(c.Version)
-			w.offer(c, page.Relayed)
+		if c == nil {
+			continue
+		}
+		to := tamarackknot.Position{Era: page.Next.Era, Offset: rec.Offset + 1}
+		if page.Full {
+			to = page.Next
 		}
+		w.lastRead.record(to, c.Version)
+		w.offer(c, page.Relayed)
+	}
+	if page.Full {
+		w.lastRead.record(page.Next, 0)
 	}
 }
 
--- a/entry/hosted/workspaces.go
+++ b/entry/hosted/workspaces.go
@@ -7,9 +7,10 @@
 	"tamarackknot.example/tamarackknot/internal/times"
 )
 
-// maxConfirmationAge is the age of the planner's last confirmation of the configuration from
-// which a host confirms it itself. It leaves time for a read before keys are no longer served.
-const maxConfirmationAge = 2 * time.Second
+// confirmationAgePart is the part of the time for which keys are served after which a host that
+// gets no newer confirmation from the planner confirms the configuration itself: 2 s of 5 s. It
+// leaves time for a read.
+const confirmationAgePart = 0.4
 
 // revocationLimit returns how long keys are served after the configuration was last known to
 // be the newest one, 0 for any time.
@@ -29,7 +30,8 @@
 
 // confirmedByPlanner reports whether this host need not confirm the configuration itself.
 func (c *components) confirmedByPlanner() bool {
-	return !c.mustConfirmCatalog() || c.now()-c.catalog.ConfirmedAt() <= maxConfirmationAge
+	maxAge := time.Duration(confirmationAgePart * float64(c.revocationLimit()))
+	return !c.mustConfirmCatalog() || c.now()-c.catalog.ConfirmedAt(c.catalogVersion()) <= maxAge
 }
 
 // now returns the time since boot, including the time of suspension.
--- a/ingress/host.go
+++ b/ingress/host.go
@@ -154,9 +154,7 @@
 func (x *exchange) sendToHost(ctx context.Context, host tamarackknot.HostEntry) (*http.Response, error) {
 	req := x.outgoing(ctx, host.Address, tamarackknot.EndpointAttempt{Deadline: x.deadline})
 	req.Header.Set(headerForwardedBy, x.server.cfg.Host)
-	if x.workspace != nil {
-		req.Header.Set(headerProof, x.server.cfg.Authenticator.Prove(x.key, x.provenMessage()))
-	}
+	x.addProof(req.Header)
 	x.sentAt = time.Now()
 	return x.server.hostTransport.RoundTrip(req)
 }
--- a/ingress/workspace.go
+++ b/ingress/workspace.go
@@ -37,31 +37,45 @@
 		x.refuse("this host can't check keys", time.Time{})
 		return false
 	}
-	key, ok := x.callerKey(proof)
-	if !ok {
+	var decision tamarackknot.AuthDecision
+	key, ok := callerKey(x.caller.Credentials)
+	switch {
+	case ok:
+		x.workspace, decision = x.server.cfg.Authenticator.Authenticate(x.r.Context(), key)
+	case x.forwardedBy != "" && proof != "":
+		key, x.workspace, decision = x.server.cfg.Authenticator.AuthenticateProven(x.r.Context(), proof, x.provenMessage())
+	default:
 		x.failUnauthorized("the request has no key")
 		return false
 	}
-	w, decision := x.server.cfg.Authenticator.Authenticate(x.r.Context(), key)
 	if decision != tamarackknot.AuthGranted {
+		x.workspace = nil
 		x.failKey(decision)
 		return false
 	}
-	x.workspace, x.key = w, key
+	x.key = key
 	return true
 }
 
-// callerKey returns the hash of the caller's key, also of a request that another host has
-// forwarded.
-func (x *exchange) callerKey(proof string) (key tamarackknot.KeyHash, ok bool) {
-	scheme, text, _ := strings.Cut(x.caller.Credentials, " ")
-	if text = strings.TrimSpace(text); text != "" && strings.EqualFold(scheme, bearerScheme) {
-		return tamarackknot.HashKey(text), true
-	}
-	if x.forwardedBy == "" || proof == "" {
+// callerKey returns the hash of the key among the credentials of a caller.
+func callerKey(credentials string) (key tamarackknot.KeyHash, ok bool) {
+	scheme, text, _ := strings.Cut(credentials, " ")
+	if text = strings.TrimSpace(text); text == "" || !strings.EqualFold(scheme, bearerScheme) {
 		return key, false
 	}
-	return x.server.cfg.Authenticator.FindProven(proof, x.provenMessage())
+	return tamarackknot.HashKey(text), true
+}
+
+// addProof shows another host the key of the caller, also on a route that needs none by the
+// configuration of this host: the other one may have a newer configuration.
+func (x *exchange) addProof(h http.Header) {
+	key, ok := x.key, x.workspace != nil
+	if !ok && x.authenticated {
+		key, ok = callerKey(x.caller.Credentials)
+	}
+	if ok && x.server.cfg.Authenticator != nil {
+		h.Set(headerProof, x.server.cfg.Authenticator.Prove(key, x.provenMessage()))
+	}
 }
 
 // provenMessage returns what of a request a proof belongs to.
@@ -75,7 +89,7 @@
 	if x.workspace == nil {
 		return tamarackknot.AuthGranted
 	}
-	return x.server.cfg.Authenticator.Check(x.key)
+	return x.server.cfg.Authenticator.Check(x.key, x.workspace.Name)
 }
 
 // keyRefusal returns the refusal of a request whose key did not hold any more when it was to be
--- a/relay/read.go
+++ b/relay/read.go
@@ -30,6 +30,8 @@
 type pageResult struct {
 	Records []tamarackknot.KeyedRecord `json:"records,omitempty"`
 	Next    tamarackknot.Position      `json:"next"`
+	// End is the end of the stream at the store; earlier builds don't say it.
+	End tamarackknot.Position `json:"end"`
 	// Expired stands for ErrExpired.
 	Expired bool `json:"expired,omitempty"`
 }
@@ -50,7 +52,11 @@
 		if r.Expired {
 			return tamarackknot.StreamPage{}, errors.Wrapf(tamarackknot.ErrExpired, "read a stream through %s", host)
 		}
-		page := tamarackknot.StreamPage{Records: r.Records, End: r.Next, Next: r.Next}
+		page := tamarackknot.StreamPage{Records: r.Records, End: r.End, Next: r.Next}
+		if r.End == (tamarackknot.Position{}) {
+			// There may be more than the page holds.
+			page.End = tamarackknot.Position{Era: r.Next.Era, Offset: r.Next.Offset + 1}
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.reader = host
@@ -90,5 +96,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return pageResult{Records: page.Records, Next: page.Next}, nil
+	return pageResult{Records: page.Records, Next: page.Next, End: page.End}, nil
 }
--- a/workspace.go
+++ b/workspace.go
@@ -54,13 +54,14 @@
 	// Authenticate finds the workspace of a key. If the key is not known, it waits until the
 	// configuration is known to be as new as the call, for a bounded time.
 	Authenticate(ctx context.Context, key KeyHash) (*Workspace, AuthDecision)
+	// AuthenticateProven is Authenticate for a request of which another host proves that it has
+	// received a key with it. It also returns the key.
+	AuthenticateProven(ctx context.Context, proof, message string) (KeyHash, *Workspace, AuthDecision)
 	// Check repeats the check of Authenticate without waiting. It is called when a request is
-	// sent to an endpoint.
-	Check(key KeyHash) AuthDecision
-	// Prove returns what shows another host that this one has received a key with a message,
-	// and FindProven the key of such a proof, if it is known.
+	// sent to an endpoint. It is uncertain about a key that has another workspace meanwhile.
+	Check(key KeyHash, workspace string) AuthDecision
+	// Prove returns what shows another host that this one has received a key with a message.
 	Prove(key KeyHash, message string) string
-	FindProven(proof, message string) (key KeyHash, ok bool)
 }
 
 // QuotaDecision says whether a request fits into the quota of its workspace.
--- a/workspace/directory.go
+++ b/workspace/directory.go
@@ -31,26 +31,26 @@
 	byKey map[tamarackknot.KeyHash][]*entry
 	// byPrefix holds the keys by their first bytes, which other hosts name.
 	byPrefix map[uint64][]tamarackknot.KeyHash
-	// rejected are unknown keys and until when they are remembered.
-	rejected map[tamarackknot.KeyHash]time.Time
+	// rejected are unknown keys and until when they are remembered, as the time since boot.
+	rejected map[tamarackknot.KeyHash]time.Duration
 }
 
 func newDirectory() *directory {
 	return &directory{
 		byName: make(map[string]*entry), byKey: make(map[tamarackknot.KeyHash][]*entry),
-		byPrefix: make(map[uint64][]tamarackknot.KeyHash), rejected: make(map[tamarackknot.KeyHash]time.Time),
+		byPrefix: make(map[uint64][]tamarackknot.KeyHash), rejected: make(map[tamarackknot.KeyHash]time.Duration),
 	}
 }
 
 func prefixOf(key tamarackknot.KeyHash) uint64 { return binary.BigEndian.Uint64(key[:]) }
 
 // set replaces the workspaces by those of a configuration, unless it is older than the last
-// one. It returns how many keys belong to several workspaces.
-func (d *directory) set(c *tamarackknot.Catalog) (shared int) {
+// one.
+func (d *directory) set(c *tamarackknot.Catalog) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c.Version < d.version {
-		return 0
+		return
 	}
 	d.version = c.Version
 	listed := make(map[string]bool, len(c.Workspaces))
@@ -73,12 +73,6 @@
 			delete(d.byName, name)
 		}
 	}
-	for _, entries := range d.byKey {
-		if len(entries) > 1 {
-			shared++
-		}
-	}
-	return shared
 }
 
 // replaceKeys adds and removes the keys of an entry. d.mu is held.
@@ -112,14 +106,22 @@
 	}
 }
 
-// find returns the workspace of a key, nil if there is none or several.
-func (d *directory) find(key tamarackknot.KeyHash) *tamarackknot.Workspace {
+// find returns the workspace of a key, nil if there is none or several, and the version of the
+// configuration that says so.
+func (d *directory) find(key tamarackknot.KeyHash) (w *tamarackknot.Workspace, version int64) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	if entries := d.byKey[key]; len(entries) == 1 {
-		return entries[0].workspace
+		w = entries[0].workspace
 	}
-	return nil
+	return w, d.version
+}
+
+// current returns the version of the configuration.
+func (d *directory) current() int64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.version
 }
 
 // named returns the workspace of a name.
@@ -141,20 +143,20 @@
 }
 
 // reject remembers that a key is unknown.
-func (d *directory) reject(key tamarackknot.KeyHash, now time.Time) {
+func (d *directory) reject(key tamarackknot.KeyHash, now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.rejected) >= maxRejected {
 		clear(d.rejected)
 	}
 	if len(d.byKey[key]) != 1 {
-		d.rejected[key] = now.Add(rejectedTime)
+		d.rejected[key] = now + rejectedTime
 	}
 }
 
 // isRejected reports whether a key is remembered as unknown.
-func (d *directory) isRejected(key tamarackknot.KeyHash, now time.Time) bool {
+func (d *directory) isRejected(key tamarackknot.KeyHash, now time.Duration) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return now.Before(d.rejected[key])
+	return now < d.rejected[key]
 }
