Keep quotas within their bound while hosts don't know who else grants

Causes: an owner without news of the planner went on for 8 s beside its successor at the full rate, and so did a standby; a woken owner kept its bucket; a host that reached no owner used a share of the full rate although the owner granted all of it; any host that was asked second granted as standby; what was taken was given back to whichever host granted last, and by requests that waited long; negative costs from other hosts filled a bucket; two versions of a quota in turn raised its level each time; a refusal was repeated beyond the time that it had named.

Now a host grants the full rate only while its list of hosts is known to have been that of the planner within the last 2 s, counted from the report that the planner's message answers, and 2 s after a change of the list. Grants name their bucket, and a request that waited for over 100 ms gives back what it took and takes it again when it is sent. The planner's heartbeats without a full view carry a changed list, since hosts take them as a confirmation of theirs.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -271,7 +271,7 @@
 	})
 	c.publisher.Bind(c.fleet)
 	c.quotas = quota.New(quota.Config{
-		Self: s.Host, Peers: c.cfg.peers, Hosts: c.fleet.Hosts, PlannerHeardAt: c.fleet.PlannerHeardAt, Limit: c.workspaceQuota,
+		Self: s.Host, Peers: c.cfg.peers, Hosts: c.fleet.Hosts, ListConfirmedAt: c.fleet.HostsConfirmedAt, Planner: c.fleet.Planner, Sharers: c.shares.Count, Limit: c.workspaceQuota,
 		Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: s.QuotaSlack, Clock: c.cfg.clock, Logger: logger, Metrics: c.cfg.metrics,
 	})
 	c.planner = planner.New(planner.Config{
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -99,6 +99,9 @@
 	plannerSeenAt  time.Time
 	hosts          []tamarackknot.HostEntry
 	hostsUpdatedAt time.Time
+	// hostsConfirmedAt is when the planner had hosts for certain, on Clock: this host sent then
+	// what a message of the planner with hosts, or without a newer list, answers.
+	hostsConfirmedAt time.Duration
 	// hostsFence is the fencing token of the planner that sent hosts, hostsVersion its
 	// version of them.
 	hostsFence, hostsVersion int64
@@ -149,12 +152,12 @@
 	return !c.plannerSeenAt.IsZero() && time.Since(c.plannerSeenAt) < plannerTimeout
 }
 
-// PlannerHeardAt returns when the last message of a planner was received, on Clock; 0 if none
-// was.
-func (c *Client) PlannerHeardAt() time.Duration {
+// HostsConfirmedAt returns the newest time on Clock at which the planner is known to have had
+// the list of Hosts, 0 if there is none.
+func (c *Client) HostsConfirmedAt() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastSequenceAt
+	return c.hostsConfirmedAt
 }
 
 // Planner returns the name of the planner that sent the last accepted message.
@@ -253,7 +256,7 @@
 		c.address = m.Planner.PeerAddress
 	}
 	members, membersAge := c.applyMembers(m, receivedAt)
-	c.applyHosts(m, now)
+	c.applyHosts(m, now, receivedAt)
 	missing := !c.demandSynced || c.behind
 	v := c.merge(m, now)
 	catalog, endpoints := c.streamStates(m, now, receivedAt)
@@ -308,7 +311,7 @@
 
 // applyHosts replaces the host list. A message without a list confirms the
 // previous one, unless a message in between is missing. c.mu is held.
-func (c *Client) applyHosts(m viewMessage, now time.Time) {
+func (c *Client) applyHosts(m viewMessage, now time.Time, receivedAt time.Duration) {
 	var hosts []tamarackknot.HostEntry
 	switch {
 	case len(m.Hosts) > 0:
@@ -325,6 +328,11 @@
 		c.hostsUpdatedAt, c.hostsVersion = now, m.HostsVersion
 	case c.hostsFence == c.fence && !c.behind:
 		c.hostsUpdatedAt = now
+	default:
+		return
+	}
+	if echo := time.Duration(m.EchoMs) * time.Millisecond; echo >= c.startedAt && echo <= receivedAt && !c.behind {
+		c.hostsConfirmedAt = max(c.hostsConfirmedAt, echo)
 	}
 }
 
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -563,8 +563,12 @@
 	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
 	if s.fence != r.fence || r.now.Sub(s.fullViewAt) >= interval {
 		if r.fullViewsLeft == 0 {
-			// Send a heartbeat only; the full view follows in a later round.
+			// Send a heartbeat only; the full view follows in a later round. A host takes one
+			// without a list of hosts as a confirmation of the list that it has.
 			s.fullViewAt = time.Time{}
+			if s.fence == r.fence {
+				p.addHosts(s, &m)
+			}
 			return m
 		}
 		r.fullViewsLeft--
--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -14,29 +15,94 @@
 	// coming back takes a caller longer.
 	maxQuotaWaiting     = 128
 	quotaWaitObjectives = 0.5
+	// quotaHoldTime is how long a request that waits for an endpoint keeps what was taken from
+	// its quota; then it is given back, and taken again when the request is sent. Many that
+	// waited together would otherwise run within one window in addition to what that allows.
+	quotaHoldTime = 100 * time.Millisecond
 )
 
+// quotaHold is what a request has taken from the quota of its workspace.
+type quotaHold struct {
+	quotas    tamarackknot.Quotas
+	workspace string
+
+	mu    sync.Mutex
+	grant tamarackknot.QuotaGrant
+	held  bool
+	timer *time.Timer // until it is given back
+}
+
+// set stores what was taken.
+func (h *quotaHold) set(g tamarackknot.QuotaGrant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.grant, h.held = g, true
+}
+
+// giveBack gives back what was taken, unless that is done or the request was sent.
+func (h *quotaHold) giveBack() {
+	h.mu.Lock()
+	held := h.held
+	h.held = false
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	h.mu.Unlock()
+	if held {
+		h.quotas.Return(h.workspace, h.grant)
+	}
+}
+
+// startWaiting begins a wait for an endpoint.
+func (h *quotaHold) startWaiting() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.timer == nil {
+		h.timer = time.AfterFunc(quotaHoldTime, h.giveBack)
+		return
+	}
+	h.timer.Reset(quotaHoldTime)
+}
+
+// endWaiting ends the wait and reports whether the request may be sent with what was taken.
+func (h *quotaHold) endWaiting() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.timer.Stop()
+	if h.held && h.quotas.Expired(h.grant) {
+		h.held = false
+	}
+	return h.held
+}
+
 // takeQuota takes the cost of the request from the quota of its workspace. It returns false
 // after an answer.
 func (x *exchange) takeQuota() bool {
 	if x.workspace == nil || !x.workspace.Quota.Limited() || x.server.cfg.Quotas == nil {
 		return true
 	}
-	cost := requestCost(x.workspace.Quota, x.caller.Tokens)
-	d := x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, cost)
+	x.quotaCost = requestCost(x.workspace.Quota, x.caller.Tokens)
+	d := x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
 	if x.awaitQuota(d) {
-		d = x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, cost)
+		d = x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
 	}
-	switch {
-	case d.Allowed:
-		x.quotaCost = cost
-		return true
-	case d.Exceeded:
+	if !d.Allowed {
+		x.refuseQuota(d)
+		return false
+	}
+	x.quota = &quotaHold{quotas: x.server.cfg.Quotas, workspace: x.workspace.Name}
+	x.quota.set(d.Grant)
+	return true
+}
+
+// refuseQuota answers a request that does not fit into the quota of its workspace, or of which
+// that is not known.
+func (x *exchange) refuseQuota(d tamarackknot.QuotaDecision) {
+	if d.Exceeded {
 		x.refuseWith(http.StatusTooManyRequests, d.Reason, d.RetryAt)
-	default:
-		x.refuse(d.Reason, d.RetryAt)
+		return
 	}
-	return false
+	x.refuse(d.Reason, d.RetryAt)
 }
 
 // awaitQuota waits until there may be room in the quota, if the request can still meet its
@@ -53,11 +119,28 @@
 	return wait.For(x.r.Context(), time.Until(d.RetryAt))
 }
 
+// chargesQuota reports whether the next attempt is the first that counts for the quota.
+func (x *exchange) chargesQuota() bool { return x.quota != nil && x.possibleRuns == 0 }
+
+// keepQuota makes sure that the cost of the request is taken when it is about to be sent after
+// a wait. The result is false if it does not fit any more; x.quotaRefusal says why.
+func (x *exchange) keepQuota() bool {
+	if !x.chargesQuota() || x.quota.endWaiting() {
+		return true
+	}
+	d := x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
+	if d.Allowed {
+		x.quota.set(d.Grant)
+		return true
+	}
+	x.quotaRefusal = &d
+	return false
+}
+
 // returnQuota gives the cost of the request back if no endpoint can have run it.
 func (x *exchange) returnQuota() {
-	if x.quotaCost > 0 && x.possibleRuns == 0 {
-		x.server.cfg.Quotas.Return(x.workspace.Name, x.quotaCost)
-		x.quotaCost = 0
+	if x.chargesQuota() {
+		x.quota.giveBack()
 	}
 }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -78,6 +78,9 @@
 
 // acquire waits for an endpoint with a free slot.
 func (x *exchange) acquire() (*dispatch.Grant, *dispatch.Refusal) {
+	if x.chargesQuota() {
+		x.quota.startWaiting()
+	}
 	g, refusal := x.server.cfg.Dispatch.Acquire(x.r.Context(), &x.request)
 	if g == nil {
 		x.waits = x.waits.Add(refusal.Waits)
@@ -92,6 +95,11 @@
 		x.waits = x.waits.Add(g.Waits)
 		return nil, keyRefusal(d)
 	}
+	if !x.keepQuota() {
+		g.Done(dispatch.ResultDisconnected)
+		x.waits = x.waits.Add(g.Waits)
+		return nil, &dispatch.Refusal{Reason: x.quotaRefusal.Reason, RetryAt: x.quotaRefusal.RetryAt}
+	}
 	x.endpoint = g.Endpoint.ID
 	x.waits = x.waits.Add(g.Waits)
 	x.server.counters.waited.Update(g.Waits.Total().Milliseconds())
@@ -176,6 +184,8 @@
 		x.relay(failure)
 	case x.possibleRuns == 0 && x.checkKey() == tamarackknot.AuthUnknown:
 		x.failUnauthorized("the key has been taken away")
+	case x.possibleRuns == 0 && x.quotaRefusal != nil:
+		x.refuseQuota(*x.quotaRefusal)
 	case x.possibleRuns == 0 && refusal != nil:
 		if x.forwardedBy != "" && x.server.cfg.Dispatch.Leaving(x.deadline) != nil {
 			// Another host may serve it.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -162,7 +162,10 @@
 	// workspace is that of the caller; nil if the route is anonymous or there are none.
 	workspace *tamarackknot.Workspace
 	key       tamarackknot.KeyHash // of the caller, if it has a workspace
-	quotaCost float64              // taken from the quota of the workspace and not given back
+	quotaCost float64              // of the request, in the unit of the quota of the workspace
+	quota     *quotaHold           // nil if the workspace has no quota
+	// quotaRefusal is why the request can't be sent any more after a wait.
+	quotaRefusal *tamarackknot.QuotaDecision
 	// authenticated says that the configuration has workspaces.
 	authenticated bool
 	// origin is what began the stream that the caller takes up again; nil for other requests.
@@ -377,7 +380,7 @@
 	}
 	all := append([]any{
 		"request", x.caller.ID, "route", route, "version", x.version, "workspace", x.workspaceName(), "model", x.caller.Model, "adapter", x.caller.Adapter,
-		"prompt", lastPart(x.caller.Parts), "endpoint", x.endpoint, "sent", x.sent, "ran", x.possibleRuns,
+		"prompt", lastPart(x.caller.Parts), "quotaCost", x.quotaCost, "endpoint", x.endpoint, "sent", x.sent, "ran", x.possibleRuns,
 		"ms", time.Since(x.arrived).Milliseconds(), "objectiveMs", objective.Milliseconds(), "gapObjectiveMs", gapObjective.Milliseconds(),
 	}, kv...)
 	if w := x.waits; w.Total() >= time.Millisecond {
--- a/workspace.go
+++ b/workspace.go
@@ -67,6 +67,8 @@
 // QuotaDecision says whether a request fits into the quota of its workspace.
 type QuotaDecision struct {
 	Allowed bool
+	// Grant is what was taken for a request that is allowed.
+	Grant QuotaGrant
 	// Exceeded says that the quota is used up; otherwise a request that is not allowed was
 	// turned away because it is not known what is left.
 	Exceeded bool
@@ -75,10 +77,24 @@
 	Reason  string
 }
 
+// QuotaGrant is a part of the quota of a workspace that was taken for a request.
+type QuotaGrant struct {
+	Cost float64
+	// Bucket identifies the bucket of Holder that it comes from. Holder is empty if nothing
+	// can be given back.
+	Holder string
+	Bucket int64
+	// TakenAt is when it was taken, as the time since boot.
+	TakenAt time.Duration
+}
+
 // Quotas holds the quotas of workspaces over all hosts.
 type Quotas interface {
 	// Take takes the cost of a request from the quota of its workspace.
 	Take(ctx context.Context, workspace string, q Quota, cost float64) QuotaDecision
-	// Return gives back the cost of a request that did not run.
-	Return(workspace string, cost float64)
+	// Return gives back what was taken for a request that has not been sent.
+	Return(workspace string, g QuotaGrant)
+	// Expired reports whether too much time has passed for a request to be sent with what was
+	// taken for it: what it may still use was taken within another window.
+	Expired(g QuotaGrant) bool
 }
