--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -108,9 +108,8 @@
 	workspaces     *workspace.Authority
 	quotas         *quota.Keeper
 	plannerStreams atomic.Pointer[plannerStreams]
-	startedAt      time.Duration // since boot
-	startList      sync.Once     // guards hostsAtStart
-	hostsAtStart   []tamarackknot.HostEntry
+	quotaMu        sync.Mutex
+	quotaList      []tamarackknot.HostEntry
 	startBy        time.Time // when a starting host stops waiting for the planner
 	planFrom       time.Time // when any host may plan at the first start
 }
@@ -122,7 +121,6 @@
 		Name: s.Host, Incarnation: cfg.incarnation, FailureDomain: s.FailureDomain,
 		Address: s.CallerAddress, PeerAddress: s.PeerAddress, CPUCores: s.CPUCores, Workspaces: true,
 	}}
-	c.startedAt = c.now()
 	c.store = relay.New(relay.Config{
 		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
 		Streams:      []tamarackknot.Stream{tamarackknot.StreamCatalog, tamarackknot.StreamEndpoints},
@@ -139,7 +137,7 @@
 func (c *components) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.catalog.Run, c.catalog.RunRelay, c.discovery.Run, c.lease.Run, c.hosts.Run, c.hosts.RunFollow, c.publisher.Run,
-		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.versions.Run, c.crashes.Run, c.crashes.RunStore, c.crashes.RunChecks, c.reach.Run, c.quotas.Run, c.yieldLoop,
+		c.fleet.Run, c.planner.Run, c.dispatch.Run, c.origins.Run, c.versions.Run, c.crashes.Run, c.crashes.RunStore, c.crashes.RunChecks, c.reach.Run, c.quotas.Run, c.quotas.RunAgreement, c.yieldLoop,
 	}
 }
 
@@ -276,7 +274,7 @@
 	})
 	c.publisher.Bind(c.fleet)
 	c.quotas = quota.New(quota.Config{
-		Self: s.Host, Peers: c.cfg.peers, Hosts: c.quotaHosts, PlannerHeardAt: c.plannerHeardAt, Limit: c.workspaceQuota,
+		Self: s.Host, Peers: c.cfg.peers, Hosts: c.quotaHosts, ListConfirmedAt: c.fleet.HostsConfirmedAt, Planner: c.fleet.Planner, Sharers: c.shares.Count, Limit: c.workspaceQuota,
 		Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: s.QuotaSlack, Clock: c.cfg.clock, Logger: logger, Metrics: c.cfg.metrics,
 	})
 	c.planner = planner.New(planner.Config{
--- a/entry/hosted/workspaces.go
+++ b/entry/hosted/workspaces.go
@@ -8,9 +8,10 @@
 	"tamarackknot.example/tamarackknot/internal/times"
 )
 
-// maxConfirmationAge is the age of the planner's last confirmation of the configuration from
-// which a host confirms it itself. It leaves time for a read before keys are no longer served.
-const maxConfirmationAge = 2 * time.Second
+// confirmationAgePart is the part of the time for which keys are served after which a host that
+// gets no newer confirmation from the planner confirms the configuration itself: 2 s of 5 s. It
+// leaves time for a read.
+const confirmationAgePart = 0.4
 
 // revocationLimit returns how long keys are served after the configuration was last known to
 // be the newest one, 0 for any time.
@@ -31,7 +32,8 @@
 // mustConfirmNow reports whether a confirmation of the configuration is due, or will be before
 // a read that waits for changes has ended.
 func (c *components) mustConfirmNow() bool {
-	return c.mustConfirmCatalog() && c.now()-c.catalog.ConfirmedAt() > maxConfirmationAge
+	maxAge := time.Duration(confirmationAgePart * float64(c.revocationLimit()))
+	return c.mustConfirmCatalog() && c.now()-c.catalog.ConfirmedAt(c.catalogVersion()) > maxAge
 }
 
 // confirmedByPlanner reports whether this host need not confirm the configuration itself.
@@ -53,22 +55,23 @@
 	return w.Quota, ok
 }
 
+// firstListTime is how long after a change of the planner its list of hosts may lack hosts that
+// it has not heard yet.
+const firstListTime = 1500 * time.Millisecond
+
 // quotaHosts returns the hosts among which the owners of quotas are chosen: those that the
 // planner considers alive or, before it was heard, those that were registered when this host
-// started, and this one. Hosts that all start together then agree on the owners.
+// started, and this one. A new planner's list counts once it is complete, so that the owners
+// don't change with each host that it hears.
 func (c *components) quotaHosts() []tamarackknot.HostEntry {
-	if hosts := c.fleet.Hosts(); hosts != nil {
-		return hosts
+	hosts, since := c.fleet.Hosts(), c.fleet.PlannerSince()
+	c.quotaMu.Lock()
+	defer c.quotaMu.Unlock()
+	if hosts != nil && (since == 0 || c.now()-since >= firstListTime) {
+		c.quotaList = hosts
 	}
-	others := c.hosts.HostsAtStart()
-	if len(others) == 0 {
-		return nil
+	if others := c.hosts.HostsAtStart(); c.quotaList == nil && len(others) > 0 {
+		c.quotaList = append(slices.Clone(others), c.self)
 	}
-	c.startList.Do(func() { c.hostsAtStart = append(slices.Clone(others), c.self) })
-	return c.hostsAtStart
-}
-
-// plannerHeardAt returns when the planner was last heard, or when this host started.
-func (c *components) plannerHeardAt() time.Duration {
-	return max(c.fleet.PlannerHeardAt(), c.startedAt)
+	return c.quotaList
 }
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -97,8 +97,12 @@
 	fence          int64
 	leftFence      int64 // of the last planner that announced that it steps down
 	plannerSeenAt  time.Time
+	plannerSince   time.Duration // first message of the planner, on Clock
 	hosts          []tamarackknot.HostEntry
 	hostsUpdatedAt time.Time
+	// hostsConfirmedAt is when the planner had hosts for certain, on Clock: this host sent then
+	// what a message of the planner with hosts, or without a newer list, answers.
+	hostsConfirmedAt time.Duration
 	// hostsFence is the fencing token of the planner that sent hosts, hostsVersion its
 	// version of them.
 	hostsFence, hostsVersion int64
@@ -149,12 +153,20 @@
 	return !c.plannerSeenAt.IsZero() && time.Since(c.plannerSeenAt) < plannerTimeout
 }
 
-// PlannerHeardAt returns when the last message of a planner was received, on Clock; 0 if none
-// was.
-func (c *Client) PlannerHeardAt() time.Duration {
+// HostsConfirmedAt returns the newest time on Clock at which the planner is known to have had
+// the list of Hosts, 0 if there is none.
+func (c *Client) HostsConfirmedAt() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastSequenceAt
+	return c.hostsConfirmedAt
+}
+
+// PlannerSince returns when the first message of the present planner was received, on Clock; 0
+// if none was.
+func (c *Client) PlannerSince() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plannerSince
 }
 
 // Planner returns the name of the planner that sent the last accepted message.
@@ -235,7 +247,7 @@
 	}
 	if m.Fence > c.fence || from != c.planner {
 		c.cfg.Logger.Info("planner lease changed", "planner", from, "fence", m.Fence, "before", c.planner)
-		c.planner, c.fence, c.demandSynced = from, m.Fence, false
+		c.planner, c.fence, c.demandSynced, c.plannerSince = from, m.Fence, false, receivedAt
 		c.lastSequence, c.behind = 0, false
 		c.forget()
 	}
@@ -253,7 +265,7 @@
 		c.address = m.Planner.PeerAddress
 	}
 	members, membersAge := c.applyMembers(m, receivedAt)
-	c.applyHosts(m, now)
+	c.applyHosts(m, now, receivedAt)
 	missing := !c.demandSynced || c.behind
 	v := c.merge(m, now)
 	catalog, endpoints := c.streamStates(m, now, receivedAt)
@@ -308,7 +320,7 @@
 
 // applyHosts replaces the host list. A message without a list confirms the
 // previous one, unless a message in between is missing. c.mu is held.
-func (c *Client) applyHosts(m viewMessage, now time.Time) {
+func (c *Client) applyHosts(m viewMessage, now time.Time, receivedAt time.Duration) {
 	var hosts []tamarackknot.HostEntry
 	switch {
 	case len(m.Hosts) > 0:
@@ -325,6 +337,11 @@
 		c.hostsUpdatedAt, c.hostsVersion = now, m.HostsVersion
 	case c.hostsFence == c.fence && !c.behind:
 		c.hostsUpdatedAt = now
+	default:
+		return
+	}
+	if echo := time.Duration(m.EchoMs) * time.Millisecond; echo >= c.startedAt && echo <= receivedAt && !c.behind {
+		c.hostsConfirmedAt = max(c.hostsConfirmedAt, echo)
 	}
 }
 
--- a/workspace.go
+++ b/workspace.go
@@ -54,18 +54,21 @@
 	// Authenticate finds the workspace of a key. If the key is not known, it waits until the
 	// configuration is known to be as new as the call, for a bounded time.
 	Authenticate(ctx context.Context, key KeyHash) (*Workspace, AuthDecision)
+	// AuthenticateProven is Authenticate for a request of which another host proves that it has
+	// received a key with it. It also returns the key.
+	AuthenticateProven(ctx context.Context, proof, message string) (KeyHash, *Workspace, AuthDecision)
 	// Check repeats the check of Authenticate without waiting. It is called when a request is
-	// sent to an endpoint.
-	Check(key KeyHash) AuthDecision
-	// Prove returns what shows another host that this one has received a key with a message,
-	// and FindProven the key of such a proof, if it is known.
+	// sent to an endpoint. It is uncertain about a key that has another workspace meanwhile.
+	Check(key KeyHash, workspace string) AuthDecision
+	// Prove returns what shows another host that this one has received a key with a message.
 	Prove(key KeyHash, message string) string
-	FindProven(proof, message string) (key KeyHash, ok bool)
 }
 
 // QuotaDecision says whether a request fits into the quota of its workspace.
 type QuotaDecision struct {
 	Allowed bool
+	// Grant is what was taken for a request that is allowed.
+	Grant QuotaGrant
 	// Exceeded says that the quota is used up; otherwise a request that is not allowed was
 	// turned away because it is not known what is left.
 	Exceeded bool
@@ -74,10 +77,24 @@
 	Reason  string
 }
 
+// QuotaGrant is a part of the quota of a workspace that was taken for a request.
+type QuotaGrant struct {
+	Cost float64
+	// Bucket identifies the bucket of Holder that it comes from. Holder is empty if nothing
+	// can be given back.
+	Holder string
+	Bucket int64
+	// TakenAt is when it was taken, as the time since boot.
+	TakenAt time.Duration
+}
+
 // Quotas holds the quotas of workspaces over all hosts.
 type Quotas interface {
 	// Take takes the cost of a request from the quota of its workspace.
 	Take(ctx context.Context, workspace string, q Quota, cost float64) QuotaDecision
-	// Return gives back the cost of a request that did not run.
-	Return(workspace string, cost float64)
+	// Return gives back what was taken for a request that has not been sent.
+	Return(workspace string, g QuotaGrant)
+	// Expired reports whether too much time has passed for a request to be sent with what was
+	// taken for it: what it may still use was taken within another window.
+	Expired(g QuotaGrant) bool
 }
