Choose endpoints by what is predicted for a request there

Streams missed their gap objective although their first event came in time, and the busiest engine got 2.8 to 3.8 times the mean. The score compared endpoints by requests in flight, all hosts with the same view of 0.3 to 1 s, so all chose the same endpoints, whose prompts were then read one after another between the events of the streams.

Each host now learns for each start of an endpoint the time to the first event, the gaps between events and pauses, and predicts how many requests are late if one goes there. It compares two endpoints drawn at random, with a random part as wide as the number of requests of other hosts that it does not know of. The log line of an answered stream tells the endpoint's part of the longest gap from the caller's. It takes effect where the configuration has tenants.

--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 	@for seed in $(SOAK_SEEDS); do $(BIN)/tamaracksoak --bin $(BIN) --seed $$seed --seconds $(SOAK_SECONDS) || exit 1; done
 
 bench: ## runs the benchmarks that docs/CAPACITY.md quotes
-	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership
+	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership ./dispatch
 	# These benchmarks undo the change of each iteration, which takes longer than the measured code.
 	go test -run '^$$' -bench . -benchmem -benchtime 300x ./endpoint ./placement
 
--- a/catalog.go
+++ b/catalog.go
@@ -82,6 +82,9 @@
 type EngineSpec struct {
 	// Slots is the number of requests that one engine runs concurrently.
 	Slots int
+	// MemoryTokens is the number of tokens that one engine holds for the requests that it runs;
+	// 0 if not known.
+	MemoryTokens float64
 	// WeightsMB is the accelerator memory for models and adapters.
 	WeightsMB float64
 	// AdapterSlots is the maximum number of adapters that one engine holds.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -55,6 +56,9 @@
 	// the timeout of the caller or of the route expires.
 	Objective time.Time
 	Deadline  time.Time
+	// GapObjective is the longest time that may pass between two events of the answer; 0 if
+	// there is no limit.
+	GapObjective time.Duration
 	// AnsweredBy is when the request gets its last answer at the latest.
 	AnsweredBy time.Time
 	// Arrived is when the host finished reading the request.
@@ -119,6 +123,9 @@
 	at       time.Time // when the place was reserved
 	started  bool      // the answer has begun
 	once     sync.Once
+	// Forecast is what was predicted when the endpoint was chosen; zero if nothing was.
+	Forecast    Forecast
+	observation observation
 }
 
 // Config configures a Dispatcher.
@@ -175,6 +182,12 @@
 	versions map[string]map[string]time.Time
 	// othersUntil is when the requests of other hosts no longer count; zero if they don't.
 	othersUntil time.Time
+	predicting  bool                 // endpoints are chosen by what is predicted
+	baselines   map[target]*baseline // for models that this host has sent requests for
+	prior       *baseline            // for others; it doesn't change
+	streams     uint64               // number of the last request whose endpoint is observed
+	freezes     freezes
+	random      *rand.Rand
 	changed     map[target]bool // targets whose demand changed since the last report
 	queueWake   chan struct{}   // wakes Run when a request starts to wait
 	shutdown    *Shutdown       // nil unless the host shuts down
@@ -222,6 +235,9 @@
 		signals:   make(map[startKey]*signalState),
 		brittle:   make(map[string]*brittleness),
 		versions:  make(map[string]map[string]time.Time),
+		baselines: make(map[target]*baseline),
+		prior:     newBaseline(),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		changed:   make(map[target]bool),
 		queueWake: make(chan struct{}, 1),
 	}
@@ -509,7 +525,7 @@
 		return false
 	}
 	d.expireOthers(now)
-	best, _, _ := d.best(req, now)
+	best, _ := d.best(req, now)
 	return best != nil
 }
 
@@ -530,54 +546,27 @@
 	return nil
 }
 
-// best returns the endpoint with the lowest score for the request and that
-// score; the endpoint is nil if none can take the request, for lack of what the
-// last result says.
-func (d *Dispatcher) best(req *Request, now time.Time) (*endpoint, float64, lack) {
-	var best *endpoint
-	bestScore := 0.0
-	missing := lackModel
-	if req.Model == "" {
-		missing = lackSlot
-	}
-	affinity := d.affinityEndpoint(req)
-	preferred, maxOwn := d.preferredReplica(req), d.maxOwnRequests(req.Service, now)
-	for _, e := range d.candidates(req.Service, req.Model) {
-		if !e.accepts(req, now) || e.own >= maxOwn(e) || !d.limitAllows(e, now) {
-			missing = min(missing, e.lacks(req))
-			continue
-		}
-		score := e.score(req, d.cfg.FailureDomain, now)
-		if e.entry.ID == affinity {
-			score -= affinityBonus
-		}
-		if e == preferred {
-			score -= preferredReplicaBonus
-		}
-		score += e.signals.penalty(now)
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
-		}
-	}
-	return best, bestScore, missing
-}
-
 // tryGrant assigns the request to the best endpoint. If none can take it, it
 // returns nil and what is lacking.
 func (d *Dispatcher) tryGrant(req *Request, now time.Time) (*Grant, lack) {
 	d.expireOthers(now)
-	best, bestScore, missing := d.best(req, now)
+	found := d.search(req, now)
+	best := found.best
 	if best == nil {
-		return nil, missing
+		return nil, found.missing
+	}
+	g := &Grant{Endpoint: best.entry, d: d, req: req, at: now}
+	if found.predicting {
+		d.observe(g, best, found.choice)
 	}
 	best.signals.spend(now)
 	best.own++
 	best.prefilling++
 	best.running[modelAdapter{req.Model, req.Adapter}]++
 	d.recordAffinity(req, best.entry.ID)
-	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", bestScore,
-		"own", best.own, "others", best.others)
-	return &Grant{Endpoint: best.entry, d: d, req: req, at: now}, 0
+	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", found.score,
+		"own", best.own, "others", best.others, "forecast", g.Forecast)
+	return g, 0
 }
 
 // preferredReplica returns the engine that this host prefers for a model, nil if
@@ -615,15 +604,18 @@
 	return d.holders[target{service, model}]
 }
 
-// affinityEndpoint returns the id of the endpoint that last got the last known
-// shared part of the prompt, or "".
-func (d *Dispatcher) affinityEndpoint(req *Request) string {
+// affinityEndpoint returns the endpoint that last got the last known shared part of the
+// prompt, nil if there is none or it must not get requests.
+func (d *Dispatcher) affinityEndpoint(req *Request) *endpoint {
 	for i := len(req.PromptParts) - 2; i >= 0; i-- {
 		if id, ok := d.affinity[affinityKey{req.Model, req.Adapter, req.PromptParts[i]}]; ok {
-			return id
+			if e := d.endpoints[id]; e != nil && e.routable && e.entry.Service == req.Service {
+				return e
+			}
+			return nil
 		}
 	}
-	return ""
+	return nil
 }
 
 // recordAffinity records the endpoint that gets the shared parts of a prompt. The
@@ -637,8 +629,9 @@
 	}
 }
 
-// Started records that the answer has begun: the engine has finished the
-// prefill of the prompt.
+// Started records that the answer has begun: the engine has finished the prefill of the
+// prompt. It is called for each event that was written to the caller, before the host waits for
+// the next one.
 func (g *Grant) Started() {
 	g.d.mu.Lock()
 	defer g.d.mu.Unlock()
@@ -646,6 +639,9 @@
 		e.backoffs, e.probing = 0, false
 	}
 	g.markStarted()
+	if g.observation.estimate != nil {
+		g.beginAwait(time.Now())
+	}
 }
 
 func (g *Grant) markStarted() {
@@ -669,12 +665,14 @@
 	})
 }
 
-func (g *Grant) finish(r Result) {
+func (g *Grant) finish(r Result) { g.finishAt(r, time.Now()) }
+
+func (g *Grant) finishAt(r Result, now time.Time) {
+	g.endObservation(r, now)
 	e := g.d.endpoints[g.Endpoint.ID]
 	if e == nil {
 		return
 	}
-	now := time.Now()
 	g.markStarted()
 	e.own--
 	k := modelAdapter{g.req.Model, g.req.Adapter}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -418,7 +418,7 @@
 	chosen := func() string {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		e, _, missing := h.best(request("s", "m"), time.Now())
+		e, missing := h.best(request("s", "m"), time.Now())
 		if e == nil {
 			require.Equal(t, lackModel, missing)
 			return ""
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -58,6 +58,10 @@
 	entry   tamarackknot.EndpointEntry
 	slots   int
 	signals *signalState // nil if it has said nothing
+	// routable says that the endpoint may get requests of its service.
+	routable bool
+	// estimate is what this host has observed of this start of the endpoint.
+	estimate estimate
 	// own is the number of requests in flight from this host, others that from the
 	// other hosts as reported by the planner.
 	own        int
@@ -125,8 +129,8 @@
 	return e.lacks(req) == lackSlot
 }
 
-// score rates the endpoint for the request as a fraction of its slots; lower is
-// better.
+// score rates the endpoint by its load as a fraction of its slots; lower is better. It counts
+// where nothing is predicted.
 func (e *endpoint) score(req *Request, failureDomain string, now time.Time) float64 {
 	s := float64(e.own+e.others) / float64(max(e.slots, 1))
 	if req.Model != "" {
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -71,9 +71,14 @@
 	d.pruneSignals(time.Now())
 	d.recordVersions(time.Now())
 	clear(d.byService)
+	for _, e := range d.endpoints {
+		e.routable = false
+	}
 	for service, ids := range byService {
 		for _, id := range ids {
-			d.byService[service] = append(d.byService[service], d.endpoints[id])
+			e := d.endpoints[id]
+			e.routable = true
+			d.byService[service] = append(d.byService[service], e)
 		}
 	}
 	d.holders = nil
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -206,6 +206,7 @@
 		OnChange: func(v *catalog.View) {
 			c.workspaces.Set(v.Catalog)
 			c.dispatch.SetPools(v.Catalog.Services)
+			c.dispatch.SetPrediction(v.Catalog.Authenticated)
 		},
 	})
 	c.workspaces = workspace.New(workspace.Config{
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -195,6 +195,10 @@
 	// time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
+	pause       pauseDetails // of longestGap
+	writtenAt   time.Time    // when the write of the last event had ended
+	load        dispatch.EndpointLoad
+	forecast    dispatch.Forecast
 }
 
 // selectRoute finds the route of the request.
@@ -305,7 +309,7 @@
 	x.request = dispatch.Request{
 		ID: x.caller.ID, Service: x.service, Model: x.caller.Model, Adapter: x.caller.Adapter,
 		Tokens: x.caller.Tokens, Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
-		Objective: x.arrived.Add(x.route.Objective), PromptParts: x.caller.Parts, Content: x.contentID(),
+		Objective: x.arrived.Add(x.route.Objective), GapObjective: x.route.GapObjective, PromptParts: x.caller.Parts, Content: x.contentID(),
 	}
 	if x.workspace != nil {
 		x.request.Workspace = x.workspace.Name
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -60,8 +60,9 @@
 		switch o {
 		case outcomeDone:
 			x.server.counters.answered.Inc(1)
-			x.log("answered", "status", http.StatusOK, "firstMs", x.firstEventAt.Sub(x.arrived).Milliseconds(),
-				"gapMs", x.longestGap.Milliseconds())
+			x.log("answered", append([]any{
+				"status", http.StatusOK, "firstMs", x.firstEventAt.Sub(x.arrived).Milliseconds(), "gapMs", x.longestGap.Milliseconds(),
+			}, x.paceFields()...)...)
 			return
 		case outcomeCallerGone:
 			x.abortCallerGone()
@@ -120,7 +121,8 @@
 		return x.readStreamFailure(g, resp)
 	}
 	var p progress
-	err = x.copyEvents(resp, lastEvent, func() {
+	x.forecast = g.Forecast
+	err = x.copyEvents(resp, lastEvent, func() { x.load = g.Received(time.Now()) }, func() {
 		g.Started()
 		if p.events == 0 {
 			x.pin(g)
@@ -217,10 +219,10 @@
 // errCallerWrite marks failed writes to the caller.
 var errCallerWrite = errors.New("write to the caller failed")
 
-// copyEvents relays complete events until the stream ends, stores the id of the
-// last one in lastEvent and calls eventSent after each. The header is written before the
-// first one.
-func (x *exchange) copyEvents(resp *http.Response, lastEvent *string, eventSent func()) error {
+// copyEvents relays complete events until the stream ends, stores the id of the last one in
+// lastEvent and calls eventReceived before and eventSent after the write of each. The header is
+// written before the first one.
+func (x *exchange) copyEvents(resp *http.Response, lastEvent *string, eventReceived, eventSent func()) error {
 	in := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	rc := http.NewResponseController(x.w)
 	// A deadline left in place would fail later responses on the connection.
@@ -241,6 +243,7 @@
 		if !check.follows(event, id) {
 			return errOtherAnswer
 		}
+		eventReceived()
 		if err := x.writeEvent(rc, resp.Header, event); err != nil {
 			return err
 		}
@@ -301,10 +304,12 @@
 		x.firstEventAt = now
 		x.server.counters.firstByte.Update(x.firstEventAt.Sub(x.arrived).Milliseconds())
 	} else {
-		x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
+		x.recordGap(now)
 	}
 	x.lastEventAt = now
-	return x.writeNow(rc, event)
+	err := x.writeNow(rc, event)
+	x.writtenAt = time.Now()
+	return err
 }
 
 // writeNow sends data to the caller at once. The error is marked with errCallerWrite.
