--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -209,7 +209,7 @@
 		OnChange: func(v *catalog.View) {
 			c.workspaces.Set(v.Catalog)
 			c.dispatch.SetPools(v.Catalog.Services)
-			c.dispatch.SetPrediction(v.Catalog.Authenticated)
+			c.dispatch.SetPrediction(hasGapObjective(v.Catalog))
 		},
 	})
 	c.workspaces = workspace.New(workspace.Config{
@@ -604,3 +604,9 @@
 		c.yieldIfOthersPlanBetter()
 	}
 }
+
+// hasGapObjective reports whether a route names the longest gap between the events of its
+// streams, so that endpoints are chosen by what is predicted of it.
+func hasGapObjective(c *tamarackknot.Catalog) bool {
+	return slices.ContainsFunc(c.Routes, func(r tamarackknot.Route) bool { return r.GapObjective > 0 })
+}
