Measure what passes between failure domains

By calculation for 300 requests a second over 40 s: 12,000 requests with a body of 1.5 KB, an answer of 43 events of 56 bytes and 0.8 KB of headers are 56 MB, of which the part that leaves its domain counts. The planner sends 72 hosts a message each 216 ms and gets up to as many reports; two thirds of them cross.

The test cluster gets failure domains, fake.Peers counts bytes by pair of hosts.

--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -115,6 +115,7 @@
 type replica struct {
 	id, address string
 	version     string // of its software
+	domain      string
 	born        time.Time
 	slots       int
 
@@ -156,7 +157,7 @@
 	peers := &startingPeers{Peers: c.peers.Host(name), started: make(chan struct{})}
 	h.components = newComponents(componentsConfig{
 		settings: platform.SiteSettings{
-			Host: name, FailureDomain: "z1", CallerAddress: callerAddress(name), PeerAddress: name, FirstStart: first, CPUCores: c.size.coresOf(name),
+			Host: name, FailureDomain: c.size.domainOf(name), CallerAddress: callerAddress(name), PeerAddress: name, FirstStart: first, CPUCores: c.size.coresOf(name),
 			OrderGap: orderGap, RecoveryTime: 3 * time.Second, EnginesEnforceFencing: c.enforced,
 			RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, LoadWindow: 5 * time.Second, LoadFactor: 1.1,
 		},
@@ -509,7 +510,7 @@
 func (c *cluster) startReplica(id string) {
 	now := time.Now().Truncate(time.Millisecond)
 	r := &replica{id: id, address: netAddress(id), born: now, state: tamarackknot.EndpointReady}
-	r.slots, r.version = c.size.slotsOf(r.service()), c.size.versionOf(id)
+	r.slots, r.version, r.domain = c.size.slotsOf(r.service()), c.size.versionOf(id), c.size.domainOf(id)
 	held := make(map[string][]string)
 	for i := range 3 {
 		held[modelName(i)] = nil
@@ -559,7 +560,7 @@
 
 // entry returns the record of the endpoint, with the models that an engine holds.
 func (r *replica) entry(state tamarackknot.EndpointState, held []string) []byte {
-	fields := map[string]any{"svc": r.service(), "addr": r.address, "zone": "z1", "slots": r.slots, "state": state, "born": r.born.UnixMilli()}
+	fields := map[string]any{"svc": r.service(), "addr": r.address, "zone": r.domain, "slots": r.slots, "state": state, "born": r.born.UnixMilli()}
 	if r.version != "" {
 		fields["version"] = r.version
 	}
--- a/entry/hosted/size_test.go
+++ b/entry/hosted/size_test.go
@@ -33,6 +33,9 @@
 	// storeBytes are the bytes a second that all reads of the store share; 0 means that they
 	// share nothing.
 	storeBytes int
+	// domains is the number of failure domains of hosts and endpoints, which they belong to in
+	// turn; 0 means one.
+	domains int
 	// versions are those of the engines' software, in turn; nil if entries name none. Streams
 	// may then be resumed.
 	versions []string
@@ -47,6 +50,16 @@
 	return size.versions[n%len(size.versions)]
 }
 
+// domainOf returns the failure domain of a host or an endpoint, whose name is a letter and a
+// number.
+func (size clusterSize) domainOf(name string) string {
+	n, err := strconv.Atoi(name[1:])
+	if err != nil || size.domains == 0 {
+		return "z1"
+	}
+	return "z" + strconv.Itoa(1+n%size.domains)
+}
+
 // strongCores are the CPU cores of a strong host, as a multiple of those of another one.
 const strongCores = 4.0
 
--- a/fake/peers.go
+++ b/fake/peers.go
@@ -26,6 +26,7 @@
 	cuts     map[direction]bool
 	sent     map[peerMethod]PeerCount
 	received map[peerMethod]PeerCount
+	between  map[peerExchange]PeerCount
 	queues   map[direction]*notifyQueue
 	onWay    sync.WaitGroup // messages over Links
 }
@@ -52,11 +53,14 @@
 
 type peerMethod struct{ host, method string }
 
+type peerExchange struct{ from, to, method string }
+
 // NewPeers returns a message bus without hosts.
 func NewPeers(cfg PeersConfig) *Peers {
 	return &Peers{
 		cfg: cfg, hosts: make(map[string]*PeersHost), cuts: make(map[direction]bool),
-		sent: make(map[peerMethod]PeerCount), received: make(map[peerMethod]PeerCount), queues: make(map[direction]*notifyQueue),
+		sent: make(map[peerMethod]PeerCount), received: make(map[peerMethod]PeerCount), between: make(map[peerExchange]PeerCount),
+		queues: make(map[direction]*notifyQueue),
 	}
 }
 
@@ -110,12 +114,27 @@
 // host or method matches all.
 func (p *Peers) Received(host, method string) PeerCount { return p.sum(p.received, host, method) }
 
+// Between returns the messages between the pairs of hosts that match, by method.
+func (p *Peers) Between(match func(from, to string) bool) map[string]PeerCount {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]PeerCount)
+	for key, c := range p.between {
+		if match(key.from, key.to) {
+			sum := out[key.method]
+			out[key.method] = PeerCount{sum.Messages + c.Messages, sum.Bytes + c.Bytes}
+		}
+	}
+	return out
+}
+
 // ResetCounts sets all counters to zero.
 func (p *Peers) ResetCounts() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.sent)
 	clear(p.received)
+	clear(p.between)
 }
 
 func (p *Peers) sum(counts map[peerMethod]PeerCount, host, method string) PeerCount {
@@ -140,6 +159,8 @@
 	}
 	add(p.sent, from)
 	add(p.received, to)
+	c := p.between[peerExchange{from, to, method}]
+	p.between[peerExchange{from, to, method}] = PeerCount{c.Messages + 1, c.Bytes + size}
 }
 
 // handler returns the handler of a message, or nil if the host is unreachable or
