Keep requests in their failure domain unless leaving pays

In the test cluster 45 in 100 requests left their failure domain, because a constant of 0.08 of an endpoint's slots was all that spoke against it.

The planner derives from the demand by domain and model, and from the slots that hold the model, which share leaves each domain, and sends it with the fleet view; it starts from the state in which all requests run at home, so that what leaves does not change what it sees. Shares count for 2 s. A domain is sent no more than 0.8 of its slots, and keeps 0.15 of each endpoint for its own callers. Replicas are placed in the domains that ask for a model; one more is loaded from a cache where it saves more traffic than it costs.

Nothing changes without a price, with one domain, or at brittle endpoints, whose places belong to hosts of any domain.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	Priority          int
 	// Tokens is the size of the request; zero if the caller names none.
 	Tokens tamarackknot.RequestTokens
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Objective is when the first byte of the answer is due; Deadline is when
 	// the timeout of the caller or of the route expires.
 	Objective time.Time
@@ -147,7 +149,9 @@
 	// Isolated reports whether this host reaches no endpoint; no request then waits for
 	// one. Nil means that it does.
 	Isolated func() bool
-	Logger   *log.Logger
+	// Domains prices the traffic between failure domains. Nil means that it costs a constant.
+	Domains *DomainPolicy
+	Logger  *log.Logger
 }
 
 // Dispatcher assigns requests to endpoints. It minimises the load of the chosen
@@ -178,6 +182,8 @@
 	changed     map[target]bool // targets whose demand changed since the last report
 	queueWake   chan struct{}   // wakes Run when a request starts to wait
 	shutdown    *Shutdown       // nil unless the host shuts down
+	domains     domainState
+	compared    int // choices of a domain by a sample of the endpoints
 }
 
 // target is a model of an engine service; model is empty for a plain service.
@@ -540,10 +546,11 @@
 	if req.Model == "" {
 		missing = lackSlot
 	}
+	d.chooseDomain(req, now)
 	affinity := d.affinityEndpoint(req)
 	preferred, maxOwn := d.preferredReplica(req), d.maxOwnRequests(req.Service, now)
 	for _, e := range d.candidates(req.Service, req.Model) {
-		if !e.accepts(req, now) || e.own >= maxOwn(e) || !d.limitAllows(e, now) {
+		if !e.accepts(req, now) || e.own >= maxOwn(e) || !d.limitAllows(e, now) || d.keptForOwnDomain(e, req) {
 			missing = min(missing, e.lacks(req))
 			continue
 		}
@@ -576,7 +583,7 @@
 	best.running[modelAdapter{req.Model, req.Adapter}]++
 	d.recordAffinity(req, best.entry.ID)
 	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", bestScore,
-		"own", best.own, "others", best.others)
+		"own", best.own, "others", best.others, "left", d.leftBecause(best))
 	return &Grant{Endpoint: best.entry, d: d, req: req, at: now}, 0
 }
 
@@ -592,6 +599,9 @@
 	if len(holders) < 2 {
 		return nil
 	}
+	if e := d.preferredAtHome(holders); e != nil {
+		return e
+	}
 	return holders[d.cfg.HostIndex()%len(holders)]
 }
 
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -55,9 +55,13 @@
 
 // endpoint is the state that this host keeps for an endpoint.
 type endpoint struct {
-	entry   tamarackknot.EndpointEntry
-	slots   int
-	signals *signalState // nil if it has said nothing
+	entry tamarackknot.EndpointEntry
+	slots int
+	// domains is nil if traffic between failure domains has no price; elsewhere says that the
+	// endpoint is in another one than this host.
+	domains   *domainState
+	elsewhere bool
+	signals   *signalState // nil if it has said nothing
 	// own is the number of requests in flight from this host, others that from the
 	// other hosts as reported by the planner.
 	own        int
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -59,6 +59,7 @@
 		}
 		e.entry, e.signals = entry, d.signals[keyOf(entry)]
 		e.slots = d.slotsOf(entry)
+		d.setEndpointDomain(e)
 		if useEntryModels && entry.Engine != nil {
 			e.held = adaptersByModel(entry.Engine.Held)
 		}
@@ -160,6 +161,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.othersUntil = time.Now().Add(othersMemory)
+	d.setShares(v)
 	for id, engine := range v.Engines {
 		if e := d.endpoints[id]; e != nil {
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
--- a/entry/commands/hosted.go
+++ b/entry/commands/hosted.go
@@ -15,26 +15,34 @@
 	"github.com/integrii/flaggy"
 
 	"tamarackknot.example/tamarackknot/entry/hosted"
+	"tamarackknot.example/tamarackknot/locality"
 	"tamarackknot.example/tamarackknot/platform"
 )
 
 // hostedCommand is the subcommand that runs an entry host on the platform.
 const hostedCommand = "hosted"
 
-const maxPort = 65535
+const (
+	maxPort = 65535
+	// maxDomainPrice is the price at which a byte between failure domains is worth a second.
+	maxDomainPrice = 1e9
+)
 
 // hostedOptions holds the settings that are not part of the platform's settings
 // file.
 type hostedOptions struct {
 	LogLevel    string `env:"LOG_LEVEL" envDefault:"info"`
 	MetricsPort int    `env:"METRICS_PORT" envDefault:"9100"`
+	// DomainPrice is text because errors then name the flag.
+	DomainPrice string `env:"DOMAIN_PRICE" envDefault:"0"`
 }
 
-// parseHosted returns the log level and the metrics port.
-func parseHosted(args []string) (log.Level, int, error) {
+// parseHosted returns the configuration of the daemon without the platform's settings, and the
+// log level.
+func parseHosted(args []string) (c hosted.Config, level log.Level, err error) {
 	var o hostedOptions
 	if err := env.ParseWithOptions(&o, env.Options{Prefix: "TAMARACKD_"}); err != nil {
-		return 0, 0, errors.Wrap(err, "environment")
+		return hosted.Config{}, 0, errors.Wrap(err, "environment")
 	}
 	p := flaggy.NewParser("tamarackd " + hostedCommand)
 	p.Description = "serves callers on the platform; the addresses come from its settings file"
@@ -45,21 +53,27 @@
 	// number does not contain the flag.
 	port := strconv.Itoa(o.MetricsPort)
 	p.String(&port, "m", "metricsPort", "port of the metrics page, 0 to 65535; 0 disables it (TAMARACKD_METRICS_PORT)")
+	p.String(&o.DomainPrice, "p", "domainPrice", "seconds of delay of one request that a gigabyte between failure domains is worth, 0 to 1e9; 0 for no price (TAMARACKD_DOMAIN_PRICE)")
 	if err := p.ParseArgs(args); err != nil {
-		return 0, 0, errors.Wrap(err, "flags")
+		return hosted.Config{}, 0, errors.Wrap(err, "flags")
+	}
+	c.MetricsPort, err = strconv.Atoi(port)
+	if err != nil || c.MetricsPort < 0 || c.MetricsPort > maxPort {
+		return hosted.Config{}, 0, fmt.Errorf("--metricsPort: %q is not a port from 0 to %d", port, maxPort)
 	}
-	n, err := strconv.Atoi(port)
-	if err != nil || n < 0 || n > maxPort {
-		return 0, 0, fmt.Errorf("--metricsPort: %q is not a port from 0 to %d", port, maxPort)
+	price, err := strconv.ParseFloat(o.DomainPrice, 64)
+	if err != nil || !(price >= 0 && price <= maxDomainPrice) {
+		return hosted.Config{}, 0, fmt.Errorf("--domainPrice: %q is not a number from 0 to %g", o.DomainPrice, maxDomainPrice)
 	}
-	level, err := log.ParseLevel(o.LogLevel)
-	return level, n, errors.Wrapf(err, "--logLevel: %q", o.LogLevel)
+	c.DomainPrice = locality.Price(price)
+	level, err = log.ParseLevel(o.LogLevel)
+	return c, level, errors.Wrapf(err, "--logLevel: %q", o.LogLevel)
 }
 
 // runHosted runs the daemon until SIGTERM or SIGINT and returns the exit code of
 // the process.
 func runHosted(args []string, stdout, stderr io.Writer) int {
-	level, metricsPort, err := parseHosted(args)
+	cfg, level, err := parseHosted(args)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "tamarackd:", err)
 		return exitUsage
@@ -82,7 +96,8 @@
 	go reloader{signals: reload, logger: logger, settings: s}.run()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := hosted.New(hosted.Config{Settings: s, MetricsPort: metricsPort, Logger: logger}).Serve(ctx); err != nil {
+	cfg.Settings, cfg.Logger = s, logger
+	if err := hosted.New(cfg).Serve(ctx); err != nil {
 		logger.Error("stopped", "error", err)
 		return exitFailed
 	}
--- a/entry/commands/hosted_test.go
+++ b/entry/commands/hosted_test.go
@@ -22,6 +22,8 @@
 		"log level":          {[]string{"hosted", "--logLevel", "loud"}, file, "--logLevel"},
 		"metrics port":       {[]string{"hosted", "--metricsPort", "70000"}, file, "--metricsPort"},
 		"metrics port, text": {[]string{"hosted", "--metricsPort", "x"}, file, "--metricsPort"},
+		"domain price":       {[]string{"hosted", "--domainPrice", "-1"}, file, "--domainPrice"},
+		"domain price, NaN":  {[]string{"hosted", "--domainPrice=NaN"}, file, "--domainPrice"},
 		"no settings file":   {[]string{"hosted"}, "", "TAMARACKKNOT_CONFIG"},
 		"missing file":       {[]string{"hosted"}, file + "x", "boot.tomlx"},
 		"incomplete file":    {[]string{"hosted"}, file, "zone"},
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -19,6 +19,7 @@
 	"tamarackknot.example/tamarackknot/fleet"
 	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/lease"
+	"tamarackknot.example/tamarackknot/locality"
 	"tamarackknot.example/tamarackknot/origin"
 	"tamarackknot.example/tamarackknot/planner"
 	"tamarackknot.example/tamarackknot/platform"
@@ -79,9 +80,11 @@
 	dial ingress.DialFunc
 	// clock returns the time since boot, including the time of suspension. Nil
 	// means the system's clock.
-	clock   func() time.Duration
-	logger  *log.Logger
-	metrics metrics.Registry
+	clock func() time.Duration
+	// domainPrice is the price of the traffic between failure domains; 0 if it has none.
+	domainPrice locality.Price
+	logger      *log.Logger
+	metrics     metrics.Registry
 }
 
 // components are the parts of an entry host between the platform, the engines and
@@ -187,6 +190,7 @@
 		OnModelWait:        func() { c.fleet.SendNow() },
 		Rejects:            func(r tamarackknot.RequestIdentity) bool { return c.crashes.Rejects(r) },
 		Isolated:           c.reach.Isolated,
+		Domains:            c.domainPolicy(),
 		Places:             func(endpoint string, slots int) (int, []string) { return c.shares.Places(endpoint, slots) },
 		LimitShare:         func(endpoint string, perSecond float64) float64 { return c.shares.Rate(endpoint, perSecond) },
 		Logger:             logger,
@@ -251,7 +255,7 @@
 		Clock:          c.cfg.clock,
 		OnAcknowledged: c.onAcknowledged(),
 		Catalog:        c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
-		OnDemand: func() { c.planner.Replan() },
+		OnDemand: func() { c.planner.Replan() }, ByDomain: c.cfg.domainPrice > 0,
 	})
 	c.origins = origin.New(origin.Config{Peers: c.cfg.peers, Others: c.otherHosts, Logger: logger})
 	c.versions = origin.NewVersions(origin.VersionsConfig{
@@ -264,8 +268,8 @@
 	c.shares = share.New(share.Config{Self: s.Host, Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
-		Isolated: c.reach.Isolated,
-		Demand:   c.dispatch.Demand, OnView: c.dispatch.SetView,
+		Isolated: c.reach.Isolated, Shares: c.cfg.domainPrice > 0,
+		Demand: c.dispatch.Demand, OnView: c.dispatch.SetView,
 		CatalogVersion: c.catalogVersion, OnMembers: c.shares.Observe, OnStreamStates: c.updatePlannerStreams, OnStoreEra: store.AnnounceEra,
 		Promise: c.lease.Promise, OnPlannerLeft: c.lease.Wake, Clock: c.cfg.clock,
 	})
@@ -284,6 +288,7 @@
 		Limited:         c.publisher.Limited,
 		Leaving:         c.publisher.Leaving,
 		Publish:         c.publisher.Publish,
+		Price:           c.cfg.domainPrice,
 		FencingEnforced: s.EnginesEnforceFencing, LoadWindow: s.LoadWindow, LoadFactor: s.LoadFactor,
 		Logger: logger,
 	})
--- a/entry/hosted/domains_test.go
+++ b/entry/hosted/domains_test.go
@@ -21,6 +21,8 @@
 	requestBytes = 1500 + 500
 	answerBytes  = 43*(50+6) + 300
 	streamTime   = 1500 * time.Millisecond
+	// deployedDomainPrice is the price that the deploy file sets.
+	deployedDomainPrice = 5000
 )
 
 // domainTraffic is what passed between failure domains in a test.
@@ -90,9 +92,15 @@
 }
 
 // TestBytesBetweenDomains guards against hosts whose own messages take more of the traffic
-// between failure domains than the requests.
+// between failure domains than the requests, and against a price of that traffic that does not
+// halve it.
 func TestBytesBetweenDomains(t *testing.T) {
-	traffic := measureDomains(t, domainSize(), 40*time.Second)
-	require.Positive(t, traffic.left)
-	require.Less(t, traffic.messageBytes, traffic.leftBytes())
+	const lasts = 40 * time.Second
+	free, size := measureDomains(t, domainSize(), lasts), domainSize()
+	require.Positive(t, free.left)
+	require.Less(t, free.messageBytes, free.leftBytes())
+	size.domainPrice = deployedDomainPrice
+	priced := measureDomains(t, size, lasts)
+	require.Less(t, priced.leftBytes()+priced.messageBytes, (free.leftBytes()+free.messageBytes)/2)
+	require.LessOrEqual(t, priced.refused, free.refused)
 }
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -23,6 +23,7 @@
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/dispatch"
 	"tamarackknot.example/tamarackknot/ingress"
+	"tamarackknot.example/tamarackknot/locality"
 	"tamarackknot.example/tamarackknot/peer"
 	"tamarackknot.example/tamarackknot/platform"
 )
@@ -69,6 +70,8 @@
 	Settings platform.SiteSettings
 	// MetricsPort is the port of the metrics page; 0 disables it.
 	MetricsPort int
+	// DomainPrice is the price of the traffic between failure domains; 0 if it has none.
+	DomainPrice locality.Price
 	Logger      *log.Logger
 }
 
@@ -110,7 +113,7 @@
 		store:   platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
 		control: platform.NewWeightClient(platform.Config{}),
 		dial:    platform.NewDialer().DialContext,
-		metrics: d.registry,
+		metrics: d.registry, domainPrice: cfg.DomainPrice,
 	})
 	d.callers = d.newCallerServer(d.registry)
 	return d
--- a/entry/hosted/size_test.go
+++ b/entry/hosted/size_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"tamarackknot.example/tamarackknot/fake"
+	"tamarackknot.example/tamarackknot/locality"
 )
 
 // selectCases returns the cases that are played: those with the names, or all if the
@@ -36,6 +37,8 @@
 	// domains is the number of failure domains of hosts and endpoints, which they belong to in
 	// turn; 0 means one.
 	domains int
+	// domainPrice is the price of the traffic between them.
+	domainPrice locality.Price
 	// versions are those of the engines' software, in turn; nil if entries name none. Streams
 	// may then be resumed.
 	versions []string
--- a/fleet.go
+++ b/fleet.go
@@ -76,6 +76,31 @@
 	// Models sums the demand for each model: the earliest times of the waiting requests, the
 	// last use, and the numbers of all others.
 	Models []ModelDemand
+	// Domains is the demand by failure domain, ordered by domain; nil if nobody asks for it.
+	Domains []DomainDemand
+}
+
+// DomainDemand is the demand of the hosts of one failure domain.
+type DomainDemand struct {
+	Domain  string
+	Running []RunCount
+	Waiting []ModelWaiting
+}
+
+// ModelWaiting is the number of requests that wait for a model.
+type ModelWaiting struct {
+	Service string
+	Model   string
+	Count   int
+}
+
+// DomainShare is the share of the requests for a model, from 0 to 1, that leave the failure
+// domain of their host.
+type DomainShare struct {
+	Domain  string
+	Service string
+	Model   string // empty for a plain service
+	Share   float64
 }
 
 // FleetView is the state of the model engines that the planner publishes to the
@@ -93,6 +118,10 @@
 	Brittle []BrittleService
 	// Hosts are the entry hosts that currently report to the planner.
 	Hosts []HostEntry
+	// Shares are the shares above 0, at a host those of its own failure domain. The planner
+	// planned them at SharesAt; zero means that it plans none.
+	Shares   []DomainShare
+	SharesAt time.Time
 }
 
 // Registration says how an entry host is registered in the platform's store and
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -79,6 +79,8 @@
 	// OnStreamStates is called with the planner's positions in the platform's
 	// streams, unless this host is the planner.
 	OnStreamStates func(catalog, endpoints tamarackknot.StreamState)
+	// Shares says that this host reads the shares that leave its failure domain.
+	Shares bool
 	// Local is the Publisher of this host; it receives the demand directly while
 	// this host is the planner.
 	Local  *Publisher
@@ -120,6 +122,9 @@
 	held      map[string][]tamarackknot.HeldModel
 	byIndex   map[int]string // engines of held
 	forecasts map[modelKey]time.Time
+	// shares are those of the version sharesVersion; 0 means that they are not known.
+	shares        []tamarackknot.DomainShare
+	sharesVersion int64
 }
 
 // NewClient returns a Client and registers its handler with cfg.Peers.
@@ -256,6 +261,7 @@
 	c.applyHosts(m, now)
 	missing := !c.demandSynced || c.behind
 	v := c.merge(m, now)
+	c.applyShares(m, &v, now)
 	catalog, endpoints := c.streamStates(m, now, receivedAt)
 	c.mu.Unlock()
 	if missing {
@@ -333,6 +339,7 @@
 	clear(c.held)
 	clear(c.byIndex)
 	clear(c.forecasts)
+	c.sharesVersion = 0
 }
 
 // merge applies a message to the accumulated state and returns the engines that
@@ -430,7 +437,7 @@
 
 // heldLists returns the versions of the planner's lists that this host has. c.mu is held.
 func (c *Client) heldLists() *heldLists {
-	l := &heldLists{Fence: c.fence, Loads: true}
+	l := &heldLists{Fence: c.fence, Loads: true, Shares: c.cfg.Shares}
 	if c.hostsFence == c.fence {
 		l.Hosts = c.hostsVersion
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -44,8 +44,10 @@
 	Fence   int64 `json:"fence"`
 	Hosts   int64 `json:"hosts,omitempty"`
 	Members int64 `json:"members,omitempty"`
-	// Loads says that the host reads the loads of engines by index.
-	Loads bool `json:"loads,omitempty"`
+	// Loads says that the host reads the loads of engines by index, Shares that it reads the
+	// shares of its failure domain.
+	Loads  bool `json:"loads,omitempty"`
+	Shares bool `json:"shares,omitempty"`
 }
 
 type modelDemandMessage struct {
@@ -93,6 +95,12 @@
 	HostsBase    int64                    `json:"hostsBase,omitempty"`
 	HostsSet     []tamarackknot.HostEntry `json:"hostsSet,omitempty"`
 	HostsRemoved []string                 `json:"hostsRemoved,omitempty"`
+	// Shares are the shares that leave the host's failure domain, of the version
+	// SharesVersion, planned SharesAgeMs ago; omitted if they are unchanged since the last
+	// message. SharesVersion is 0 if the planner plans none or the host does not read them.
+	Shares        []shareMessage `json:"shares,omitempty"`
+	SharesVersion int64          `json:"sharesVersion,omitempty"`
+	SharesAgeMs   int64          `json:"sharesAgeMs,omitempty"`
 	// LeaseEnd is the end offset of the lease stream known to the planner, in the
 	// era LeaseEra of the store.
 	LeaseEnd int64 `json:"lease,omitempty"`
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -86,6 +86,8 @@
 	OnCatalogVersion func(version int64)
 	// OnDemand is called when a host reports waiting requests. It may be nil.
 	OnDemand func()
+	// ByDomain says that Demand returns the demand by failure domain too.
+	ByDomain bool
 	Logger   *log.Logger
 }
 
@@ -120,11 +122,13 @@
 	membersVersion int64
 	notices        noticeList
 	brittle        brittleList
+	shares         shareLists
 }
 
 // hostState is the last demand of a host and the state that was last sent to it.
 type hostState struct {
 	lastSeen time.Time
+	domain   string // empty until the host is known to be registered
 	leaving  bool
 	isolated bool
 	running  []tamarackknot.RunCount
@@ -141,6 +145,7 @@
 	hostListVersion int64
 	membersVersion  int64
 	noticesVersion  int64
+	sharesVersion   int64
 	fence           int64
 	held            *heldLists // as the host last said; nil if it does not say
 	// sends holds the newest messages whose acknowledgement is outstanding, oldest
@@ -222,7 +227,7 @@
 		s.fullViewAt, s.urgent = time.Time{}, true
 	}
 	if s.held = m.Lists; s.held != nil && s.held.Fence != s.fence {
-		s.held = &heldLists{Loads: m.Lists.Loads}
+		s.held = &heldLists{Loads: m.Lists.Loads, Shares: m.Lists.Shares}
 	}
 	if m.Acknowledged > 0 && m.Fence == s.fence {
 		s.acknowledge(m.Acknowledged)
@@ -271,6 +276,7 @@
 			p.demand.add(s)
 		}
 	}
+	p.addDomains(now)
 	return p.demand.result
 }
 
@@ -289,6 +295,7 @@
 // a host waits for what has changed. p.mu is held.
 func (p *Publisher) setView(v tamarackknot.FleetView) (urgent bool) {
 	p.forecasts = v.Forecasts
+	p.shares.set(v.Shares, v.SharesAt)
 	changed := make(map[string]bool)
 	for id, e := range v.Engines {
 		s := p.engines[id]
@@ -453,6 +460,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refreshMembers(registered)
+	p.setDomains(registered)
 	r := &round{
 		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), totals: p.requestTotals(now),
 		forecasts:     make(map[modelKey]time.Time),
@@ -569,7 +577,7 @@
 		}
 		r.fullViewsLeft--
 		m.Full, m.Planner = true, &p.cfg.Self
-		s.fullViewAt, s.hostListVersion, s.membersVersion, s.noticesVersion = r.now, 0, 0, 0
+		s.fullViewAt, s.hostListVersion, s.membersVersion, s.noticesVersion, s.sharesVersion = r.now, 0, 0, 0, 0
 		if s.held != nil && s.fence == r.fence {
 			s.hostListVersion, s.membersVersion = s.held.Hosts, s.held.Members
 		}
@@ -586,6 +594,7 @@
 		s.noticesVersion = p.notices.version
 		m.Notices = encodeNotices(p.notices.all(), r.now)
 	}
+	p.addShares(s, &m, r.now)
 	p.addEngines(s, &m, r.totals)
 	s.addForecasts(&m, r.forecasts, r.now)
 	return m
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -304,7 +304,7 @@
 	}
 	x.request = dispatch.Request{
 		ID: x.caller.ID, Service: x.service, Model: x.caller.Model, Adapter: x.caller.Adapter,
-		Tokens: x.caller.Tokens, Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
+		Tokens: x.caller.Tokens, BodyBytes: len(x.body), Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
 		Objective: x.arrived.Add(x.route.Objective), PromptParts: x.caller.Parts, Content: x.contentID(),
 	}
 	if x.workspace != nil {
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -15,6 +15,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/internal/wait"
+	"tamarackknot.example/tamarackknot/locality"
 )
 
 const (
@@ -114,6 +115,8 @@
 	// Publish sends the state of the engines to the hosts, without delay to those that wait
 	// for what has changed.
 	Publish func(v tamarackknot.FleetView)
+	// Price is the price of the traffic between failure domains; 0 if it has none.
+	Price locality.Price
 	// FencingEnforced says that engines reject orders with an outdated fencing
 	// token.
 	FencingEnforced bool
@@ -160,6 +163,7 @@
 	savedAt time.Time
 	// savedEra is the era of the store in which the history was last written.
 	savedEra int64
+	domains  domainPlan
 }
 
 // modelKey identifies a model of a service.
@@ -189,6 +193,7 @@
 		slowdownSeen: make(map[string]bool),
 		busyShares:   make(map[string]movingAverage),
 		prefetchedAt: make(map[string]time.Time),
+		domains:      newDomainPlan(cfg.Price),
 	}
 }
 
@@ -276,6 +281,7 @@
 		return
 	}
 	c.active, c.forecasts = false, nil
+	c.domains.reset()
 	clear(c.engines)
 	clear(c.models)
 	c.cfg.Logger.Info("planning stopped")
@@ -418,6 +424,7 @@
 	for _, demand := range c.models {
 		demand.updateAverages(now)
 	}
+	c.syncDomains(d.Domains, now)
 }
 
 // demandFor returns the demand for a model and creates it if needed.
@@ -464,11 +471,11 @@
 
 // serviceState collects the input of a decision for one service.
 func (c *Controller) serviceState(service string, spec *tamarackknot.EngineSpec, now time.Time) ServiceState {
-	s := ServiceState{Now: now, Service: service, Spec: spec, Models: c.states, ColdLimit: c.coldLimitOf(service)}
+	s := ServiceState{Now: now, Service: service, Spec: spec, Price: c.cfg.Price, Models: c.states, ColdLimit: c.coldLimitOf(service)}
 	clear(s.Models)
 	for key, demand := range c.models {
 		if key.service == service {
-			s.Models[key.model] = demand.state
+			s.Models[key.model] = c.withDomains(key, demand.state)
 		}
 	}
 	var limited, leaving map[string]time.Time
@@ -486,6 +493,7 @@
 		e.saysItLeaves = e.isStart(leaving)
 		state := e.state(now)
 		state.Limited = e.isStart(limited)
+		state.Domain = e.entry.FailureDomain
 		s.Engines = append(s.Engines, state)
 		if e.move != nil && e.move.Tier == tamarackknot.TierRemote {
 			s.ColdLoads++
@@ -593,6 +601,7 @@
 		}
 	}
 	v.Forecasts = slices.Concat(c.forecasts, c.loadForecasts())
+	v.Shares, v.SharesAt = c.domains.shares, c.domains.sharesAt
 	c.cfg.Publish(v)
 }
 
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/locality"
 )
 
 const (
@@ -84,11 +85,14 @@
 	ColdBudget int
 	// Prefetch says that models may be loaded for which no requests wait.
 	Prefetch bool
+	// Price is the price of the traffic between failure domains; 0 if it has none.
+	Price locality.Price
 }
 
 // EngineState is the state of one model engine.
 type EngineState struct {
-	ID string
+	ID     string
+	Domain string // failure domain
 	// FreeAt is when the order under way is expected to end, zero without one.
 	FreeAt time.Time
 	// Loading is the model being loaded, empty without one.
@@ -134,6 +138,8 @@
 	// running or waiting at the same time.
 	Rate float64
 	Load float64
+	// Domains is the load by failure domain of the callers; nil if it does not matter.
+	Domains map[string]float64
 }
 
 // Move is the load of a model, with the evictions that free the memory for it.
@@ -162,7 +168,9 @@
 	// adapterReserveMB is the memory reserved for adapters on each engine.
 	adapterReserveMB float64
 	allLimited       bool
-	decision         Decision
+	// copies counts the replicas of models by failure domain; nil if these do not matter.
+	copies   map[domainModel]int
+	decision Decision
 }
 
 // Decide plans the loads and evictions for a service. Models that requests wait
@@ -188,9 +196,11 @@
 			p.replicas[e.Loading]++
 		}
 	}
+	p.countCopies()
 	for _, name := range p.wanted() {
 		p.place(name)
 	}
+	p.placeAtHome()
 	if s.Prefetch {
 		p.prefetch()
 	}
@@ -325,6 +335,7 @@
 	e.Loading, e.FreeAt = m.Model, p.Now.Add(p.Spec.Models[m.Model].LoadTime(m.Tier))
 	e.Held = slices.DeleteFunc(slices.Clone(e.Held), func(h HeldState) bool { return slices.Contains(m.Evict, h.Model) })
 	p.replicas[m.Model]++
+	p.moveCopies(e, m)
 	if p.cached != nil {
 		p.cached[m.Model] = true
 	}
@@ -384,6 +395,7 @@
 	if state.Waiting > 0 && at.After(state.Objective) {
 		cost += lateCost
 	}
+	cost += p.awayCost(e, model.Name, state)
 	return Move{Engine: e.ID, Model: model.Name, Tier: tier, Evict: evict}, at, cost
 }
 
@@ -407,7 +419,7 @@
 	}
 	var all []victim
 	for _, h := range e.Held {
-		all = append(all, victim{h.Model, p.evictionCost(h)})
+		all = append(all, victim{h.Model, p.evictionCost(h) + p.lastCopyCost(e, h.Model)})
 	}
 	slices.SortFunc(all, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
 	var out []string
