--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -109,6 +109,7 @@
 	dispatch       *dispatch.Dispatcher
 	workspaces     *workspace.Authority
 	quotas         *quota.Keeper
+	traffic        *domainTraffic // between failure domains
 	plannerStreams atomic.Pointer[plannerStreams]
 	startBy        time.Time // when a starting host stops waiting for the planner
 	planFrom       time.Time // when any host may plan at the first start
@@ -121,6 +122,7 @@
 		Name: s.Host, Incarnation: cfg.incarnation, FailureDomain: s.FailureDomain,
 		Address: s.CallerAddress, PeerAddress: s.PeerAddress, CPUCores: s.CPUCores, Workspaces: true,
 	}}
+	c.traffic = newDomainTraffic(s.FailureDomain, c.knownHosts, cfg.metrics)
 	c.store = relay.New(relay.Config{
 		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
 		Streams:      []tamarackknot.Stream{tamarackknot.StreamCatalog, tamarackknot.StreamEndpoints},
@@ -153,7 +155,7 @@
 		Crashes:   c.crashes,
 		HostCount: c.shares.Count,
 		Host:      s.Host,
-		Dial:      c.cfg.dial, DialEndpoint: c.reach.Dial, Isolated: c.reach.Isolated, OtherHosts: c.reachingHosts,
+		Dial:      c.traffic.countRequests(c.cfg.dial), DialEndpoint: c.traffic.countRequests(c.reach.Dial), Isolated: c.reach.Isolated, OtherHosts: c.reachingHosts,
 		Logger:  c.cfg.logger,
 		Metrics: registry,
 	})
@@ -225,6 +227,7 @@
 		},
 		Readers: c.listReaders,
 		OnChange: func(snap *discovery.Snapshot) {
+			c.traffic.setEndpoints(snap)
 			c.dispatch.SetEndpoints(snap.Endpoints, snap.ByService, !c.fleet.PlannerAlive())
 		},
 	})
--- a/entry/hosted/domains_test.go
+++ b/entry/hosted/domains_test.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"io"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/discovery"
 	"tamarackknot.example/tamarackknot/dispatch"
+	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -25,21 +30,21 @@
 	deployedDomainPrice = 5000
 )
 
-// domainTraffic is what passed between failure domains in a test.
-type domainTraffic struct {
+// crossTraffic is what passed between failure domains in a test.
+type crossTraffic struct {
 	messages, messageBytes int
 	requests, left         int // granted, and those of them to another domain
 	refused                int
 }
 
 // leftBytes returns the bytes of the requests that left their domain, with their answers.
-func (t domainTraffic) leftBytes() int { return t.left * (requestBytes + answerBytes) }
+func (t crossTraffic) leftBytes() int { return t.left * (requestBytes + answerBytes) }
 
 // domainSize is the size of a deployment with three failure domains and 300 requests a second.
 func domainSize() clusterSize { return clusterSize{hosts: 72, engines: 63, slots: 24, domains: 3} }
 
 // measureDomains runs a cluster and returns the traffic between its domains within a time.
-func measureDomains(t *testing.T, size clusterSize, lasts time.Duration) (out domainTraffic) {
+func measureDomains(t *testing.T, size clusterSize, lasts time.Duration) (out crossTraffic) {
 	t.Helper()
 	var requests, left, refused atomic.Int64
 	synctest.Test(t, func(*testing.T) {
@@ -91,6 +96,50 @@
 	grant.Done(dispatch.ResultAnswered)
 }
 
+// TestDomainTraffic guards against bytes within a failure domain that count as leaving it, and
+// against bytes to others that do not count or count for the wrong reason.
+func TestDomainTraffic(t *testing.T) {
+	hosts := []tamarackknot.HostEntry{{Name: "h1", FailureDomain: "z1", Address: "a1"}, {Name: "h2", FailureDomain: "z2", Address: "a2"}}
+	traffic := newDomainTraffic("z1", func() []tamarackknot.HostEntry { return hosts }, nil)
+	traffic.setEndpoints(&discovery.Snapshot{Endpoints: map[string]tamarackknot.EndpointEntry{
+		"e1": {Address: "b1", FailureDomain: "z1"}, "e2": {Address: "b2", FailureDomain: "z2"},
+	}})
+	for _, host := range []string{"h1", "h2", "unknown"} {
+		traffic.countMessage(host, "board.view", 10)
+		traffic.countMessage(host, "relay.chunk", 20)
+		traffic.countMessage(host, "quota.take", 40)
+	}
+	exchange := func(dial ingress.DialFunc, address string) {
+		conn, err := dial(t.Context(), "tcp", address)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("123"))
+		require.NoError(t, err)
+		_, err = io.ReadFull(conn, make([]byte, 5))
+		require.NoError(t, err)
+	}
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.ReadFull(far, make([]byte, 3))
+			_, _ = far.Write([]byte("12345"))
+		}()
+		return near, nil
+	}
+	for _, address := range []string{"a1", "a2", "b1", "b2", "unknown"} {
+		exchange(traffic.countRequests(dial), address)
+	}
+	exchange(traffic.countOrders(dial), "b2")
+	counts := func(counters ...metrics.Counter) (out []int64) {
+		for _, c := range counters {
+			out = append(out, c.Count())
+		}
+		return out
+	}
+	require.Equal(t, []int64{2 * 3, 2 * 5, 3 + 5}, counts(traffic.requests, traffic.answers, traffic.orders))
+	require.Equal(t, []int64{10, 20, 40}, counts(traffic.fleet, traffic.configuration, traffic.other))
+}
+
 // TestBytesBetweenDomains guards against hosts whose own messages take more of the traffic
 // between failure domains than the requests, and against a price of that traffic that does not
 // halve it.
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -105,13 +105,16 @@
 			return platform.NewDialer().DialContext(ctx, "tcp", address)
 		},
 		Resolve: func(host string) (string, bool) { return d.peerAddress(host) },
+		OnSent:  func(host, method string, bytes int) { d.traffic.countMessage(host, method, bytes) },
 		Metrics: d.registry,
 		Logger:  cfg.Logger,
 	})
 	d.components = newComponents(componentsConfig{
 		settings: s, incarnation: incarnation, peers: d.mesh, logger: cfg.Logger,
-		store:   platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
-		control: platform.NewWeightClient(platform.Config{}),
+		store: platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
+		control: platform.NewWeightClient(platform.Config{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return d.traffic.countOrders(platform.NewDialer().DialContext)(ctx, network, address)
+		}}),
 		dial:    platform.NewDialer().DialContext,
 		metrics: d.registry, domainPrice: cfg.DomainPrice,
 	})
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -75,7 +75,7 @@
 		return
 	}
 	list := p.shares.list(s.domain)
-	m.SharesVersion, m.SharesAgeMs = list.version, age.Milliseconds()
+	m.SharesVersion, m.SharesAgeMs = list.version, max(age.Milliseconds(), 0)
 	if s.sharesVersion == list.version {
 		return
 	}
--- a/peer/acceptor.go
+++ b/peer/acceptor.go
@@ -30,6 +30,7 @@
 // that blocks reading delays only the peer's own requests.
 type acceptor struct {
 	mesh      *Mesh
+	stream    *stream
 	from      string // set by handleHello; used only by the reading goroutine
 	callSlots chan struct{}
 }
@@ -99,6 +100,7 @@
 		return
 	}
 	a.from = in.Host
+	a.stream.host.Store(&in.Host)
 	a.reply(ctx, conn, req, hello{Host: cfg.Host, Incarnation: cfg.Incarnation}, nil)
 	if cfg.OnConnect != nil {
 		cfg.OnConnect(tamarackknot.Process{Host: in.Host, Incarnation: in.Incarnation})
--- a/peer/link.go
+++ b/peer/link.go
@@ -222,6 +222,7 @@
 		return errors.Wrapf(err, "dial %s", address)
 	}
 	s := newStream(c, cfg, l.mesh.counters)
+	s.host.Store(&l.host)
 	conn := jsonrpc2.NewConn(l.mesh.ctx, s, rejectAll{}, jsonrpc2.OnSend(s.onSend), jsonrpc2.OnRecv(s.onRecv), jsonrpc2.SetLogger(connLogger{cfg.Logger}))
 	var out hello
 	err = conn.Call(ctx, methodHello, hello{Host: cfg.Host, Incarnation: cfg.Incarnation, To: l.host}, &out)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -58,6 +58,9 @@
 	// OnConnect is called with the process at the other end of each new
 	// connection. It must not block and may be nil.
 	OnConnect func(tamarackknot.Process)
+	// OnSent is called with the size of each message that was sent to a host, or to one whose
+	// request it answers. It must not block and may be nil.
+	OnSent func(host, method string, bytes int)
 
 	MaxMessageBytes int
 	// QueueLength limits the messages queued for one peer.
@@ -294,7 +297,7 @@
 	// The dialling side closes idle connections. The longer timeout here removes
 	// connections whose other end disappeared without closing them.
 	s.readTimeout = 2 * m.cfg.IdleTimeout
-	h := &acceptor{mesh: m, callSlots: make(chan struct{}, maxConcurrentCalls)}
+	h := &acceptor{mesh: m, stream: s, callSlots: make(chan struct{}, maxConcurrentCalls)}
 	conn := jsonrpc2.NewConn(m.ctx, s, h, jsonrpc2.OnSend(s.onSend), jsonrpc2.OnRecv(s.onRecv), jsonrpc2.SetLogger(connLogger{m.cfg.Logger}))
 	m.running.Add(1)
 	go m.waitInbound(conn)
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -372,6 +372,33 @@
 	})
 }
 
+// TestOnSent guards against messages, or answers to calls, that are not counted for the host
+// that gets them.
+func TestOnSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, sent := newPipeNet(), make(map[string]int)
+		var mu sync.Mutex
+		count := func(from string) func(*Config) {
+			return func(c *Config) {
+				c.OnSent = func(host, method string, bytes int) {
+					mu.Lock()
+					defer mu.Unlock()
+					sent[from+">"+host+" "+method] += min(bytes, 1)
+				}
+			}
+		}
+		a, b := n.mesh("a", count("a")), n.mesh("b", count("b"))
+		defer closeAll(t, a, b)
+		b.Handle("call", func(context.Context, string, json.RawMessage) (any, error) { return 1, nil })
+		require.NoError(t, a.Call(t.Context(), "b", "call", nil, nil))
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		require.Equal(t, 1, sent["a>b call"])
+		require.Equal(t, 1, sent["b>a call"])
+	})
+}
+
 // TestMeshFuzz runs random calls and notifications while meshes stop, restart
 // and hang. It checks that answers belong to their requests, that no call takes
 // longer than its deadline, that a process receives the notifications of another
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,8 @@
 	writeTimeout time.Duration
 	readTimeout  time.Duration // 0 means no timeout
 	counters     *counters
+	onSent       func(host, method string, bytes int) // may be nil
+	host         atomic.Pointer[string]               // at the other end; nil until it is known
 
 	sendMethod   string
 	notification *jsonrpc2.Request
@@ -51,6 +54,7 @@
 		maxBytes:     cfg.MaxMessageBytes,
 		writeTimeout: cfg.WriteTimeout,
 		counters:     c,
+		onSent:       cfg.OnSent,
 	}
 }
 
@@ -116,6 +120,9 @@
 		return errors.Wrap(err, "write message")
 	}
 	s.counters.add("out", s.sendMethod, len(frame))
+	if host := s.host.Load(); host != nil && s.onSent != nil {
+		s.onSent(*host, s.sendMethod, len(frame))
+	}
 	return nil
 }
 
