--- a/entry/hosted/cluster_test.go
+++ b/entry/hosted/cluster_test.go
@@ -166,7 +166,7 @@
 		control:     &gatedControl{gatedHost: gate},
 		peers:       peers,
 		dial:        c.dialer(name),
-		domainPrice: c.size.domainPrice,
+		domainPrice: c.size.priceOf(name),
 		clock:       func() time.Duration { return time.Since(c.started) + time.Hour },
 		logger:      log.NewWithOptions(&lockedWriter{c: c}, log.Options{Formatter: log.LogfmtFormatter, Prefix: name}),
 	})
--- a/entry/hosted/domains_test.go
+++ b/entry/hosted/domains_test.go
@@ -153,3 +153,17 @@
 	require.Less(t, priced.leftBytes()+priced.messageBytes, (free.leftBytes()+free.messageBytes)/2)
 	require.LessOrEqual(t, priced.refused, free.refused)
 }
+
+// TestPriceOnSomeHosts guards against hosts with and without a price that don't understand
+// each other, whichever of them plans, as while hosts are replaced.
+func TestPriceOnSomeHosts(t *testing.T) {
+	size := clusterSize{hosts: 12, engines: 18, slots: 24, domains: 3, strongHosts: 1}
+	free := measureDomains(t, size, 15*time.Second)
+	size.domainPrice, size.somePriced = deployedDomainPrice, true
+	for strong := range 2 {
+		size.strongHost = strong
+		mixed := measureDomains(t, size, 15*time.Second)
+		require.LessOrEqual(t, mixed.refused, free.refused)
+		require.Less(t, mixed.left, free.left)
+	}
+}
--- a/entry/hosted/size_test.go
+++ b/entry/hosted/size_test.go
@@ -31,14 +31,17 @@
 	// the first strongHosts and of the others; 0 means that links take no time.
 	linkBytes, strongLinkBytes int
 	strongHosts                int
+	strongHost                 int // the first of them
 	// storeBytes are the bytes a second that all reads of the store share; 0 means that they
 	// share nothing.
 	storeBytes int
 	// domains is the number of failure domains of hosts and endpoints, which they belong to in
 	// turn; 0 means one.
 	domains int
-	// domainPrice is the price of the traffic between them.
+	// domainPrice is the price of the traffic between them, on the hosts with even numbers only
+	// if somePriced is set.
 	domainPrice locality.Price
+	somePriced  bool
 	// versions are those of the engines' software, in turn; nil if entries name none. Streams
 	// may then be resumed.
 	versions []string
@@ -63,6 +66,14 @@
 	return "z" + strconv.Itoa(1+n%size.domains)
 }
 
+// priceOf returns the price of the traffic between failure domains that a host is given.
+func (size clusterSize) priceOf(host string) locality.Price {
+	if n, err := strconv.Atoi(host[1:]); size.somePriced && (err != nil || n%2 > 0) {
+		return 0
+	}
+	return size.domainPrice
+}
+
 // strongCores are the CPU cores of a strong host, as a multiple of those of another one.
 const strongCores = 4.0
 
@@ -112,7 +123,7 @@
 // coresOf returns the CPU cores of a host.
 func (size clusterSize) coresOf(host string) float64 {
 	for i := range size.strongHosts {
-		if host == hostName(i) {
+		if host == hostName(size.strongHost+i) {
 			return strongCores
 		}
 	}
