Check configurations before they are written

A configuration could only be tried by writing it: what a host leaves out of it stands in its log afterwards, and routes that never match or limits that contradict each other nowhere.

tamarackctl check reads a configuration of the platform with the decoder of the daemon, or a manifest with the reader of apply and the daemon's validation.

--- a/cli/commands/commands.go
+++ b/cli/commands/commands.go
@@ -105,7 +105,7 @@
 
 func (a *app) commands() []*command {
 	return []*command{
-		a.apply(), a.get(), a.list(), a.watch(), a.delete(), a.status(), a.drain(), a.undrain(), a.explain(),
+		a.apply(), a.get(), a.list(), a.watch(), a.delete(), a.status(), a.drain(), a.undrain(), a.explain(), a.check(),
 	}
 }
 
--- a/cli/commands/exit.go
+++ b/cli/commands/exit.go
@@ -11,8 +11,8 @@
 // The exit codes.
 const (
 	ExitOK          ExitCode = 0
-	ExitFailed      ExitCode = 1 // rejected by the server
-	ExitUsage       ExitCode = 2 // wrong flag, argument or file
+	ExitFailed      ExitCode = 1 // rejected by the server, or check --strict has warnings
+	ExitUsage       ExitCode = 2 // wrong flag, argument or file, or check has errors
 	ExitConflict    ExitCode = 3 // the resource was changed by another write
 	ExitUnavailable ExitCode = 4 // nothing was changed; try again later
 	ExitUnknown     ExitCode = 5 // the change may still take effect
@@ -34,7 +34,9 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.Is(err, errUsage):
+	case errors.Is(err, errWarnings):
+		return ExitFailed
+	case errors.IsAny(err, errUsage, errInvalid):
 		return ExitUsage
 	case errors.Is(err, errTimeout):
 		return ExitTimeout
--- a/operator/server.go
+++ b/operator/server.go
@@ -56,7 +56,7 @@
 // Apply creates or changes a resource. It returns after the change has been
 // read back from the log.
 func (s *Server) Apply(ctx context.Context, req *connect.Request[operatorv1.ApplyRequest]) (*connect.Response[operatorv1.ApplyResponse], error) {
-	r, err := fromWire(req.Msg.GetResource())
+	r, err := FromWire(req.Msg.GetResource())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -7,9 +7,9 @@
 	operatorv1 "tamarackknot.example/tamarackknot/gen/operator/v1"
 )
 
-// fromWire converts a resource of the API. It checks only the structure;
+// FromWire converts a resource of the API. It checks only the structure;
 // ledger.Validate checks the values.
-func fromWire(in *operatorv1.Resource) (tamarackknot.Resource, error) {
+func FromWire(in *operatorv1.Resource) (tamarackknot.Resource, error) {
 	if in == nil {
 		return tamarackknot.Resource{}, fmt.Errorf("resource: missing, a kind, metadata and a spec are required")
 	}
