Weigh evictions and saved traffic over the same time

The traffic that a replica saves counted for ten seconds, the requests that an eviction makes wait for one. On deployments with many more models than fit, hot models would get a replica in each domain in place of the only ones of others.

Saved traffic counts for one second where a replica is needed anyway. A load that only saves traffic still counts ten, but evicts no model's last replica.

--- a/planner/locality.go
+++ b/planner/locality.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// placementHorizon is for how many seconds the requests count that a replica keeps in their
-	// failure domain: a load takes up to 6 s and demand moves within some tens of seconds.
-	placementHorizon = 10.0
+	// moveHorizon is for how many seconds the requests count that cross between failure domains
+	// because of where a replica is, as long as those that an eviction makes wait.
+	moveHorizon = 1.0
+	// homeHorizon is the same for a replica that is loaded just to save traffic: it stays for
+	// some tens of seconds at least, since it evicts no last replica of a model.
+	homeHorizon = 10.0
 	// minHomeLoad is the load of a failure domain below which it gets no replica of its own of
 	// a model that others hold.
 	minHomeLoad = 1.0
@@ -60,13 +63,13 @@
 }
 
 // crossingCost returns the cost in penalty seconds of the traffic of a load, in requests,
-// that crosses between failure domains. A request takes about as long as its load counts it, so
+// that crosses between failure domains in a second. A request takes about as long as its load counts it, so
 // the rate of a domain is its part of the rate of all.
 func (p *planState) crossingCost(load float64, m ModelState) float64 {
 	if m.Load <= 0 || load <= 0 {
 		return 0
 	}
-	return p.Price.Crossing(locality.TypicalBytes()) * placementHorizon * m.Rate * min(load/m.Load, 1)
+	return p.Price.Crossing(locality.TypicalBytes()) * m.Rate * min(load/m.Load, 1)
 }
 
 // unserved returns the load of a failure domain for a model that its replicas don't take.
@@ -84,7 +87,7 @@
 	for domain := range m.Domains {
 		most = max(most, p.unserved(domain, model, m))
 	}
-	return p.crossingCost(most-p.unserved(e.Domain, model, m), m)
+	return moveHorizon * p.crossingCost(most-p.unserved(e.Domain, model, m), m)
 }
 
 // lastCopyCost returns the cost of evicting the last replica of a model in a failure domain
@@ -94,11 +97,11 @@
 		return 0
 	}
 	m := p.Models[model]
-	return p.crossingCost(m.Domains[e.Domain], m)
+	return moveHorizon * p.crossingCost(m.Domains[e.Domain], m)
 }
 
 // placeAtHome loads a replica of one model in a failure domain that asks for it and has none,
-// if that saves more traffic than it costs.
+// if that saves more traffic than it costs and no other model loses its last replica.
 func (p *planState) placeAtHome() {
 	if p.copies == nil || p.BusyShare > maxHomeBusyShare {
 		return
@@ -115,7 +118,7 @@
 			if load < minHomeLoad || p.copies[domainModel{domain, name}] > 0 {
 				continue
 			}
-			saved := p.crossingCost(load, m)
+			saved := homeHorizon * p.crossingCost(load, m)
 			if saved <= bestGain {
 				continue
 			}
@@ -144,9 +147,17 @@
 		if e.Domain != domain || !e.FreeAt.IsZero() || e.tier(model.Name) == tamarackknot.TierRemote {
 			continue
 		}
-		if move, _, cost := p.evaluate(e, model, m); cost < bestCost {
+		if move, _, cost := p.evaluate(e, model, m); cost < bestCost && !p.evictsLast(move) {
 			best, engine, bestCost = move, e, cost
 		}
 	}
 	return best, engine, bestCost
 }
+
+// evictsLast reports whether a move evicts the last replica of a model that is served.
+func (p *planState) evictsLast(m Move) bool {
+	return slices.ContainsFunc(m.Evict, func(victim string) bool {
+		_, served := p.Spec.Models[victim]
+		return served && p.replicas[victim] < 2
+	})
+}
--- a/planner/locality_test.go
+++ b/planner/locality_test.go
@@ -61,6 +61,11 @@
 			}, models: map[string]ModelState{"m06": asked(6, map[string]float64{"z2": 3})},
 			moves: []Move{{Engine: "b", Model: "m06", Tier: tamarackknot.TierDisk}},
 		},
+		"no model loses its last replica for that": {
+			price: 5000, engines: []EngineState{
+				{ID: "a", Domain: "z1", Held: held("m06")}, {ID: "b", Domain: "z2", Held: held("m00", "m01", "m02"), OnDisk: onDisk("m06")},
+			}, models: map[string]ModelState{"m06": asked(6, map[string]float64{"z2": 3})},
+		},
 		"the last replica of a domain is kept for its callers": {
 			price: 5000, engines: []EngineState{
 				{ID: "a", Domain: "z1", Held: held("m00", "m01", "m02"), OnDisk: onDisk("m06")},
