Derive shares less often on large deployments

An update of the shares takes 0.46 ms for 245 endpoints with 100 models in 4 domains and 3.6 ms for 6,900 with 97 in 14 (BenchmarkBalancer).

The interval grows by 0.1 ms an endpoint, to 0.94 s. The demand by domain is collected five times a second rather than with each decision.

--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -123,6 +123,7 @@
 	notices        noticeList
 	brittle        brittleList
 	shares         shareLists
+	domainsAt      time.Time // of the last demand by failure domain
 }
 
 // hostState is the last demand of a host and the state that was last sent to it.
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -8,6 +8,10 @@
 	"tamarackknot.example/tamarackknot"
 )
 
+// domainsInterval is the time for which the demand by failure domain is kept: the planner asks
+// for demand many times a second, but for that by domain a few times.
+const domainsInterval = 200 * time.Millisecond
+
 // maxSharesAge is the age from which on the planner sends no shares: its planning hangs.
 const maxSharesAge = 2 * time.Second
 
@@ -115,10 +119,10 @@
 // p.mu is held.
 func (p *Publisher) addDomains(now time.Time) {
 	result := &p.demand.result
-	result.Domains = nil
-	if !p.cfg.ByDomain {
+	if !p.cfg.ByDomain || now.Sub(p.domainsAt) < domainsInterval {
 		return
 	}
+	result.Domains, p.domainsAt = nil, now
 	byDomain := make(map[string]*tamarackknot.DomainDemand)
 	for _, s := range p.hosts {
 		if !s.alive(now) || s.domain == "" {
--- a/locality/choice_test.go
+++ b/locality/choice_test.go
@@ -1,6 +1,7 @@
 package locality
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -119,3 +120,32 @@
 		Price(5000).Decide(c)
 	}
 }
+
+// BenchmarkBalancer measures an update for today's largest and for the largest intended
+// deployment.
+func BenchmarkBalancer(b *testing.B) {
+	for _, size := range []struct{ endpoints, models, domains int }{{245, 100, 4}, {6900, 97, 14}} {
+		b.Run(fmt.Sprintf("%d endpoints", size.endpoints), func(b *testing.B) {
+			var endpoints []Endpoint
+			for i := range size.endpoints {
+				e := Endpoint{ID: fmt.Sprint(i), Service: "s", Domain: fmt.Sprint(i % size.domains), Slots: 24}
+				for n := range 3 {
+					e.Models = append(e.Models, fmt.Sprint((3*i+n)%size.models))
+				}
+				endpoints = append(endpoints, e)
+			}
+			var demands []Demand
+			for m := range size.models {
+				for d := range size.domains {
+					load := float64(size.endpoints*24) / float64(size.models*size.domains)
+					demands = append(demands, Demand{fmt.Sprint(d), "s", fmt.Sprint(m), load * float64(1+d) / float64(size.domains)})
+				}
+			}
+			balancer, now := NewBalancer(5000), time.Now()
+			for b.Loop() {
+				balancer.Update(now, endpoints, demands)
+				now = now.Add(250 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/planner/domains.go
+++ b/planner/domains.go
@@ -7,9 +7,14 @@
 	"tamarackknot.example/tamarackknot/locality"
 )
 
-// sharesInterval is the pause between two updates of the shares that leave failure domains:
-// hosts get them with the messages of at least that interval.
-const sharesInterval = 250 * time.Millisecond
+const (
+	// sharesInterval is the pause between two updates of the shares that leave failure domains:
+	// hosts get them with the messages of at least that interval.
+	sharesInterval = 250 * time.Millisecond
+	// sharesIntervalPerEndpoint extends it with the number of endpoints. An update takes 3.6 ms
+	// for 6,900 of them, a core's part of 0.4% then.
+	sharesIntervalPerEndpoint = 100 * time.Microsecond
+)
 
 // domainPlan is what the planner knows of the demand by failure domain, and the shares that it
 // derives from it.
@@ -42,12 +47,15 @@
 // syncDomains takes in the demand by failure domain and derives the shares that leave them.
 func (c *Controller) syncDomains(demand []tamarackknot.DomainDemand, now time.Time) {
 	p := &c.domains
-	if p.balancer == nil || now.Sub(p.updatedAt) < sharesInterval {
+	if p.balancer == nil {
+		return
+	}
+	endpoints := c.cfg.Endpoints()
+	if now.Sub(p.updatedAt) < sharesInterval+time.Duration(len(endpoints))*sharesIntervalPerEndpoint {
 		return
 	}
 	weight := min(now.Sub(p.updatedAt).Seconds()/loadTimeConstant.Seconds(), 1)
 	p.updatedAt = now
-	endpoints := c.cfg.Endpoints()
 	demands := collectDemands(demand, endpoints)
 	p.average(demands, weight)
 	shares, ok := p.balancer.Update(now, c.domainEndpoints(endpoints), demands)
--- a/planner/locality_test.go
+++ b/planner/locality_test.go
@@ -95,7 +95,7 @@
 	}
 	c := New(Config{Price: 5000, Endpoints: func() map[string]tamarackknot.EndpointEntry { return entries }})
 	demand := []tamarackknot.DomainDemand{{Domain: "z1", Running: []tamarackknot.RunCount{{Endpoint: "p1", Count: 9}, {Endpoint: "p2", Count: 3}}}}
-	for now, i := testNow(), 0; i < 20; now, i = now.Add(sharesInterval), i+1 {
+	for now, i := testNow(), 0; i < 20; now, i = now.Add(2*sharesInterval), i+1 {
 		c.syncDomains(demand, now)
 		require.Equal(t, now.Sub(testNow()) >= 2*time.Second, !c.domains.sharesAt.IsZero())
 	}
