Count only endpoints that can serve a request for the choice of a domain

An endpoint that holds a request's model but not its adapter or version, or that the request excludes, counted as one of its domain that serves it. The reserve of other domains then held back the one endpoint that could.

TestDomainReserve passed without the reserve, since the endpoint was full; it has ten slots now, and the cases above. Of more than 32 endpoints (48 before) a sample is compared, to leave most of a microsecond to the rest of the choice.

--- a/dispatch/domain.go
+++ b/dispatch/domain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -21,7 +22,7 @@
 	sharesTTL = 2 * time.Second
 	// maxCompared is the number of endpoints whose loads are compared for the choice of a
 	// domain; of more it is a sample.
-	maxCompared = 48
+	maxCompared = 32
 )
 
 // DomainPolicy prices the traffic between failure domains.
@@ -119,6 +120,9 @@
 	}
 	for i := d.compared % max(step, 1); i < len(candidates); i += step {
 		e := candidates[i]
+		if !e.suits(req) {
+			continue
+		}
 		c.Holders = c.Holders || !e.elsewhere
 		requests, room := e.own+e.others, e.maxRequests(req)
 		if requests >= room || now.Before(e.backoffUntil) || e.signals != nil && (e.signals.applies() || e.signals.refusesAll(e.own, now)) ||
@@ -141,6 +145,13 @@
 	return c
 }
 
+// suits reports whether the endpoint, which holds the model of a request, has its adapter and
+// version and is not excluded.
+func (e *endpoint) suits(req *Request) bool {
+	return (req.Adapter == "" || e.lacks(req) == lackSlot) && e.runsVersionFor(req) &&
+		(len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.entry.ID))
+}
+
 // keptForOwnDomain reports whether an endpoint of another failure domain keeps its last slots
 // for the callers there. d.mu is held.
 func (d *Dispatcher) keptForOwnDomain(e *endpoint, req *Request) bool {
--- a/dispatch/domain_test.go
+++ b/dispatch/domain_test.go
@@ -44,22 +44,38 @@
 }
 
 // TestDomainReserve guards against requests of other failure domains that take the last slots
-// of an endpoint from its own callers, unless their own domain lacks the model.
+// of an endpoint from its own callers, unless their own domain lacks what they need.
 func TestDomainReserve(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := pricedHarness()
-		h.add("e0", "s", "z1", 4, "m")
-		h.add("e1", "s", "z2", 4, "m", "n")
-		h.SetView(tamarackknot.FleetView{Engines: map[string]tamarackknot.EngineView{
-			"e0": {Held: []tamarackknot.HeldModel{{Name: "m"}}, Others: 4},
-			"e1": {Held: []tamarackknot.HeldModel{{Name: "m"}, {Name: "n"}}, Others: 3},
-		}})
-		require.Equal(t, "e1", h.grant(t, request("s", "n")).Endpoint.ID)
-		h.mu.Lock()
-		e, _, missing := h.best(request("s", "m"), time.Now())
-		h.mu.Unlock()
-		require.Nil(t, e)
-		require.Equal(t, lackSlot, missing)
+		h.SetPools(map[string]tamarackknot.PoolSpec{"s": {Name: "s", Engine: &tamarackknot.EngineSpec{Slots: 10}}})
+		h.add("e0", "s", "z1", 10, "m")
+		h.add("e1", "s", "z2", 10, "m", "n")
+		view := func(others int) {
+			h.SetView(tamarackknot.FleetView{Engines: map[string]tamarackknot.EngineView{
+				"e0": {Held: []tamarackknot.HeldModel{{Name: "m"}}, Others: 10},
+				"e1": {Held: []tamarackknot.HeldModel{{Name: "m", Adapters: []string{"a"}}, {Name: "n"}}, Others: others},
+			}})
+		}
+		chosen := func(change func(*Request)) string {
+			req := request("s", "m")
+			change(req)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			e, _, missing := h.best(req, time.Now())
+			if e == nil {
+				require.Equal(t, lackSlot, missing)
+				return ""
+			}
+			return e.entry.ID
+		}
+		view(8)
+		require.Equal(t, "e1", chosen(func(*Request) {}))
+		view(9)
+		require.Empty(t, chosen(func(*Request) {}))
+		require.Equal(t, "e1", chosen(func(r *Request) { r.Model = "n" }))
+		require.Equal(t, "e1", chosen(func(r *Request) { r.Adapter = "a" }))
+		require.Equal(t, "e1", chosen(func(r *Request) { r.Exclude = []string{"e0"} }))
 	})
 }
 
