--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -90,6 +90,7 @@
 
 // search looks for the endpoint with the lowest score. d.mu is held.
 func (d *Dispatcher) search(req *Request, now time.Time) search {
+	d.chooseDomain(req, now)
 	s := search{
 		d: d, req: req, now: now, missing: lackModel, maxOwn: d.maxOwnRequests(req.Service, now),
 		affinity: d.affinityEndpoint(req), preferred: d.preferredReplica(req),
@@ -140,7 +141,7 @@
 
 // consider compares an endpoint with the best one.
 func (s *search) consider(e *endpoint) {
-	if !e.accepts(s.req, s.now) || e.own >= s.maxOwn(e) || !s.d.limitAllows(e, s.now) {
+	if !e.accepts(s.req, s.now) || e.own >= s.maxOwn(e) || !s.d.limitAllows(e, s.now) || s.d.keptForOwnDomain(e, s.req) {
 		s.missing = min(s.missing, e.lacks(s.req))
 		return
 	}
@@ -162,6 +163,9 @@
 	}
 	switch {
 	case s.choice.spread == 0:
+	case e.elsewhere && s.d.domains.penalty >= homePenalty:
+		// The random part must not make a request leave its failure domain.
+		score += s.choice.spread
 	case e == s.affinity || e == s.preferred:
 		// The mean of the least random part of the others, so that the ties keep their weight.
 		score += s.choice.spread / (sampleSize + 1)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	Priority          int
 	// Tokens is the size of the request; zero if the caller names none.
 	Tokens tamarackknot.RequestTokens
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Objective is when the first byte of the answer is due; Deadline is when
 	// the timeout of the caller or of the route expires.
 	Objective time.Time
@@ -164,7 +166,9 @@
 	// Isolated reports whether this host reaches no endpoint; no request then waits for
 	// one. Nil means that it does.
 	Isolated func() bool
-	Logger   *log.Logger
+	// Domains prices the traffic between failure domains. Nil means that it costs a constant.
+	Domains *DomainPolicy
+	Logger  *log.Logger
 }
 
 // Dispatcher assigns requests to endpoints. It minimises the load of the chosen
@@ -207,6 +211,8 @@
 	changed     map[target]bool // targets whose demand changed since the last report
 	queueWake   chan struct{}   // wakes Run when a request starts to wait
 	shutdown    *Shutdown       // nil unless the host shuts down
+	domains     domainState
+	compared    int // choices of a domain by a sample of the endpoints
 }
 
 // target is a model of an engine service; model is empty for a plain service.
@@ -633,7 +639,7 @@
 	best.running[modelAdapter{req.Model, req.Adapter}]++
 	d.recordAffinity(req, best.entry.ID)
 	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", found.score,
-		"own", best.own, "others", best.others, "forecast", g.Forecast)
+		"own", best.own, "others", best.others, "forecast", g.Forecast, "left", d.leftBecause(best))
 	return g, 0
 }
 
@@ -649,6 +655,9 @@
 	if len(holders) < 2 {
 		return nil
 	}
+	if e := d.preferredAtHome(holders); e != nil {
+		return e
+	}
 	return holders[d.cfg.HostIndex()%len(holders)]
 }
 
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -20,6 +20,7 @@
 	"tamarackknot.example/tamarackknot/fleet"
 	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/lease"
+	"tamarackknot.example/tamarackknot/locality"
 	"tamarackknot.example/tamarackknot/origin"
 	"tamarackknot.example/tamarackknot/planner"
 	"tamarackknot.example/tamarackknot/platform"
@@ -80,9 +81,11 @@
 	dial ingress.DialFunc
 	// clock returns the time since boot, including the time of suspension. Nil
 	// means the system's clock.
-	clock   func() time.Duration
-	logger  *log.Logger
-	metrics metrics.Registry
+	clock func() time.Duration
+	// domainPrice is the price of the traffic between failure domains; 0 if it has none.
+	domainPrice locality.Price
+	logger      *log.Logger
+	metrics     metrics.Registry
 }
 
 // components are the parts of an entry host between the platform, the engines and
@@ -107,6 +110,7 @@
 	dispatch       *dispatch.Dispatcher
 	workspaces     *workspace.Authority
 	quotas         *quota.Keeper
+	traffic        *domainTraffic // between failure domains
 	plannerStreams atomic.Pointer[plannerStreams]
 	quotaMu        sync.Mutex
 	quotaList      []tamarackknot.HostEntry
@@ -121,6 +125,7 @@
 		Name: s.Host, Incarnation: cfg.incarnation, FailureDomain: s.FailureDomain,
 		Address: s.CallerAddress, PeerAddress: s.PeerAddress, CPUCores: s.CPUCores, Workspaces: true,
 	}}
+	c.traffic = newDomainTraffic(s.FailureDomain, c.knownHosts, cfg.metrics)
 	c.store = relay.New(relay.Config{
 		Store: cfg.store, Peers: cfg.peers, Hosts: c.otherHosts, Logger: cfg.logger,
 		Streams:      []tamarackknot.Stream{tamarackknot.StreamCatalog, tamarackknot.StreamEndpoints},
@@ -153,7 +158,7 @@
 		Crashes:   c.crashes,
 		HostCount: c.shares.Count,
 		Host:      s.Host,
-		Dial:      c.cfg.dial, DialEndpoint: c.reach.Dial, Isolated: c.reach.Isolated, OtherHosts: c.reachingHosts,
+		Dial:      c.traffic.countRequests(c.cfg.dial), DialEndpoint: c.traffic.countRequests(c.reach.Dial), Isolated: c.reach.Isolated, OtherHosts: c.reachingHosts,
 		Logger:  c.cfg.logger,
 		Metrics: registry,
 	})
@@ -190,6 +195,7 @@
 		OnModelWait:        func() { c.fleet.SendNow() },
 		Rejects:            func(r tamarackknot.RequestIdentity) bool { return c.crashes.Rejects(r) },
 		Isolated:           c.reach.Isolated,
+		Domains:            c.domainPolicy(),
 		Places:             func(endpoint string, slots int) (int, []string) { return c.shares.Places(endpoint, slots) },
 		LimitShare:         func(endpoint string, perSecond float64) float64 { return c.shares.Rate(endpoint, perSecond) },
 		Logger:             logger,
@@ -225,6 +231,7 @@
 		},
 		Readers: c.listReaders,
 		OnChange: func(snap *discovery.Snapshot) {
+			c.traffic.setEndpoints(snap)
 			c.dispatch.SetEndpoints(snap.Endpoints, snap.ByService, !c.fleet.PlannerAlive())
 		},
 	})
@@ -255,7 +262,7 @@
 		Clock:          c.cfg.clock,
 		OnAcknowledged: c.onAcknowledged(),
 		Catalog:        c.catalog.State, Endpoints: c.discovery.State, OnCatalogVersion: c.catalog.ObserveVersion,
-		OnDemand: func() { c.planner.Replan() },
+		OnDemand: func() { c.planner.Replan() }, ByDomain: c.cfg.domainPrice > 0,
 	})
 	c.origins = origin.New(origin.Config{Peers: c.cfg.peers, Others: c.otherHosts, Logger: logger})
 	c.versions = origin.NewVersions(origin.VersionsConfig{
@@ -268,8 +275,8 @@
 	c.shares = share.New(share.Config{Self: s.Host, Window: s.RetryWindow, Clock: c.cfg.clock, Logger: logger})
 	c.fleet = fleet.NewClient(fleet.ClientConfig{
 		Self: c.self, Peers: c.cfg.peers, Local: c.publisher, Logger: logger,
-		Isolated: c.reach.Isolated,
-		Demand:   c.dispatch.Demand, OnView: c.dispatch.SetView,
+		Isolated: c.reach.Isolated, Shares: c.cfg.domainPrice > 0,
+		Demand: c.dispatch.Demand, OnView: c.dispatch.SetView,
 		CatalogVersion: c.catalogVersion, OnMembers: c.shares.Observe, OnStreamStates: c.updatePlannerStreams, OnStoreEra: store.AnnounceEra,
 		Promise: c.lease.Promise, OnPlannerLeft: c.lease.Wake, Clock: c.cfg.clock,
 	})
@@ -288,6 +295,7 @@
 		Limited:         c.publisher.Limited,
 		Leaving:         c.publisher.Leaving,
 		Publish:         c.publisher.Publish,
+		Price:           c.cfg.domainPrice,
 		FencingEnforced: s.EnginesEnforceFencing, LoadWindow: s.LoadWindow, LoadFactor: s.LoadFactor,
 		Logger: logger,
 	})
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -23,6 +23,7 @@
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/dispatch"
 	"tamarackknot.example/tamarackknot/ingress"
+	"tamarackknot.example/tamarackknot/locality"
 	"tamarackknot.example/tamarackknot/peer"
 	"tamarackknot.example/tamarackknot/platform"
 )
@@ -69,6 +70,8 @@
 	Settings platform.SiteSettings
 	// MetricsPort is the port of the metrics page; 0 disables it.
 	MetricsPort int
+	// DomainPrice is the price of the traffic between failure domains; 0 if it has none.
+	DomainPrice locality.Price
 	Logger      *log.Logger
 }
 
@@ -102,15 +105,18 @@
 			return platform.NewDialer().DialContext(ctx, "tcp", address)
 		},
 		Resolve: func(host string) (string, bool) { return d.peerAddress(host) },
+		OnSent:  func(host, method string, bytes int) { d.traffic.countMessage(host, method, bytes) },
 		Metrics: d.registry,
 		Logger:  cfg.Logger,
 	})
 	d.components = newComponents(componentsConfig{
 		settings: s, incarnation: incarnation, peers: d.mesh, logger: cfg.Logger,
-		store:   platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
-		control: platform.NewWeightClient(platform.Config{}),
+		store: platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
+		control: platform.NewWeightClient(platform.Config{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return d.traffic.countOrders(platform.NewDialer().DialContext)(ctx, network, address)
+		}}),
 		dial:    platform.NewDialer().DialContext,
-		metrics: d.registry,
+		metrics: d.registry, domainPrice: cfg.DomainPrice,
 	})
 	d.callers = d.newCallerServer(d.registry)
 	return d
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -79,6 +79,8 @@
 	// OnStreamStates is called with the planner's positions in the platform's
 	// streams, unless this host is the planner.
 	OnStreamStates func(catalog, endpoints tamarackknot.StreamState)
+	// Shares says that this host reads the shares that leave its failure domain.
+	Shares bool
 	// Local is the Publisher of this host; it receives the demand directly while
 	// this host is the planner.
 	Local  *Publisher
@@ -124,6 +126,10 @@
 	held      map[string][]tamarackknot.HeldModel
 	byIndex   map[int]string // engines of held
 	forecasts map[modelKey]time.Time
+	// shares are those of the version sharesVersion; 0 means that they are not known.
+	shares        []tamarackknot.DomainShare
+	sharesVersion int64
+	readsShort    bool // the planner reads the short forms of reports
 }
 
 // NewClient returns a Client and registers its handler with cfg.Peers.
@@ -248,7 +254,7 @@
 	if m.Fence > c.fence || from != c.planner {
 		c.cfg.Logger.Info("planner lease changed", "planner", from, "fence", m.Fence, "before", c.planner)
 		c.planner, c.fence, c.demandSynced, c.plannerSince = from, m.Fence, false, receivedAt
-		c.lastSequence, c.behind = 0, false
+		c.lastSequence, c.behind, c.readsShort = 0, false, false
 		c.forget()
 	}
 	c.behind = !m.Full && !m.Leaving && (c.behind || m.Sequence != c.lastSequence+1)
@@ -262,12 +268,13 @@
 		c.plannerSeenAt, c.leftFence = time.Time{}, m.Fence
 	}
 	if m.Planner != nil {
-		c.address = m.Planner.PeerAddress
+		c.address, c.readsShort = m.Planner.PeerAddress, m.ReadsShort
 	}
 	members, membersAge := c.applyMembers(m, receivedAt)
 	c.applyHosts(m, now, receivedAt)
 	missing := !c.demandSynced || c.behind
 	v := c.merge(m, now)
+	c.applyShares(m, &v, now)
 	catalog, endpoints := c.streamStates(m, now, receivedAt)
 	c.mu.Unlock()
 	if missing {
@@ -350,6 +357,7 @@
 	clear(c.held)
 	clear(c.byIndex)
 	clear(c.forecasts)
+	c.sharesVersion = 0
 }
 
 // merge applies a message to the accumulated state and returns the engines that
@@ -394,6 +402,7 @@
 	defer tick.Stop()
 	var lastSent time.Time
 	var last map[string]int
+	var sent sentLists
 	for {
 		urgent := false
 		select {
@@ -406,7 +415,7 @@
 		c.mu.Lock()
 		planner, all, leaving, behind := c.planner, !c.demandSynced, c.leaving, c.behind
 		fence, sequence, receivedAt := c.fence, c.lastSequence, c.lastSequenceAt
-		alive, lists, hosts := c.plannerAlive(), c.heldLists(), len(c.hosts)
+		alive, lists, hosts, short := c.plannerAlive(), c.heldLists(), len(c.hosts), c.readsShort && c.cfg.Shares
 		c.mu.Unlock()
 		interval := intervalOf(hosts, minDemandInterval, minDemandIntervalPerHost, longestDemandInterval)
 		if planner == "" || !alive || !urgent && !all && !behind && time.Since(lastSent) < interval {
@@ -422,6 +431,9 @@
 		}
 		m := encodeDemand(d, all, behind, c.cfg.CatalogVersion(), time.Now())
 		m.Lists = lists
+		if short {
+			m.shorten(sent, time.Now())
+		}
 		m.SentMs = c.cfg.Clock().Milliseconds() + 1 // rounded up, so that it is not before the start
 		if planner != c.cfg.Self.Name && c.cfg.Promise != nil && c.cfg.Promise(receivedAt) {
 			m.Acknowledged, m.Fence = sequence, fence
@@ -431,7 +443,11 @@
 			c.demandSynced = c.demandSynced || all && c.planner == planner
 			c.mu.Unlock()
 			lastSent, last = time.Now(), running
+			if m.Lists != nil {
+				sent = sentLists{lists, lastSent}
+			}
 		} else {
+			sent = sentLists{}
 			// The planner may have missed these changes: resend the full demand.
 			c.mu.Lock()
 			c.demandSynced = false
@@ -447,7 +463,7 @@
 
 // heldLists returns the versions of the planner's lists that this host has. c.mu is held.
 func (c *Client) heldLists() *heldLists {
-	l := &heldLists{Fence: c.fence, Loads: true}
+	l := &heldLists{Fence: c.fence, Loads: true, Shares: c.cfg.Shares}
 	if c.hostsFence == c.fence {
 		l.Hosts = c.hostsVersion
 	}
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -86,6 +86,8 @@
 	OnCatalogVersion func(version int64)
 	// OnDemand is called when a host reports waiting requests. It may be nil.
 	OnDemand func()
+	// ByDomain says that Demand returns the demand by failure domain too.
+	ByDomain bool
 	Logger   *log.Logger
 }
 
@@ -120,11 +122,14 @@
 	membersVersion int64
 	notices        noticeList
 	brittle        brittleList
+	shares         shareLists
+	domainsAt      time.Time // of the last demand by failure domain
 }
 
 // hostState is the last demand of a host and the state that was last sent to it.
 type hostState struct {
 	lastSeen time.Time
+	domain   string // empty until the host is known to be registered
 	leaving  bool
 	isolated bool
 	running  []tamarackknot.RunCount
@@ -141,6 +146,7 @@
 	hostListVersion int64
 	membersVersion  int64
 	noticesVersion  int64
+	sharesVersion   int64
 	fence           int64
 	held            *heldLists // as the host last said; nil if it does not say
 	// sends holds the newest messages whose acknowledgement is outstanding, oldest
@@ -178,6 +184,7 @@
 // grows with each change of the models.
 type engineState struct {
 	id           string
+	domain       string
 	index        int
 	held         []tamarackknot.HeldModel
 	heldMessages []heldMessage
@@ -214,16 +221,14 @@
 	now := time.Now()
 	p.mu.Lock()
 	s := p.state(from)
-	s.lastSeen, s.leaving, s.isolated, s.running, s.echoMs = now, m.Leaving, m.Isolated, m.Running, m.SentMs
+	s.lastSeen, s.leaving, s.isolated, s.running, s.echoMs = now, m.Leaving, m.Isolated, m.running(), m.SentMs
 	if m.Full {
 		p.demand.clear(&s.demand)
 	}
 	if m.Behind && now.Sub(s.fullViewAt) >= publishInterval {
 		s.fullViewAt, s.urgent = time.Time{}, true
 	}
-	if s.held = m.Lists; s.held != nil && s.held.Fence != s.fence {
-		s.held = &heldLists{Loads: m.Lists.Loads}
-	}
+	s.applyLists(m)
 	if m.Acknowledged > 0 && m.Fence == s.fence {
 		s.acknowledge(m.Acknowledged)
 	}
@@ -271,6 +276,7 @@
 			p.demand.add(s)
 		}
 	}
+	p.addDomains(now)
 	return p.demand.result
 }
 
@@ -289,6 +295,7 @@
 // a host waits for what has changed. p.mu is held.
 func (p *Publisher) setView(v tamarackknot.FleetView) (urgent bool) {
 	p.forecasts = v.Forecasts
+	p.shares.set(v.Shares, v.SharesAt)
 	changed := make(map[string]bool)
 	for id, e := range v.Engines {
 		s := p.engines[id]
@@ -307,7 +314,7 @@
 		} else {
 			index = p.freeIndex()
 		}
-		s = &engineState{id: id, index: index, held: e.Held, version: p.lastVersion}
+		s = &engineState{id: id, domain: e.Domain, index: index, held: e.Held, version: p.lastVersion}
 		p.byIndex[index] = s
 		for _, held := range e.Held {
 			s.heldMessages = append(s.heldMessages, heldMessage{Model: held.Name, Adapters: held.Adapters})
@@ -453,6 +460,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refreshMembers(registered)
+	p.setDomains(registered)
 	r := &round{
 		fence: fence, leaseEnd: leaseEnd, now: now, hostCount: len(registered), totals: p.requestTotals(now),
 		forecasts:     make(map[modelKey]time.Time),
@@ -560,8 +568,7 @@
 	}
 	m.Catalog.ConfirmedMsAgo = confirmedMsAgo(catalog, p.cfg.Clock())
 	m.MembersAgeMs = p.membersAge(r.membersReadAt)
-	interval := max(fullViewInterval, time.Duration(r.hostCount*len(p.engines))*fullViewIntervalPerEngine)
-	if s.fence != r.fence || r.now.Sub(s.fullViewAt) >= interval {
+	if s.fence != r.fence || r.now.Sub(s.fullViewAt) >= p.fullViewIntervalOf(s, r.hostCount) {
 		if r.fullViewsLeft == 0 {
 			// Send a heartbeat only; the full view follows in a later round. A host takes one
 			// without a list of hosts as a confirmation of the list that it has.
@@ -572,8 +579,8 @@
 			return m
 		}
 		r.fullViewsLeft--
-		m.Full, m.Planner = true, &p.cfg.Self
-		s.fullViewAt, s.hostListVersion, s.membersVersion, s.noticesVersion = r.now, 0, 0, 0
+		m.Full, m.Planner, m.ReadsShort = true, &p.cfg.Self, p.cfg.ByDomain
+		s.fullViewAt, s.hostListVersion, s.membersVersion, s.noticesVersion, s.sharesVersion = r.now, 0, 0, 0, 0
 		if s.held != nil && s.fence == r.fence {
 			s.hostListVersion, s.membersVersion = s.held.Hosts, s.held.Members
 		}
@@ -590,6 +597,7 @@
 		s.noticesVersion = p.notices.version
 		m.Notices = encodeNotices(p.notices.all(), r.now)
 	}
+	p.addShares(s, &m, r.now)
 	p.addEngines(s, &m, r.totals)
 	s.addForecasts(&m, r.forecasts, r.now)
 	return m
@@ -624,6 +632,9 @@
 			continue
 		}
 		onlyLoad := last.version == now.version
+		if onlyLoad && !p.tellsLoad(s, e, last.others, now.others) {
+			continue
+		}
 		if onlyLoad {
 			if remaining == 0 {
 				continue
