--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,8 @@
 SOAK_SEEDS ?= $(shell bash -c 'echo $$RANDOM')
 # Tests that have cases at the size of the largest deployments.
 SCALE_TESTS := ^(TestLargeConfigurationOnSlowLinks|TestBrittleEndpoints)
+# Tests of a process under hostile callers, which run alone: they measure its memory.
+OVERLOAD := entry/overload
 # Pattern of the tests that KNOWN-RED.txt lists as failing.
 KNOWN_RED := $(shell sed -n 's/^skip: //p' KNOWN-RED.txt | paste -sd '|' -)
 
@@ -31,8 +33,9 @@
 test: lint build cross ## formatter, linter, all tests and a short soak, with fixed seeds
 	go vet $(MODULES)
 	@cat KNOWN-RED.txt
-	go test -count=1 -timeout 30m -skip '$(KNOWN_RED)' $(MODULES)
+	go test -count=1 -timeout 30m -skip '$(KNOWN_RED)' $$(go list $(MODULES) | grep -v '$(OVERLOAD)$$')
 	go test -count=1 -race -skip 'TestManyEngines' $(RACE_PACKAGES)
+	go test -count=1 -p 1 -timeout 5m -skip '$(KNOWN_RED)' ./$(OVERLOAD)
 	$(BIN)/tamaracksoak --bin $(BIN) --seed 1 --seconds 5
 
 cross: ## builds and vets for the platforms that are supported
