Count what is held for callers, and close what deserves it least

Cause: the buffer of a body was made as large as the caller announced, and nothing limited the bodies of all callers together, the number of connections, the time without progress of bodies and of answers, and messages of hosts that had not said who they are. The kernel kept up to 4 MB of each unread answer.

Change: package admission keeps one budget of 0.3 of the host's memory. Bytes of connections, heads, bodies, requests under way, whole answers, events of streams, and connections and messages of other hosts are held against it before they are read. Each kind has a limit and a reserve that no other kind takes, and a fifth of each limit is left to those who hold up to 64 KB. What does not fit is refused with 503, or replaces the connection that holds most with the least progress; requests that wait for an endpoint or run there are never closed for others. Bodies grow in blocks with what has arrived. The connections of all addresses are limited to 0.4 of the descriptors (those of other hosts to 0.25), an answer that is not read for 10 s ends, a body of which nothing arrives for 10 s gets 408, heads end at the configured limit and 16 KB, and of requests that a caller sends without waiting for answers 8 run at a time. A refused caller whose body is unread gets its answer before the rest is read and dropped; one that waits to be asked for its body is not asked any more. Without free descriptors accepting pauses for 50 ms and the idlest connection is closed.

Ruled out: limits without closing anything for others. Connections that hold what they have sent, short of the end, then keep everybody else out for as long as the timeouts allow.

--- a/entry/commands/hosted.go
+++ b/entry/commands/hosted.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
+	"tamarackknot.example/tamarackknot/entry/guard"
 	"tamarackknot.example/tamarackknot/entry/hosted"
 	"tamarackknot.example/tamarackknot/platform"
 )
@@ -28,13 +29,16 @@
 type hostedOptions struct {
 	LogLevel    string `env:"LOG_LEVEL" envDefault:"info"`
 	MetricsPort int    `env:"METRICS_PORT" envDefault:"9100"`
+	Limits      guard.Settings
+
+	level log.Level
 }
 
-// parseHosted returns the log level and the metrics port.
-func parseHosted(args []string) (log.Level, int, error) {
+// parseHosted parses the environment and the arguments.
+func parseHosted(args []string) (hostedOptions, error) {
 	var o hostedOptions
 	if err := env.ParseWithOptions(&o, env.Options{Prefix: "TAMARACKD_"}); err != nil {
-		return 0, 0, errors.Wrap(err, "environment")
+		return o, errors.Wrap(err, "environment")
 	}
 	p := flaggy.NewParser("tamarackd " + hostedCommand)
 	p.Description = "serves callers on the platform; the addresses come from its settings file"
@@ -45,21 +49,25 @@
 	// number does not contain the flag.
 	port := strconv.Itoa(o.MetricsPort)
 	p.String(&port, "m", "metricsPort", "port of the metrics page, 0 to 65535; 0 disables it (TAMARACKD_METRICS_PORT)")
+	o.Limits.AddFlags(p)
 	if err := p.ParseArgs(args); err != nil {
-		return 0, 0, errors.Wrap(err, "flags")
+		return o, errors.Wrap(err, "flags")
+	}
+	var err error
+	if o.MetricsPort, err = strconv.Atoi(port); err != nil || o.MetricsPort < 0 || o.MetricsPort > maxPort {
+		return o, fmt.Errorf("--metricsPort: %q is not a port from 0 to %d", port, maxPort)
 	}
-	n, err := strconv.Atoi(port)
-	if err != nil || n < 0 || n > maxPort {
-		return 0, 0, fmt.Errorf("--metricsPort: %q is not a port from 0 to %d", port, maxPort)
+	if err := o.Limits.Check(); err != nil {
+		return o, err
 	}
-	level, err := log.ParseLevel(o.LogLevel)
-	return level, n, errors.Wrapf(err, "--logLevel: %q", o.LogLevel)
+	o.level, err = log.ParseLevel(o.LogLevel)
+	return o, errors.Wrapf(err, "--logLevel: %q", o.LogLevel)
 }
 
 // runHosted runs the daemon until SIGTERM or SIGINT and returns the exit code of
 // the process.
 func runHosted(args []string, stdout, stderr io.Writer) int {
-	level, metricsPort, err := parseHosted(args)
+	o, err := parseHosted(args)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "tamarackd:", err)
 		return exitUsage
@@ -75,14 +83,14 @@
 	defer w.Wait()
 	defer stopLog()
 	logger := log.NewWithOptions(w, log.Options{
-		Level: level, Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: timeFormat, Fields: []any{"host", s.Host},
+		Level: o.level, Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: timeFormat, Fields: []any{"host", s.Host},
 	})
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go reloader{signals: reload, logger: logger, settings: s}.run()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := hosted.New(hosted.Config{Settings: s, MetricsPort: metricsPort, Logger: logger}).Serve(ctx); err != nil {
+	if err := hosted.New(hosted.Config{Settings: s, MetricsPort: o.MetricsPort, Limits: o.Limits, Logger: logger}).Serve(ctx); err != nil {
 		logger.Error("stopped", "error", err)
 		return exitFailed
 	}
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -82,6 +82,10 @@
 	clock   func() time.Duration
 	logger  *log.Logger
 	metrics metrics.Registry
+	// shedding records what is refused for lack of memory, and bodyTimeout limits the time without
+	// a byte of a body; zero values take defaults.
+	shedding    *ingress.Shedding
+	bodyTimeout time.Duration
 }
 
 // components are the parts of an entry host between the platform, the engines and
@@ -151,6 +155,7 @@
 		HostCount: c.shares.Count,
 		Host:      s.Host,
 		Dial:      c.cfg.dial, DialEndpoint: c.reach.Dial, Isolated: c.reach.Isolated, OtherHosts: c.reachingHosts,
+		BodyTimeout: c.cfg.bodyTimeout, Shedding: c.cfg.shedding,
 		Logger:  c.cfg.logger,
 		Metrics: registry,
 	})
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -22,6 +22,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/dispatch"
+	"tamarackknot.example/tamarackknot/entry/guard"
 	"tamarackknot.example/tamarackknot/ingress"
 	"tamarackknot.example/tamarackknot/peer"
 	"tamarackknot.example/tamarackknot/platform"
@@ -48,19 +49,13 @@
 	// the grace period, at which the platform kills the process. Some of it is for the
 	// answers to requests that are cut.
 	shutdownMargin = 700 * time.Millisecond
-	// idleTimeout is the timeout of idle connections from the platform. The one
-	// of callers' connections is part of the configuration.
-	idleTimeout = 2 * time.Minute
 	// largeFleetHosts is the number of hosts from which planning takes a large
 	// part of a core. plannerCPUFactor then scales down the CPU cores of the
 	// planner when callers are assigned.
 	largeFleetHosts  = 30
 	plannerCPUFactor = 0.25
-	// headerTimeout limits reading the headers of a request from the platform.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes limits the size of the headers before the limit in the
-	// configuration is checked.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes is above the limit in the configuration, which the connections check.
+	maxHeaderBytes = 1 << 20
 	bytesPerMB     = 1 << 20
 )
 
@@ -69,13 +64,16 @@
 	Settings platform.SiteSettings
 	// MetricsPort is the port of the metrics page; 0 disables it.
 	MetricsPort int
-	Logger      *log.Logger
+	// Limits are those of the settings of our own; memory and descriptors are part of Settings.
+	Limits guard.Settings
+	Logger *log.Logger
 }
 
 // Daemon is one entry host on the platform.
 type Daemon struct {
 	cfg Config
 	*components
+	guard       *guard.Guard
 	registry    metrics.Registry
 	mesh        *peer.Mesh
 	callers     *ingress.Server
@@ -95,7 +93,10 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMB) * bytesPerMB))
 	}
 	debug.SetGCPercent(gcPercent)
+	limits := cfg.Limits.Options(s.MemoryMB, s.MaxDescriptors)
+	d.guard = guard.New(limits, d.registry, cfg.Logger)
 	d.mesh = peer.New(peer.Config{
+		Group: d.guard.Peers(), OnShed: d.guard.ShedPeer,
 		Host: s.Host, Incarnation: incarnation,
 		Listen: func(ctx context.Context) (net.Listener, error) { return listen(ctx, s.PeerAddress) },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -110,7 +111,7 @@
 		store:   platform.NewStore(platform.Config{Address: s.StoreAddress}, cfg.Logger),
 		control: platform.NewWeightClient(platform.Config{}),
 		dial:    platform.NewDialer().DialContext,
-		metrics: d.registry,
+		metrics: d.registry, shedding: d.guard.Shedding, bodyTimeout: limits.BodyTimeout,
 	})
 	d.callers = d.newCallerServer(d.registry)
 	return d
@@ -258,7 +259,7 @@
 		return err
 	}
 	server := newServer(d.callers)
-	d.callerConns = ingress.NewConnTimeouts(d.callerLimits)
+	d.callerConns = d.guard.Callers(d.callerLimits, nil)
 	d.start(ctx, d.callerConns.Run)
 	d.serve(server, d.callerConns.Watch(server, l), failed)
 	return nil
@@ -279,8 +280,9 @@
 		return err
 	}
 	server := newServer(handler)
-	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
-	d.serve(server, l, failed)
+	conns := d.guard.Auxiliary(server)
+	d.start(ctx, conns.Run)
+	d.serve(server, conns.Watch(server, l), failed)
 	return nil
 }
 
--- /dev/null
+++ b/ingress/body.go
@@ -0,0 +1,163 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackknot.example/tamarackknot/admission"
+)
+
+const (
+	// firstBlockBytes and maxBlockBytes are the sizes of the first and of the largest blocks of a
+	// body. Most bodies fit into the first one.
+	firstBlockBytes = 4 << 10
+	maxBlockBytes   = 64 << 10
+	// defaultBodyTimeout is how long nothing may arrive of a body, by default. It is above the
+	// retransmission times of a link that is lost for some seconds.
+	defaultBodyTimeout = 10 * time.Second
+	// renewShare is the part of a timeout, one in so many, after which its deadline is renewed:
+	// not with each of many small reads.
+	renewShare = 8
+)
+
+// errNoMemory means that the host has no memory for a body.
+var errNoMemory = errors.New(overloadReason)
+
+// requestBody is the body of a request. It consists of blocks, so that it grows with what arrives
+// and is not copied.
+type requestBody struct {
+	blocks  [][]byte
+	size    int
+	account *admission.Account
+	held    int
+	// spare is where blocks come from and return to. An endpoint's transport may read the blocks
+	// after the request has ended, so that those it was given are not used again.
+	spare *blockPool
+	given bool
+}
+
+// blockPool keeps blocks of maxBlockBytes.
+type blockPool struct{ pool sync.Pool }
+
+func (p *blockPool) get() []byte {
+	if p != nil {
+		if block, ok := p.pool.Get().(*[maxBlockBytes]byte); ok {
+			return block[:0]
+		}
+	}
+	return make([]byte, 0, maxBlockBytes)
+}
+
+func (p *blockPool) put(block []byte) {
+	if p != nil && cap(block) == maxBlockBytes {
+		p.pool.Put((*[maxBlockBytes]byte)(block[:maxBlockBytes]))
+	}
+}
+
+// readFrom reads the body until its end.
+func (b *requestBody) readFrom(r io.Reader) error {
+	for {
+		block, err := b.space()
+		if err != nil {
+			return err
+		}
+		n, err := r.Read(block[len(block):cap(block)])
+		b.blocks[len(b.blocks)-1] = block[:len(block)+n]
+		b.size += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err //nolint:wrapcheck // the caller checks its type
+		}
+	}
+}
+
+// space returns the last block, which is not full.
+func (b *requestBody) space() ([]byte, error) {
+	size := firstBlockBytes
+	if n := len(b.blocks); n > 0 {
+		last := b.blocks[n-1]
+		if len(last) < cap(last) {
+			return last, nil
+		}
+		size = min(2*cap(last), maxBlockBytes)
+	}
+	if !b.account.Hold(admission.Bodies, size, time.Now()) {
+		return nil, errNoMemory
+	}
+	b.held += size
+	block := []byte(nil)
+	if size == maxBlockBytes {
+		block = b.spare.get()
+	} else {
+		block = make([]byte, 0, size)
+	}
+	b.blocks = append(b.blocks, block)
+	return block, nil
+}
+
+// release gives the memory of the body back, which must not be read any more.
+func (b *requestBody) release() {
+	if !b.given {
+		for _, block := range b.blocks {
+			b.spare.put(block)
+		}
+	}
+	b.account.Release(admission.Bodies, b.held)
+	b.held, b.blocks = 0, nil
+}
+
+// reader returns a reader of the whole body.
+func (b *requestBody) reader() io.Reader {
+	b.given = true
+	return &blockReader{rest: b.blocks}
+}
+
+// blockReader reads blocks, which it does not change: the next attempt reads them again.
+type blockReader struct {
+	rest [][]byte
+	read int // of the first one
+}
+
+// Read implements io.Reader.
+func (r *blockReader) Read(p []byte) (int, error) {
+	for len(r.rest) > 0 {
+		if n := copy(p, r.rest[0][r.read:]); n > 0 {
+			r.read += n
+			return n, nil
+		}
+		if len(p) == 0 {
+			return 0, nil
+		}
+		r.rest, r.read = r.rest[1:], 0
+	}
+	return 0, io.EOF
+}
+
+// steadyReader reads a body and fails if nothing arrives for a time, or at a deadline.
+type steadyReader struct {
+	r       io.Reader
+	rc      *http.ResponseController
+	timeout time.Duration
+	by      time.Time
+	renewAt time.Time
+}
+
+// Read implements io.Reader.
+func (s *steadyReader) Read(p []byte) (int, error) {
+	if now := time.Now(); !now.Before(s.renewAt) {
+		until := now.Add(s.timeout)
+		if s.by.Before(until) {
+			until = s.by
+		}
+		// Connections in tests may not support deadlines.
+		_ = s.rc.SetReadDeadline(until)
+		s.renewAt = now.Add(s.timeout / renewShare)
+	}
+	return s.r.Read(p) //nolint:wrapcheck // the caller checks its type
+}
--- a/ingress/buffer.go
+++ b/ingress/buffer.go
@@ -2,9 +2,12 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
+
+	"tamarackknot.example/tamarackknot/admission"
 )
 
 const (
@@ -16,6 +19,8 @@
 	// memory of the host.
 	maxBufferedResponses = 16 << 20
 	freeBufferBytes      = 64 << 10
+	// holdStepBytes is the step in which the memory of the host is held for a buffer.
+	holdStepBytes = 4 << 10
 )
 
 // errTooLong means that a response exceeds a limit, or what is left of that of all responses.
@@ -30,10 +35,26 @@
 type reservation struct {
 	space bufferSpace
 	taken int
+	// account and kind say for which connection, and as what, the memory of the host is held.
+	account *admission.Account
+	kind    admission.Kind
+	held    int
+}
+
+// reserve returns an empty reservation for the caller's connection.
+func (x *exchange) reserve(kind admission.Kind) reservation {
+	return reservation{space: x.server.buffers, account: admission.FromContext(x.r.Context()), kind: kind}
 }
 
 // hold reserves the memory for a buffer of n bytes, and reports whether there is enough.
 func (r *reservation) hold(n int) bool {
+	if more := n - r.held; more > 0 {
+		more = (more + holdStepBytes - 1) / holdStepBytes * holdStepBytes
+		if !r.account.Hold(r.kind, more, time.Now()) {
+			return false
+		}
+		r.held += more
+	}
 	for r.taken+freeBufferBytes < n {
 		if !r.space.left.TryAcquire(freeBufferBytes) {
 			return false
@@ -46,7 +67,8 @@
 // release returns the memory.
 func (r *reservation) release() {
 	r.space.left.Release(int64(r.taken))
-	r.taken = 0
+	r.account.Release(r.kind, r.held)
+	r.taken, r.held = 0, 0
 }
 
 // discard returns the memory of a response, if there is one.
@@ -56,9 +78,9 @@
 	}
 }
 
-// readAll reads a body completely. The memory is held until release is called.
-func (s bufferSpace) readAll(body io.Reader) (data []byte, release func(), err error) {
-	r := reservation{space: s}
+// readAnswer reads the body of an answer completely. The memory is held until release is called.
+func (x *exchange) readAnswer(body io.Reader) (data []byte, release func(), err error) {
+	r := x.reserve(admission.Answers)
 	for {
 		if len(data) == cap(data) {
 			grown := make([]byte, len(data), max(2*cap(data), eventBufferBytes))
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/admission"
 	"tamarackknot.example/tamarackknot/internal/wait"
 )
 
@@ -25,17 +27,48 @@
 	// newConnTime is how long a drained server waits for the first request of a connection.
 	drainCheckInterval = 10 * time.Millisecond
 	newConnTime        = time.Second
+	// acceptPause is the pause before the next try to accept a connection without a free
+	// descriptor.
+	acceptPause = 50 * time.Millisecond
+	// pipelinedRequests is the number of requests under way that callers sent before they had
+	// the answers to several earlier ones on the connection. Further ones wait for up to
+	// pipelinedTimeout, so that a few connections do not take all slots. No client library in
+	// use sends requests so.
+	pipelinedRequests = 8
+	pipelinedTimeout  = 5 * time.Second
+	// fewPipelined is the number of requests in a row that may be sent so: the first bytes of a
+	// request that follows an answer at once can look like it.
+	fewPipelined = 2
 )
 
+// ConnConfig configures a ConnTimeouts.
+type ConnConfig struct {
+	// Limits returns the limits of the active configuration, zero before the first one.
+	Limits func() tamarackknot.CallerLimits
+	// Group counts what the connections hold. Nil means that nothing is limited.
+	Group *admission.Group
+	// AnswerTimeout is how long a caller may read nothing of an answer; 0 means 10 s.
+	AnswerTimeout time.Duration
+	// Shedding records what is refused and closed; it may be nil.
+	Shedding *Shedding
+	// Refuse answers a request for which there is no memory; nil means plain text. It must not
+	// read the body.
+	Refuse func(w http.ResponseWriter, reason string)
+}
+
 // ConnTimeouts closes callers' connections that stay idle, or take to send a
 // request's headers, longer than the active configuration allows, and drains them
 // when the server stops. The timeouts of a net/http server can't be changed once
 // it has started.
+//
+// It also bounds what they hold: heads, unread answers and requests are counted against the
+// memory of the host, and a connection that must make room for others is closed.
 type ConnTimeouts struct {
-	limits   func() tamarackknot.CallerLimits
-	listener net.Listener
-	ended    chan struct{} // closed when the listener accepts no more connections
-	end      sync.Once
+	cfg       ConnConfig
+	listener  net.Listener
+	ended     chan struct{} // closed when the listener accepts no more connections
+	end       sync.Once
+	pipelined chan struct{} // the pipelined requests under way
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
@@ -43,7 +76,17 @@
 
 // NewConnTimeouts returns a ConnTimeouts that reads its limits with each sweep.
 func NewConnTimeouts(limits func() tamarackknot.CallerLimits) *ConnTimeouts {
-	return &ConnTimeouts{limits: limits, ended: make(chan struct{}), conns: make(map[*callerConn]bool)}
+	return NewConns(ConnConfig{Limits: limits})
+}
+
+// NewConns returns a ConnTimeouts.
+func NewConns(cfg ConnConfig) *ConnTimeouts {
+	if cfg.AnswerTimeout <= 0 {
+		cfg.AnswerTimeout = defaultAnswerTimeout
+	}
+	return &ConnTimeouts{
+		cfg: cfg, ended: make(chan struct{}), pipelined: make(chan struct{}, pipelinedRequests), conns: make(map[*callerConn]bool),
+	}
 }
 
 // Watch installs hooks in s that track its connections and returns the listener
@@ -51,12 +94,29 @@
 func (c *ConnTimeouts) Watch(s *http.Server, l net.Listener) net.Listener {
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
-			conn.setPhase(phaseServing)
+		conn, ok := r.Context().Value(connKey{}).(*callerConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if conn.startRequest() > fewPipelined {
+			if !c.acquirePipelined(r.Context()) {
+				c.refuse(w, r, reasonPipelined)
+				return
+			}
+			defer func() { <-c.pipelined }()
+		}
+		if !conn.account.Hold(admission.Requests, admission.RequestBytes, time.Now()) {
+			c.refuse(w, r, admission.Requests.String())
+			return
 		}
+		defer conn.account.Release(admission.Requests, admission.RequestBytes)
 		next.ServeHTTP(w, r)
 	})
 	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if cc, ok := conn.(*callerConn); ok {
+			ctx = admission.NewContext(ctx, cc.account)
+		}
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 	s.ConnState = c.connStateChanged
@@ -64,6 +124,31 @@
 	return &callerListener{Listener: c.listener, timeouts: c}
 }
 
+// acquirePipelined waits for the turn of a pipelined request.
+func (c *ConnTimeouts) acquirePipelined(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pipelinedTimeout)
+	defer cancel()
+	select {
+	case c.pipelined <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refuse answers a request that has not been read and does not run.
+func (c *ConnTimeouts) refuse(w http.ResponseWriter, r *http.Request, reason string) {
+	c.cfg.Shedding.Refused(reason)
+	if c.cfg.Refuse != nil {
+		w.Header().Set("Connection", "close")
+		c.cfg.Refuse(w, reason)
+		lingerAfter(w, r)
+		return
+	}
+	w.Header().Set("Retry-After", overloadRetryAfter)
+	answerUnread(w, r, http.StatusServiceUnavailable, overloadReason)
+}
+
 // Drain stops accepting connections and waits until the requests on all of them have been
 // answered, or ctx ends, whose error it then returns. Responses must close their connections.
 // Unlike Shutdown of a net/http server it answers requests that arrive meanwhile on
@@ -122,8 +207,9 @@
 		c.conns[cc] = true
 		c.mu.Unlock()
 	case http.StateIdle:
-		cc.setPhase(phaseIdle)
+		cc.endRequest()
 	case http.StateClosed, http.StateHijacked:
+		cc.account.Close()
 		c.mu.Lock()
 		delete(c.conns, cc)
 		c.mu.Unlock()
@@ -146,7 +232,7 @@
 }
 
 func (c *ConnTimeouts) sweep(now time.Time) {
-	limits := c.limits()
+	limits := c.cfg.Limits()
 	headers, idle := limits.HeaderTimeout, limits.IdleTimeout
 	if headers <= 0 {
 		headers = defaultHeaderTimeout
@@ -156,7 +242,11 @@
 	}
 	c.closeIf(func(conn *callerConn) bool {
 		waited := now.Sub(conn.since)
-		return conn.phase == phaseIdle && waited > idle || conn.phase == phaseHeaders && waited > headers
+		late := conn.phase == phaseHeaders && waited > headers
+		if late {
+			c.cfg.Shedding.Closed(reasonHeadTimeout)
+		}
+		return conn.phase == phaseIdle && waited > idle || late
 	})
 }
 
@@ -166,27 +256,39 @@
 	timeouts *ConnTimeouts
 }
 
+// Accept implements net.Listener. Without a free descriptor it closes the connection that
+// deserves its own least, and waits. It closes a new connection for which there is no room.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		l.timeouts.end.Do(func() { close(l.timeouts.ended) })
-	}
-	if err != nil {
-		return nil, err //nolint:wrapcheck // net/http checks the type of the error
+	cfg := &l.timeouts.cfg
+	for {
+		conn, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+		case errors.Is(err, net.ErrClosed):
+			l.timeouts.end.Do(func() { close(l.timeouts.ended) })
+			return nil, err //nolint:wrapcheck // net/http checks the type of the error
+		case errors.IsAny(err, syscall.EMFILE, syscall.ENFILE):
+			cfg.Shedding.Closed(reasonDescriptors)
+			if cfg.Group != nil {
+				cfg.Group.EvictIdlest(time.Now())
+			}
+			time.Sleep(acceptPause)
+			continue
+		default:
+			return nil, err //nolint:wrapcheck // net/http checks the type of the error
+		}
+		limitSocketBuffers(conn)
+		cc := &callerConn{Conn: conn, timeouts: l.timeouts, since: time.Now()}
+		if cfg.Group == nil {
+			return cc, nil
+		}
+		var ok bool
+		if cc.account, ok = cfg.Group.Open(cc.since, cc.evict); ok {
+			return cc, nil
+		}
+		cfg.Shedding.Closed(admission.Connections.String())
+		_ = conn.Close()
 	}
-	return &callerConn{Conn: conn, since: time.Now()}, nil
-}
-
-// callerConn is a connection to a caller that records its phase. The first read
-// in the idle phase starts the headers of a request.
-type callerConn struct {
-	net.Conn
-
-	mu    sync.Mutex
-	phase phase
-	since time.Time
-	used  bool // a request was received
-	ended bool // the connection is about to be closed
 }
 
 type phase int
@@ -198,40 +300,3 @@
 )
 
 type connKey struct{}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.ended {
-			return 0, net.ErrClosed
-		}
-		if c.phase == phaseIdle {
-			c.phase, c.since = phaseHeaders, time.Now()
-		}
-	}
-	return n, err //nolint:wrapcheck // net/http checks the type of the error
-}
-
-// endIf marks the connection as ended if done is true.
-func (c *callerConn) endIf(done func(*callerConn) bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended = c.ended || done(c)
-	return c.ended
-}
-
-func (c *callerConn) setPhase(p phase) {
-	now := time.Now()
-	c.mu.Lock()
-	c.phase, c.since, c.used = p, now, true
-	c.mu.Unlock()
-}
-
-// expectsRequest reports whether a request is under way, or the first one may still come.
-// c.mu is held.
-func (c *callerConn) expectsRequest(now time.Time) bool {
-	return c.phase != phaseIdle || !c.used && now.Sub(c.since) < newConnTime
-}
--- a/ingress/content.go
+++ b/ingress/content.go
@@ -19,12 +19,17 @@
 	var size [8]byte
 	for _, field := range [][]byte{
 		[]byte(x.service), credentials, []byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI),
-		[]byte(x.caller.Model), []byte(x.caller.Adapter), x.body,
+		[]byte(x.caller.Model), []byte(x.caller.Adapter),
 	} {
 		// The size keeps neighbouring fields apart.
 		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		_, _ = h.Write(size[:])
 		_, _ = h.Write(field)
 	}
+	binary.BigEndian.PutUint64(size[:], uint64(x.body.size))
+	_, _ = h.Write(size[:])
+	for _, block := range x.body.blocks {
+		_, _ = h.Write(block)
+	}
 	return tamarackknot.ContentID(h.Sum(nil)[:len(tamarackknot.ContentID{})])
 }
--- a/ingress/content_test.go
+++ b/ingress/content_test.go
@@ -16,7 +16,7 @@
 	type request struct{ service, method, target, body, id, credentials, model, adapter string }
 	id := func(r request) tamarackknot.ContentID {
 		return (&exchange{
-			service: r.service, r: httptest.NewRequest(r.method, "http://a"+r.target, strings.NewReader(r.body)), body: []byte(r.body),
+			service: r.service, r: httptest.NewRequest(r.method, "http://a"+r.target, strings.NewReader(r.body)), body: requestBody{blocks: [][]byte{[]byte(r.body)}, size: len(r.body)},
 			caller: tamarackknot.CallerRequest{ID: r.id, Credentials: r.credentials, Model: r.model, Adapter: r.adapter},
 		}).contentID()
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -81,7 +81,7 @@
 func (x *exchange) send(ctx context.Context, e tamarackknot.EndpointEntry, a tamarackknot.EndpointAttempt) (*http.Response, error) {
 	req := x.outgoing(ctx, e.Address, a)
 	transport := x.server.onceTransport
-	if x.route.Kind == tamarackknot.RouteRepeatable && (len(x.body) > 0 || slices.Contains(bodylessMethods(), x.r.Method)) {
+	if x.route.Kind == tamarackknot.RouteRepeatable && (x.body.size > 0 || slices.Contains(bodylessMethods(), x.r.Method)) {
 		transport = x.server.keepAliveTransport
 	}
 	x.conn, x.sentAt = httptrace.GotConnInfo{}, time.Now()
@@ -110,7 +110,7 @@
 		Host:          x.r.Host,
 		Header:        x.server.cfg.Dialect.Forward(x.r.Header, a),
 		Body:          x.bodyReader(),
-		ContentLength: int64(len(x.body)),
+		ContentLength: int64(x.body.size),
 		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	if _, ok := req.Header["User-Agent"]; !ok {
@@ -169,7 +169,7 @@
 	if o, ok := x.checkResponseHeader(g, resp); !ok {
 		return o, nil
 	}
-	body, release, err := x.server.buffers.readAll(resp.Body)
+	body, release, err := x.readAnswer(resp.Body)
 	if err != nil {
 		g.Done(dispatch.ResultFailed)
 		x.recordLost(g, progress{}, err)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -5,12 +5,12 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/admission"
 	"tamarackknot.example/tamarackknot/catalog"
 	"tamarackknot.example/tamarackknot/dispatch"
 )
@@ -33,6 +34,9 @@
 	// noConfigRetryDelay is the Retry-After of requests while the host has no
 	// configuration or the route has no service.
 	noConfigRetryDelay = 500 * time.Millisecond
+	// overloadRetryDelay is the Retry-After of a request for which there is no memory: most
+	// requests end within it.
+	overloadRetryDelay = time.Second
 	// Callers abandon a stream when its first or next event takes longer than
 	// minEventTimeout, eventTimeoutObjectives latency objectives or
 	// eventTimeoutGaps gap objectives of the route, whichever is longest.
@@ -80,8 +84,12 @@
 	// other hosts that do, the preferred ones first. Nil means that it reaches them.
 	Isolated   func() bool
 	OtherHosts func() []tamarackknot.HostEntry
-	Logger     *log.Logger
-	Metrics    metrics.Registry
+	// BodyTimeout is how long nothing may arrive of a body; 0 means 10 s.
+	BodyTimeout time.Duration
+	// Shedding records what is refused for lack of memory; it may be nil.
+	Shedding *Shedding
+	Logger   *log.Logger
+	Metrics  metrics.Registry
 }
 
 // DialFunc opens a connection to an address.
@@ -99,6 +107,7 @@
 	cutNow      context.CancelFunc
 	failedDials atomic.Int64 // failed connections to endpoints since the last success
 	buffers     bufferSpace
+	blocks      blockPool
 	counters    counters
 	// quotaWaiting is the number of requests that wait for room in their quota.
 	quotaWaiting atomic.Int64
@@ -118,6 +127,9 @@
 	if cfg.Isolated == nil {
 		cfg.Isolated = func() bool { return false }
 	}
+	if cfg.BodyTimeout <= 0 {
+		cfg.BodyTimeout = defaultBodyTimeout
+	}
 	if cfg.VersionsKnown == nil {
 		cfg.VersionsKnown = func(context.Context) bool { return true }
 	}
@@ -136,6 +148,7 @@
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), forwardedBy: r.Header.Get(headerForwardedBy)}
 	r.Header.Del(headerForwardedBy)
 	defer x.returnQuota()
+	defer x.body.release()
 	for _, filter := range []func(*exchange) bool{
 		(*exchange).selectRoute, (*exchange).readHeader, (*exchange).authenticate, (*exchange).readBody, (*exchange).takeQuota,
 		(*exchange).findOrigin, (*exchange).chooseService,
@@ -170,9 +183,10 @@
 	// forwardOnly says that only another host may send the request to an endpoint.
 	forwardOnly bool
 	service     string
-	body        []byte
-	// bodyRead is true once the request body has been read completely.
-	bodyRead bool
+	body        requestBody
+	// bodyRead is true once the request body has been read completely, and bodyBroken if the
+	// rest of it must not be read.
+	bodyRead, bodyBroken bool
 	// deadline is when the caller or the route times out.
 	deadline time.Time
 	// firstEventDeadline is when the caller of a stream gives up waiting for
@@ -271,25 +285,51 @@
 		x.fail(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
 		return false
 	}
-	var buf bytes.Buffer
-	if x.r.ContentLength > 0 {
-		buf.Grow(int(x.r.ContentLength) + bytes.MinRead)
+	account := admission.FromContext(x.r.Context())
+	x.body.account, x.body.spare = account, &x.server.blocks
+	if x.r.ContentLength > 0 && !account.Admits(admission.Bodies, x.r.ContentLength, time.Now()) {
+		return x.refuseMemory()
 	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(x.w, x.r.Body, limit))
+	account.Set(admission.ReadingBody, time.Now())
+	rc := http.NewResponseController(x.w)
+	err := x.body.readFrom(&steadyReader{
+		r: http.MaxBytesReader(x.w, x.r.Body, limit), rc: rc, timeout: x.server.cfg.BodyTimeout, by: x.deadline,
+	})
+	account.Set(admission.Serving, time.Now())
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
 	case errors.As(err, &tooLarge):
+		x.body.release()
 		x.fail(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
 		return false
-	case err != nil:
+	case errors.Is(err, errNoMemory), account.Evicted():
+		return x.refuseMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.body.release()
+		x.bodyBroken = true
+		x.server.cfg.Shedding.Refused(reasonBodyTimeout)
+		x.refuseWith(http.StatusRequestTimeout, "the body did not arrive in time", time.Time{})
+		return false
+	default:
 		// The caller has disconnected, so there is nobody to respond to.
 		x.log("caller disconnected while sending the body", "error", err, "leaving", x.server.draining.Load())
 		panic(http.ErrAbortHandler)
 	}
-	x.body, x.bodyRead = buf.Bytes(), true
+	_ = rc.SetReadDeadline(time.Time{})
+	x.bodyRead = true
 	return true
 }
 
+// refuseMemory refuses a request for whose body there is no memory. It returns false.
+func (x *exchange) refuseMemory() bool {
+	x.body.release()
+	x.bodyBroken = true
+	x.server.cfg.Shedding.Refused(admission.Bodies.String())
+	x.refuse(overloadReason, time.Now().Add(overloadRetryDelay))
+	return false
+}
+
 // chooseService picks the service that began the stream or, for all other requests, the one
 // of the route or one of its shares at random by weight.
 func (x *exchange) chooseService() bool {
@@ -352,23 +392,31 @@
 func (x *exchange) writeError(status int, reason string) {
 	x.log("answered", "status", status, "reason", reason)
 	x.closeIfDraining()
-	if !x.bodyRead {
-		x.discardBody()
+	if !x.bodyRead && !x.discardBody() {
+		answerUnread(x.w, x.r, status, reason)
+		return
 	}
 	http.Error(x.w, reason, status)
 }
 
-// discardBody reads the rest of the body after an early response. Closing a
-// connection with unread data resets it, and the caller could lose the
-// response.
-func (x *exchange) discardBody() {
+// discardBody reads the rest of the body before an early response, so that the connection can
+// be used again, and reports whether it was read. A caller that waits to be asked for the body,
+// or has announced a long one, gets the response before that.
+func (x *exchange) discardBody() bool {
+	if x.bodyBroken || x.r.ContentLength > maxDiscardBytes || x.r.Header.Get("Expect") != "" && !x.bodyBegun() {
+		return false
+	}
 	rc := http.NewResponseController(x.w)
 	// Connections in tests may not support deadlines.
 	_ = rc.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.CopyN(io.Discard, x.r.Body, maxDiscardBytes)
+	_, err := io.CopyN(io.Discard, x.r.Body, maxDiscardBytes)
 	_ = rc.SetReadDeadline(time.Time{})
+	return errors.Is(err, io.EOF)
 }
 
+// bodyBegun reports whether some of the body has been read.
+func (x *exchange) bodyBegun() bool { return x.body.size > 0 }
+
 // log writes a log line with the state of the request.
 func (x *exchange) log(event string, kv ...any) {
 	route, objective, gapObjective := "", time.Duration(0), time.Duration(0)
@@ -397,10 +445,10 @@
 }
 
 func (x *exchange) bodyReader() io.ReadCloser {
-	if len(x.body) == 0 && !slices.Contains(bodylessMethods(), x.r.Method) {
+	if x.body.size == 0 && !slices.Contains(bodylessMethods(), x.r.Method) {
 		return http.NoBody
 	}
 	// The wrapper hides the reader's type, so that the transport can't rewind
 	// the body and resend the request by itself, which it also does without a body.
-	return io.NopCloser(bytes.NewReader(x.body))
+	return io.NopCloser(x.body.reader())
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/admission"
 	"tamarackknot.example/tamarackknot/dispatch"
 )
 
@@ -189,7 +190,7 @@
 
 // readStreamFailure reads an endpoint's error response, which is not a stream.
 func (x *exchange) readStreamFailure(g *dispatch.Grant, resp *http.Response) (outcome, *bufferedResponse) {
-	body, release, err := x.server.buffers.readAll(resp.Body)
+	body, release, err := x.readAnswer(resp.Body)
 	if err != nil {
 		g.Done(dispatch.ResultFailed)
 		x.lastErr = "the endpoint broke off its answer"
@@ -225,7 +226,7 @@
 	rc := http.NewResponseController(x.w)
 	// A deadline left in place would fail later responses on the connection.
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
-	space := reservation{space: x.server.buffers}
+	space := x.reserve(admission.Streams)
 	defer space.release()
 	id, check := *lastEvent, continuation{last: *lastEvent}
 	var event []byte
--- a/peer/acceptor.go
+++ b/peer/acceptor.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/admission"
 )
 
 // hello identifies both processes when a connection opens. To is the host name
@@ -30,6 +31,7 @@
 // that blocks reading delays only the peer's own requests.
 type acceptor struct {
 	mesh      *Mesh
+	stream    *stream
 	from      string // set by handleHello; used only by the reading goroutine
 	callSlots chan struct{}
 }
@@ -66,12 +68,13 @@
 		return
 	}
 	a.mesh.running.Add(1)
-	go a.answerCall(ctx, conn, req, h, params)
+	go a.answerCall(ctx, conn, req, h, params, a.stream.takeHeld())
 }
 
 // answerCall runs the handler of one call and sends its result.
-func (a *acceptor) answerCall(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, h tamarackknot.PeerHandler, params json.RawMessage) {
+func (a *acceptor) answerCall(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, h tamarackknot.PeerHandler, params json.RawMessage, held int) {
 	defer a.mesh.running.Done()
+	defer a.stream.account.Release(admission.Peers, held)
 	defer func() { <-a.callSlots }()
 	timeout := defaultCallTimeout
 	var meta callMeta
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/admission"
 )
 
 // Defaults of Config.
@@ -67,6 +68,11 @@
 	// IdleTimeout closes a connection that carried no message for that long.
 	IdleTimeout time.Duration
 
+	// Group counts the accepted connections and what they hold; nil means that only the fixed
+	// limits apply. OnShed is called when one is closed for them; it may be nil.
+	Group  *admission.Group
+	OnShed func()
+
 	Metrics metrics.Registry
 	Logger  *log.Logger
 }
@@ -122,6 +128,9 @@
 	if c.Logger == nil {
 		c.Logger = log.New(io.Discard)
 	}
+	if c.OnShed == nil {
+		c.OnShed = func() {}
+	}
 }
 
 func setDefault[T int | time.Duration](v *T, def T) {
@@ -291,18 +300,31 @@
 		return
 	}
 	s := newStream(c, m.cfg, m.counters)
+	s.accepted = true
+	if m.cfg.Group != nil {
+		var ok bool
+		if s.account, ok = m.cfg.Group.Open(time.Now(), s.evict); !ok {
+			m.cfg.OnShed()
+			_ = c.Close()
+			m.mu.Lock()
+			m.inbound--
+			m.mu.Unlock()
+			return
+		}
+	}
 	// The dialling side closes idle connections. The longer timeout here removes
 	// connections whose other end disappeared without closing them.
 	s.readTimeout = 2 * m.cfg.IdleTimeout
-	h := &acceptor{mesh: m, callSlots: make(chan struct{}, maxConcurrentCalls)}
+	h := &acceptor{mesh: m, stream: s, callSlots: make(chan struct{}, maxConcurrentCalls)}
 	conn := jsonrpc2.NewConn(m.ctx, s, h, jsonrpc2.OnSend(s.onSend), jsonrpc2.OnRecv(s.onRecv), jsonrpc2.SetLogger(connLogger{m.cfg.Logger}))
 	m.running.Add(1)
-	go m.waitInbound(conn)
+	go m.waitInbound(conn, s.account)
 }
 
-func (m *Mesh) waitInbound(conn *jsonrpc2.Conn) {
+func (m *Mesh) waitInbound(conn *jsonrpc2.Conn, account *admission.Account) {
 	defer m.running.Done()
 	<-conn.DisconnectNotify()
+	account.Close()
 	m.mu.Lock()
 	m.inbound--
 	m.mu.Unlock()
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"tamarackknot.example/tamarackknot/admission"
 )
 
 const (
@@ -36,6 +37,13 @@
 	writeTimeout time.Duration
 	readTimeout  time.Duration // 0 means no timeout
 	counters     *counters
+	onShed       func()
+
+	// accepted says that the other side dialled. What it sends is counted by account.
+	accepted bool
+	greeted  bool // the first message has been read
+	account  *admission.Account
+	held     int // bytes held for the message that was read last
 
 	sendMethod   string
 	notification *jsonrpc2.Request
@@ -51,6 +59,7 @@
 		maxBytes:     cfg.MaxMessageBytes,
 		writeTimeout: cfg.WriteTimeout,
 		counters:     c,
+		onShed:       cfg.OnShed,
 	}
 }
 
@@ -122,8 +131,14 @@
 // ReadObject returns an error for a frame over the size limit without reading
 // it, which makes jsonrpc2 close the connection.
 func (s *stream) ReadObject(v any) error {
-	if s.readTimeout > 0 {
-		if err := s.conn.SetReadDeadline(time.Now().Add(s.readTimeout)); err != nil {
+	s.account.Release(admission.Peers, s.takeHeld())
+	s.account.Set(admission.Idle, time.Now())
+	timeout, limit := s.readTimeout, s.maxBytes
+	if s.accepted && !s.greeted {
+		timeout, limit = helloTimeout, maxHelloBytes
+	}
+	if timeout > 0 {
+		if err := s.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			return errors.Wrap(err, "set read deadline")
 		}
 	}
@@ -131,13 +146,14 @@
 	if err != nil {
 		return err // unwrapped: jsonrpc2 compares it with io.EOF
 	}
-	if n > uint64(s.maxBytes) {
-		return errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", n, s.maxBytes)
+	if n > uint64(limit) {
+		return errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", n, limit)
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(s.r, data); err != nil {
+	data, err := s.readMessage(int(n))
+	if err != nil {
 		return err // unwrapped: jsonrpc2 compares it with io.ErrUnexpectedEOF
 	}
+	s.greeted = true
 	s.readBytes = int(n) + len(binary.AppendUvarint(nil, n))
 	return errors.Wrap(json.Unmarshal(data, v), "decode message")
 }
