Size the blocks of a body of known length by it

Change: the first and the last block are no larger than what is announced to follow, and nothing is read of a body of length 0.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -14,7 +14,9 @@
 
 const (
 	// firstBlockBytes and maxBlockBytes are the sizes of the first and of the largest blocks of a
-	// body. Most bodies fit into the first one.
+	// body, and minBlockBytes that of the smallest one after a first one of a known, shorter length.
+	// Most bodies fit into the first one.
+	minBlockBytes   = 512
 	firstBlockBytes = 4 << 10
 	maxBlockBytes   = 64 << 10
 	// defaultBodyTimeout is how long nothing may arrive of a body, by default. It is above the
@@ -33,6 +35,7 @@
 type requestBody struct {
 	blocks  [][]byte
 	size    int
+	length  int64 // as announced, -1 if it is not known
 	account *admission.Account
 	held    int
 	// spare is where blocks come from and return to. An endpoint's transport may read the blocks
@@ -61,6 +64,9 @@
 
 // readFrom reads the body until its end.
 func (b *requestBody) readFrom(r io.Reader) error {
+	if b.length == 0 {
+		return nil
+	}
 	for {
 		block, err := b.space()
 		if err != nil {
@@ -86,7 +92,10 @@
 		if len(last) < cap(last) {
 			return last, nil
 		}
-		size = min(2*cap(last), maxBlockBytes)
+		size = min(max(2*cap(last), minBlockBytes), maxBlockBytes)
+	}
+	if rest := b.length - int64(b.size); rest > 0 {
+		size = int(min(int64(size), rest))
 	}
 	if !b.account.Hold(admission.Bodies, size, time.Now()) {
 		return nil, errNoMemory
@@ -117,10 +126,14 @@
 // write with the head, so that most requests are one packet.
 func (b *requestBody) reader() io.Reader {
 	b.given = true
-	if len(b.blocks) == 1 {
+	switch len(b.blocks) {
+	case 0:
+		return bytes.NewReader(nil)
+	case 1:
 		return bytes.NewReader(b.blocks[0])
+	default:
+		return &blockReader{rest: b.blocks}
 	}
-	return &blockReader{rest: b.blocks}
 }
 
 // blockReader reads blocks, which it does not change: the next attempt reads them again.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -288,7 +288,7 @@
 		return false
 	}
 	account := admission.FromContext(x.r.Context())
-	x.body.account, x.body.spare = account, &x.server.blocks
+	x.body.account, x.body.spare, x.body.length = account, &x.server.blocks, x.r.ContentLength
 	if x.r.ContentLength > 0 && !account.Admits(admission.Bodies, x.r.ContentLength, time.Now()) {
 		return x.refuseMemory()
 	}
