--- a/dispatch/domain_test.go
+++ b/dispatch/domain_test.go
@@ -62,7 +62,7 @@
 			change(req)
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			e, _, missing := h.best(req, time.Now())
+			e, missing := h.best(req, time.Now())
 			if e == nil {
 				require.Equal(t, lackSlot, missing)
 				return ""
--- a/entry/commands/hosted.go
+++ b/entry/commands/hosted.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
+	"tamarackknot.example/tamarackknot/entry/guard"
 	"tamarackknot.example/tamarackknot/entry/hosted"
 	"tamarackknot.example/tamarackknot/locality"
 	"tamarackknot.example/tamarackknot/platform"
@@ -35,6 +36,7 @@
 	MetricsPort int    `env:"METRICS_PORT" envDefault:"9100"`
 	// DomainPrice is text because errors then name the flag.
 	DomainPrice string `env:"DOMAIN_PRICE" envDefault:"0"`
+	Limits      guard.Settings
 }
 
 // parseHosted returns the configuration of the daemon without the platform's settings, and the
@@ -54,6 +56,7 @@
 	port := strconv.Itoa(o.MetricsPort)
 	p.String(&port, "m", "metricsPort", "port of the metrics page, 0 to 65535; 0 disables it (TAMARACKD_METRICS_PORT)")
 	p.String(&o.DomainPrice, "p", "domainPrice", "seconds of delay of one request that a gigabyte between failure domains is worth, 0 to 1e9; 0 for no price (TAMARACKD_DOMAIN_PRICE)")
+	o.Limits.AddFlags(p)
 	if err := p.ParseArgs(args); err != nil {
 		return hosted.Config{}, 0, errors.Wrap(err, "flags")
 	}
@@ -65,7 +68,10 @@
 	if err != nil || !(price >= 0 && price <= maxDomainPrice) {
 		return hosted.Config{}, 0, fmt.Errorf("--domainPrice: %q is not a number from 0 to %g", o.DomainPrice, maxDomainPrice)
 	}
-	c.DomainPrice = locality.Price(price)
+	if err := o.Limits.Check(); err != nil {
+		return hosted.Config{}, 0, err
+	}
+	c.DomainPrice, c.Limits = locality.Price(price), o.Limits
 	level, err = log.ParseLevel(o.LogLevel)
 	return c, level, errors.Wrapf(err, "--logLevel: %q", o.LogLevel)
 }
--- a/entry/commands/hosted_test.go
+++ b/entry/commands/hosted_test.go
@@ -24,6 +24,8 @@
 		"metrics port, text": {[]string{"hosted", "--metricsPort", "x"}, file, "--metricsPort"},
 		"domain price":       {[]string{"hosted", "--domainPrice", "-1"}, file, "--domainPrice"},
 		"domain price, NaN":  {[]string{"hosted", "--domainPrice=NaN"}, file, "--domainPrice"},
+		"held memory":        {[]string{"hosted", "--heldMB", "x"}, file, "--heldMB"},
+		"body timeout":       {[]string{"hosted", "--bodyTimeoutMs", "0"}, file, "--bodyTimeoutMs"},
 		"no settings file":   {[]string{"hosted"}, "", "TAMARACKKNOT_CONFIG"},
 		"missing file":       {[]string{"hosted"}, file + "x", "boot.tomlx"},
 		"incomplete file":    {[]string{"hosted"}, file, "zone"},
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -86,6 +86,10 @@
 	domainPrice locality.Price
 	logger      *log.Logger
 	metrics     metrics.Registry
+	// shedding records what is refused for lack of memory, and bodyTimeout limits the time without
+	// a byte of a body; zero values take defaults.
+	shedding    *ingress.Shedding
+	bodyTimeout time.Duration
 }
 
 // components are the parts of an entry host between the platform, the engines and
@@ -159,6 +163,7 @@
 		HostCount: c.shares.Count,
 		Host:      s.Host,
 		Dial:      c.traffic.countRequests(c.cfg.dial), DialEndpoint: c.traffic.countRequests(c.reach.Dial), Isolated: c.reach.Isolated, OtherHosts: c.reachingHosts,
+		BodyTimeout: c.cfg.bodyTimeout, Shedding: c.cfg.shedding,
 		Logger:  c.cfg.logger,
 		Metrics: registry,
 	})
