Log what an endpoint was chosen by, and tell streams from other requests

Requests to engines that are not streams bring no event, so their prompts counted as being read, and as overdue, until the end of the answer. They now count like prompts of unknown size. The line of an answered stream names the load that the choice was based on and the age of what was known of it.

--- a/dispatch/choice_bench_test.go
+++ b/dispatch/choice_bench_test.go
@@ -71,7 +71,7 @@
 	h.SetEndpoints(h.entries, map[string][]string{"s": ids}, true)
 	return h, func(now time.Time) *Request {
 		return &Request{
-			Service: "s", Model: "m", Adapter: "a2", PromptParts: []string{"p", "q", "r"}, Arrived: now,
+			Service: "s", Model: "m", Stream: true, Adapter: "a2", PromptParts: []string{"p", "q", "r"}, Arrived: now,
 			Objective: now.Add(replayObjective), GapObjective: replayGap, Deadline: now.Add(5 * time.Second),
 			Tokens: tamarackknot.RequestTokens{Known: true, Prompt: 1200, Output: 300},
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -59,6 +59,8 @@
 	// GapObjective is the longest time that may pass between two events of the answer; 0 if
 	// there is no limit.
 	GapObjective time.Duration
+	// Stream says that the answer is a stream, so that its events are recorded.
+	Stream bool
 	// AnsweredBy is when the request gets its last answer at the latest.
 	AnsweredBy time.Time
 	// Arrived is when the host finished reading the request.
@@ -189,6 +191,7 @@
 	prior       *baseline            // for others; it doesn't change
 	streams     uint64               // number of the last request whose endpoint is observed
 	freezes     freezes
+	viewedAt    time.Time // when the planner last told of the requests of other hosts
 	random      *rand.Rand
 	changed     map[target]bool // targets whose demand changed since the last report
 	queueWake   chan struct{}   // wakes Run when a request starts to wait
--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -20,7 +20,8 @@
 	ahead  float64 // prompt tokens that were to be read before
 	// gap is the objective for the gap between events, in seconds; 0 if there is none.
 	gap        float64
-	reading    bool      // the first event has not come
+	reading    bool      // the first event of the stream has not come
+	unsized    bool      // counts as such
 	receivedAt time.Time // last event
 	awaiting   bool      // the next event is awaited, since awaitedAt
 	awaitedAt  time.Time
@@ -32,24 +33,34 @@
 func (d *Dispatcher) observe(g *Grant, e *endpoint, c choice) {
 	s := &e.estimate
 	g.Forecast, _ = e.forecast(&c)
+	g.Forecast.EndpointLoad = EndpointLoad{Own: e.own, Others: e.others, PromptTokens: s.prompts}
+	if !d.viewedAt.IsZero() {
+		g.Forecast.ViewAge = c.now.Sub(d.viewedAt)
+	}
+	if !s.observedAt.IsZero() {
+		g.Forecast.ObservedAge = c.now.Sub(s.observedAt)
+	}
 	if c.baseline == d.prior {
 		c.baseline = newBaseline()
 		d.baselines[target{g.req.Service, g.req.Model}] = c.baseline
 	}
 	d.streams++
 	g.observation = observation{
-		estimate: s, baseline: c.baseline, sizes: c.sizes, stream: d.streams, ahead: s.prompts, gap: c.gap, reading: true,
+		estimate: s, baseline: c.baseline, sizes: c.sizes, stream: d.streams, ahead: s.prompts, gap: c.gap, reading: g.req.Stream,
 		level: loadLevel(e.own+e.others, e.slots),
 	}
-	if s.reading == 0 {
-		s.readingSince = c.now
-	}
-	s.reading++
-	if c.prompt == 0 {
+	if c.prompt == 0 || !g.req.Stream {
+		g.observation.unsized = true
 		s.unsized++
 	}
-	s.prompts += c.prompt
-	s.pieces += c.piece
+	if g.req.Stream {
+		if s.reading == 0 {
+			s.readingSince = c.now
+		}
+		s.reading++
+		s.prompts += c.prompt
+		s.pieces += c.piece
+	}
 	s.held += c.held
 	if s.recovering(c.now) && s.trial == 0 {
 		s.trial = d.streams
@@ -80,6 +91,7 @@
 		return load
 	}
 	s := o.estimate
+	s.observedAt = now
 	if e != nil && s == &e.estimate {
 		o.level = loadLevel(e.own+e.others, e.slots)
 	}
@@ -123,18 +135,20 @@
 	}
 }
 
+// endReading ends the time in which the prompt is read.
 func (o *observation) endReading() {
+	s := o.estimate
+	if o.unsized {
+		o.unsized = false
+		s.unsized--
+	}
 	if !o.reading {
 		return
 	}
-	s := o.estimate
 	o.reading = false
 	s.reading--
 	s.prompts -= o.prompt
 	s.pieces -= o.piece
-	if o.prompt == 0 {
-		s.unsized--
-	}
 	if s.reading == 0 {
 		// Rounding errors don't add up.
 		s.prompts, s.pieces = 0, 0
--- a/dispatch/prediction.go
+++ b/dispatch/prediction.go
@@ -197,9 +197,11 @@
 // estimate is what this host has observed of one start of an endpoint, and what its own
 // requests there are doing.
 type estimate struct {
-	// Own requests whose first event is awaited, since the last first event at least.
-	reading      int
-	unsized      int // of them, those of unknown size
+	// Own streams whose first event is awaited, since the last first event at least.
+	reading int
+	// unsized are those of unknown size, and own requests that are not streams: it is not known
+	// when their prompts have been read.
+	unsized      int
 	prompts      float64
 	pieces       float64
 	readingSince time.Time
@@ -213,6 +215,7 @@
 	first ratio
 	steps [levelCount]ratio
 	pauses
+	observedAt time.Time // last event; zero if there is none
 }
 
 // slowness returns the average gap between events that is expected with n requests over that of
@@ -251,6 +254,10 @@
 	Slowness float64 // expected gap between events over the usual one
 	// Stalled says that the endpoint's streams pause, or did so lately.
 	Stalled bool
+	// EndpointLoad ran there, as far as was known. ViewAge is the age of what the planner said of
+	// other hosts, and ObservedAge that of this host's last event from there; 0 if there is none.
+	EndpointLoad
+	ViewAge, ObservedAge time.Duration
 }
 
 // forecast predicts what the request meets at the endpoint and causes there, and returns the
--- a/dispatch/prediction_test.go
+++ b/dispatch/prediction_test.go
@@ -140,3 +140,19 @@
 	require.LessOrEqual(t, f.Slowness, maxRatio)
 	require.Less(t, f.Memory, 2.0)
 }
+
+// TestRequestsWithoutEvents guards against an endpoint that seems slow because it runs requests
+// that are not streams, of which no event tells that their prompts have been read.
+func TestRequestsWithoutEvents(t *testing.T) {
+	h, req, now := newPredictionHarness(1)
+	r := req(now)
+	r.Stream = false
+	g, _ := h.tryGrant(r, now)
+	now = now.Add(10 * time.Second)
+	c, _ := h.newChoice(req(now), now)
+	e := h.endpoints["0"]
+	require.InDelta(t, e.score(r, "z1", now), e.predictedScore(&c, "z1"), 1e-9)
+	g.finishAt(ResultAnswered, now)
+	require.Zero(t, e.estimate.unsized)
+	require.Zero(t, e.estimate.held)
+}
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -146,7 +146,7 @@
 	prompt, output := p.size(p.random)
 	d := p.hosts[p.random.IntN(len(p.hosts))]
 	req := &Request{
-		Service: "s", Model: "m", Arrived: now, Objective: now.Add(replayObjective), GapObjective: replayGap, Deadline: now.Add(5 * time.Second),
+		Service: "s", Model: "m", Stream: true, Arrived: now, Objective: now.Add(replayObjective), GapObjective: replayGap, Deadline: now.Add(5 * time.Second),
 		Tokens: tamarackknot.RequestTokens{Known: true, Prompt: float64(prompt), Output: float64(output)},
 	}
 	p.requests++
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -165,7 +165,8 @@
 func (d *Dispatcher) SetView(v tamarackknot.FleetView) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.othersUntil = time.Now().Add(othersMemory)
+	d.viewedAt = time.Now()
+	d.othersUntil = d.viewedAt.Add(othersMemory)
 	for id, engine := range v.Engines {
 		if e := d.endpoints[id]; e != nil {
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
--- a/ingress/pace.go
+++ b/ingress/pace.go
@@ -32,7 +32,8 @@
 	}
 	if f := x.forecast; f != (dispatch.Forecast{}) {
 		fields = append(fields, "expectedFirstMs", int64(f.First*1000), "causedGapMs", int64(f.Gap*1000), "pausePercent", int64(f.Pause*100),
-			"memoryPercent", int64(f.Memory*100), "slownessPercent", int64(f.Slowness*100), "stalled", f.Stalled)
+			"memoryPercent", int64(f.Memory*100), "slownessPercent", int64(f.Slowness*100), "stalled", f.Stalled,
+			"own", f.Own, "others", f.Others, "viewAgeMs", f.ViewAge.Milliseconds(), "observedAgeMs", f.ObservedAge.Milliseconds())
 	}
 	return fields
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -309,7 +309,8 @@
 	x.request = dispatch.Request{
 		ID: x.caller.ID, Service: x.service, Model: x.caller.Model, Adapter: x.caller.Adapter,
 		Tokens: x.caller.Tokens, Priority: x.route.Priority, Arrived: x.arrived, Deadline: x.firstEventDeadline, AnsweredBy: x.deadline,
-		Objective: x.arrived.Add(x.route.Objective), GapObjective: x.route.GapObjective, PromptParts: x.caller.Parts, Content: x.contentID(),
+		Objective: x.arrived.Add(x.route.Objective), GapObjective: x.route.GapObjective, Stream: x.route.Kind == tamarackknot.RouteStream,
+		PromptParts: x.caller.Parts, Content: x.contentID(),
 	}
 	if x.workspace != nil {
 		x.request.Workspace = x.workspace.Name
