--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -62,6 +62,8 @@
 	// GapObjective is the longest time that may pass between two events of the answer; 0 if
 	// there is no limit.
 	GapObjective time.Duration
+	// Stream says that the answer is a stream, so that its events are recorded.
+	Stream bool
 	// AnsweredBy is when the request gets its last answer at the latest.
 	AnsweredBy time.Time
 	// Arrived is when the host finished reading the request.
@@ -184,8 +186,10 @@
 	// holders are the endpoints of byService that have a model loaded, in the same order;
 	// nil if it must be derived again.
 	holders map[target][]*endpoint
-	waiting []*waiter
-	refused []refusedDemand
+	// byDomain divides them by failure domain; it is derived again as well.
+	byDomain map[target]domains
+	waiting  []*waiter
+	refused  []refusedDemand
 	// returns are the refused callers that were told when to come back, booked the time after
 	// the last one that was promised for each target.
 	returns   map[returnID]expectedReturn
@@ -207,6 +211,7 @@
 	prior       *baseline            // for others; it doesn't change
 	streams     uint64               // number of the last request whose endpoint is observed
 	freezes     freezes
+	viewedAt    time.Time // when the planner last told of the requests of other hosts
 	random      *rand.Rand
 	changed     map[target]bool // targets whose demand changed since the last report
 	queueWake   chan struct{}   // wakes Run when a request starts to wait
@@ -253,6 +258,7 @@
 		returns:   make(map[returnID]expectedReturn),
 		booked:    make(map[target]time.Time),
 		shares:    newShares(),
+		byDomain:  make(map[target]domains),
 		forecasts: make(map[target]time.Time),
 		history:   make(map[target]*requestHistory),
 		slotTimes: make(map[target]time.Duration),
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -83,6 +83,7 @@
 		}
 	}
 	d.holders = nil
+	clear(d.byDomain)
 	d.serveWaiting(time.Now())
 }
 
@@ -165,12 +166,14 @@
 func (d *Dispatcher) SetView(v tamarackknot.FleetView) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.othersUntil = time.Now().Add(othersMemory)
+	d.viewedAt = time.Now()
+	d.othersUntil = d.viewedAt.Add(othersMemory)
 	d.setShares(v)
 	for id, engine := range v.Engines {
 		if e := d.endpoints[id]; e != nil {
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
 			d.holders = nil
+			clear(d.byDomain)
 		}
 	}
 	for _, l := range v.Notices {
