--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -53,10 +53,10 @@
 // time is promised to so many callers only as a share of the slots can serve after it. d.mu is
 // held.
 func (d *Dispatcher) retryAt(req *Request, room, now time.Time) time.Time {
-	if req.AnsweredBy.IsZero() {
+	if req.AnsweredBy.IsZero() || room.IsZero() {
 		return room // it is not known how long the caller waits
 	}
-	latest := now.Add(req.AnsweredBy.Sub(now)/returnDivisor - returnMargin)
+	latest := req.latestReturn(now)
 	if !latest.After(now) || req.AnsweredBy.Sub(room) < minServiceTime {
 		return time.Time{}
 	}
@@ -72,7 +72,9 @@
 	if at.After(latest) {
 		return time.Time{}
 	}
-	d.booked[t] = at.Add(d.returnSpacing(req, now))
+	if len(d.booked) < maxReturns || !d.booked[t].IsZero() {
+		d.booked[t] = at.Add(d.returnSpacing(req, now))
+	}
 	at = at.Add(rand.N(returnSpread))
 	if at.After(latest) {
 		return latest
@@ -80,6 +82,28 @@
 	return at
 }
 
+// latestReturn returns until when the caller comes back if it is told to.
+func (r *Request) latestReturn(now time.Time) time.Time {
+	return now.Add(r.AnsweredBy.Sub(now)/returnDivisor - returnMargin)
+}
+
+// canReturnAt reports whether the caller comes back at a time if it is told so.
+func (r *Request) canReturnAt(at, now time.Time) bool {
+	return r.AnsweredBy.IsZero() || !at.After(r.latestReturn(now))
+}
+
+// RetryAt returns when the caller of a request that endpoints have declined should come back,
+// not before a time, and expects it; zero if it can't.
+func (d *Dispatcher) RetryAt(req *Request, earliest time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	r := &Refusal{Reason: "endpoints declined the request", RetryAt: d.retryAt(req, earliest, now)}
+	d.expectReturn(req, r)
+	d.logRefusal(req, r, now)
+	return r.RetryAt
+}
+
 // returnSpacing returns the time between two returns that the promised share of the slots
 // serves. d.mu is held.
 func (d *Dispatcher) returnSpacing(req *Request, now time.Time) time.Duration {
@@ -160,11 +184,16 @@
 }
 
 // loadedBy returns when a model that no endpoint holds, and for which there is no forecast, is
-// loaded at best: from a disk, after the planner has ordered it.
+// loaded at best: from a disk, after the planner has ordered it. It is zero if the service does
+// not have the model.
 func (d *Dispatcher) loadedBy(req *Request, now time.Time) time.Time {
-	load := modelRetryDelay
-	if pool, ok := d.pools[req.Service]; ok && pool.Engine != nil {
-		load = max(load, pool.Engine.Models[req.Model].LoadDisk)
+	pool, ok := d.pools[req.Service]
+	if !ok || pool.Engine == nil {
+		return now.Add(modelRetryDelay)
+	}
+	model, ok := pool.Engine.Models[req.Model]
+	if !ok {
+		return time.Time{}
 	}
-	return now.Add(load)
+	return now.Add(max(modelRetryDelay, model.LoadDisk))
 }
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"sync"
@@ -130,6 +131,7 @@
 // wanted when they come back.
 func TestReturnToLoadedModel(t *testing.T) {
 	for name, tt := range map[string]struct {
+		model            string        // m if empty
 		forecast, loaded time.Duration // since the callers arrive; no forecast if zero
 		timeout          time.Duration
 		want             returnTally
@@ -140,6 +142,7 @@
 		"loaded while they wait once more":   {forecast: 6 * time.Second, loaded: 6 * time.Second, timeout: 15 * time.Second, want: returnTally{servedOnReturn: 8}},
 		"a load of 20 s":                     {forecast: 20 * time.Second, loaded: 20 * time.Second, timeout: 15 * time.Second, want: returnTally{refused: 8}},
 		"their time is over before the load": {forecast: 4 * time.Second, loaded: 4 * time.Second, timeout: 4 * time.Second, want: returnTally{refused: 8}},
+		"not a model of the service":         {model: "x", loaded: 2 * time.Second, timeout: 20 * time.Second, want: returnTally{refused: 8}},
 		"no forecast, loaded from disk":      {loaded: 2 * time.Second, timeout: 20 * time.Second, want: returnTally{servedOnReturn: 8}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -153,7 +156,7 @@
 				var callers []returningCaller
 				for range 8 {
 					callers = append(callers, returningCaller{
-						service: "s", model: "m", objective: 600 * time.Millisecond, patience: 2400 * time.Millisecond,
+						service: "s", model: cmp.Or(tt.model, "m"), objective: 600 * time.Millisecond, patience: 2400 * time.Millisecond,
 						timeout: tt.timeout, work: 500 * time.Millisecond,
 					})
 				}
@@ -175,6 +178,32 @@
 	}
 }
 
+// TestPauseBeyondReturn guards against refusing a caller that can't come back after a pause of
+// all endpoints, but could wait for its end.
+func TestPauseBeyondReturn(t *testing.T) {
+	for name, tt := range map[string]struct {
+		timeout time.Duration
+		want    returnTally
+	}{
+		"time to come back":      {timeout: 10 * time.Second, want: returnTally{servedOnReturn: 1}},
+		"time to wait":           {timeout: 4 * time.Second, want: returnTally{served: 1}},
+		"its time ends before":   {timeout: 2 * time.Second, want: returnTally{refused: 1}},
+		"its time ends too soon": {timeout: 2100 * time.Millisecond, want: returnTally{refused: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				h.add("e0", "p", "z1", 1)
+				g := h.grant(t, request("p", ""))
+				g.ObservePause(time.Now().Add(2 * time.Second))
+				g.Done(ResultFull)
+				caller := returningCaller{service: "p", objective: 150 * time.Millisecond, patience: tt.timeout, timeout: tt.timeout}
+				require.Equal(t, tt.want, h.replayReturns(t, []returningCaller{caller}))
+			})
+		})
+	}
+}
+
 // TestReturnedFirst guards against a caller that comes back when it was told and finds its
 // place taken, against one that comes early or again to pass others, and against state of
 // callers that never come back.
@@ -188,14 +217,14 @@
 				Deadline: now.Add(10 * time.Second), AnsweredBy: now.Add(10 * time.Second),
 			}
 		}
-		h.mu.Lock()
-		defer h.mu.Unlock()
 		told := now.Add(time.Second)
 		for _, part := range []string{"a", "b"} {
-			h.expectReturn(req(part), &Refusal{RetryAt: told})
+			require.WithinRange(t, h.RetryAt(req(part), told.Add(-returnSpread)), told.Add(-returnSpread), told.Add(unknownReturnSpacing))
 		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
 		require.False(t, h.returned(req("a"), now), "before the time")
-		require.True(t, h.returned(req("a"), told))
+		require.True(t, h.returned(req("a"), told), "a caller that endpoints declined")
 		require.False(t, h.returned(req("a"), told), "once more")
 		require.False(t, h.returned(req("c"), told), "another caller")
 		require.False(t, h.returned(req("b"), now.Add(10*time.Second)), "after its deadline")
