Test keys and quotas at the callers' handler

Nothing tested what the filters of ingress do: which requests need a key, what endpoints and other hosts get of it, which statuses callers see, what happens to a request whose key is taken away while it waits or between two attempts, and when the cost of a request is taken and given back.

--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -25,7 +26,10 @@
 type testDialect struct{}
 
 func (testDialect) Request(h http.Header) (tamarackknot.CallerRequest, error) {
-	r := tamarackknot.CallerRequest{ID: h.Get("Id"), Model: h.Get("Model"), LastEvent: h.Get("After"), Resumes: h.Get("Resumes")}
+	r := tamarackknot.CallerRequest{ID: h.Get("Id"), Model: h.Get("Model"), LastEvent: h.Get("After"), Resumes: h.Get("Resumes"), Credentials: h.Get("Key")}
+	if n, err := strconv.ParseFloat(h.Get("Size"), 64); err == nil {
+		r.Tokens = tamarackknot.RequestTokens{Known: true, Prompt: n, Malformed: n < 0}
+	}
 	if v := h.Get("Parts"); v != "" {
 		r.Parts = strings.Split(v, ",")
 	}
@@ -43,6 +47,13 @@
 	if a.LastEvent != "" {
 		out.Set("After", a.LastEvent)
 	}
+	if a.Authenticated {
+		out.Del("Key")
+		out.Del("Workspace")
+	}
+	if a.Authenticated && a.Workspace != "" {
+		out.Set("Workspace", a.Workspace)
+	}
 	return out
 }
 
