--- a/entry/hosted/size_test.go
+++ b/entry/hosted/size_test.go
@@ -36,6 +36,8 @@
 	// versions are those of the engines' software, in turn; nil if entries name none. Streams
 	// may then be resumed.
 	versions []string
+	// tenants returns those of a version of the configuration; nil if it has none.
+	tenants func(version int64) []map[string]any
 }
 
 // versionOf returns the version of the software of an endpoint.
