Send small bodies of known length in one write again

Cause: a block as large as the announced body is full before the end is read where the end comes apart from the last byte, and an empty second block followed. net/http does not know the type of the reader of several blocks and sends the head and the body apart. On the fake network, where nothing is buffered, a connection that both sides give up then stays with unread data.

Change: a last block in which nothing arrived is dropped.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -77,6 +77,7 @@
 		b.size += n
 		switch {
 		case errors.Is(err, io.EOF):
+			b.dropEmpty()
 			return nil
 		case err != nil:
 			return err //nolint:wrapcheck // the caller checks its type
@@ -84,6 +85,16 @@
 	}
 }
 
+// dropEmpty drops the last block if nothing arrived in it.
+func (b *requestBody) dropEmpty() {
+	last := len(b.blocks) - 1
+	if size := cap(b.blocks[last]); len(b.blocks[last]) == 0 {
+		b.blocks = b.blocks[:last]
+		b.account.Release(admission.Bodies, size)
+		b.held -= size
+	}
+}
+
 // space returns the last block, which is not full.
 func (b *requestBody) space() ([]byte, error) {
 	size := firstBlockBytes
