Don't let requests leave for small differences in load

A request that may leave went to the least loaded endpoint as the host saw it, whatever the difference.

Endpoints elsewhere now cost 0.2 of their slots if the request leaves for a gain and 0.15 if as part of the share.

--- a/dispatch/domain.go
+++ b/dispatch/domain.go
@@ -16,6 +16,13 @@
 	// homePenalty, a fraction of an endpoint's slots, is for an endpoint in another failure domain
 	// if the request should stay: any endpoint of its own domain that has a slot is better.
 	homePenalty = 1.0
+	// gainPenalty and sharePenalty are for it if the request may leave, for a gain or as part of
+	// the planner's share. Hosts learn of each other's requests up to half a second late and see
+	// the same least loaded endpoint: with less, twice as many requests left their domain while
+	// all domains were full (TestReplays), and more were late; with more, more were late at
+	// slow engines.
+	gainPenalty  = 0.2
+	sharePenalty = 0.15
 	// sharesTTL is how long the planner's shares count. It bridges the change of a planner that
 	// shuts down. They are hints, and an endpoint takes no more requests because of them, so the
 	// time of suspension need not count.
@@ -103,9 +110,14 @@
 	c.Share = s.shares[target{req.Service, req.Model}]
 	c.Ticket = locality.TicketOf(req.ID)
 	s.reason = s.policy.Price.Decide(c)
-	s.penalty, s.guarded = 0, c.Holders
-	if s.reason == locality.ReasonHome {
+	s.guarded = c.Holders
+	switch s.reason {
+	case locality.ReasonHome:
 		s.penalty = homePenalty
+	case locality.ReasonGain:
+		s.penalty = gainPenalty
+	default:
+		s.penalty = sharePenalty
 	}
 }
 
