--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -92,7 +92,7 @@
 // applyShares takes the shares of a message. They are not known while a message in between is
 // missing. c.mu is held.
 func (c *Client) applyShares(m viewMessage, v *tamarackknot.FleetView, now time.Time) {
-	if m.SharesVersion == 0 || c.behind || m.SharesAgeMs < 0 {
+	if m.SharesVersion == 0 || c.behind || m.SharesAgeMs < 0 || m.SharesAgeMs > maxSharesAge.Milliseconds() {
 		c.sharesVersion = 0
 		return
 	}
--- a/fleet/shares_test.go
+++ b/fleet/shares_test.go
@@ -60,6 +60,10 @@
 		time.Sleep(maxSharesAge + time.Second)
 		_, v = exchange(state, false)
 		require.True(t, v.SharesAt.IsZero(), "the planning hangs")
+		for _, age := range []int64{-1, 1 << 62} {
+			c.applyShares(viewMessage{SharesVersion: 1, SharesAgeMs: age}, &v, time.Now())
+			require.True(t, v.SharesAt.IsZero())
+		}
 	})
 }
 
