--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -170,6 +170,9 @@
 	// Isolated reports whether this host reaches no endpoint; no request then waits for
 	// one. Nil means that it does.
 	Isolated func() bool
+	// FixedReturns says that refused callers are told fixed times to come back, whatever room
+	// there is then.
+	FixedReturns bool
 	// Domains prices the traffic between failure domains. Nil means that it costs a constant.
 	Domains *DomainPolicy
 	Logger  *log.Logger
@@ -509,7 +512,7 @@
 	}
 	if at := d.pausedUntil(req.Service, "", now); at.After(req.Objective) {
 		// It can wait for the end of the pause, but not come back once more.
-		req.awaitsPause = at.Add(minServiceTime).Before(req.Deadline) && (req.awaitsPause || req.returned || !req.canReturnAt(at, now))
+		req.awaitsPause = !d.cfg.FixedReturns && at.Add(minServiceTime).Before(req.Deadline) && (req.awaitsPause || req.returned || !req.canReturnAt(at, now))
 		if req.awaitsPause {
 			return nil
 		}
@@ -534,7 +537,7 @@
 		req.foreseenAt = now
 		if ready.Add(minServiceTime).After(req.Deadline) {
 			at := d.retryAt(req, ready, now)
-			return &Refusal{Reason: "the model will not be held in time", RetryAt: at, wanted: !at.IsZero() && !req.AnsweredBy.IsZero()}
+			return &Refusal{Reason: "the model will not be held in time", RetryAt: at, wanted: !at.IsZero() && !d.fixedReturns(req)}
 		}
 		return nil
 	}
@@ -568,7 +571,7 @@
 		r.RetryAt = d.retryAt(req, now.Add(modelRetryDelay), now)
 	default:
 		r.RetryAt = d.retryAt(req, d.loadedBy(req, now), now)
-		r.wanted = !r.RetryAt.IsZero() && !req.AnsweredBy.IsZero()
+		r.wanted = !r.RetryAt.IsZero() && !d.fixedReturns(req)
 	}
 	return r
 }
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -47,13 +47,19 @@
 	return id, id.content != (tamarackknot.ContentID{}) || id.part != ""
 }
 
+// fixedReturns reports whether the caller of a request is told a fixed time to come back: it is
+// not known how long it waits, or the settings don't ask for more.
+func (d *Dispatcher) fixedReturns(req *Request) bool {
+	return d.cfg.FixedReturns || req.AnsweredBy.IsZero()
+}
+
 // retryAt returns when the caller of a request that is refused should come back, given when
 // there is room for it, or zero if it can't come back in time. Callers come back at most once,
 // within a third of the time that they have left, and wait at the host if they come before. A
 // time is promised to so many callers only as a share of the slots can serve after it. d.mu is
 // held.
 func (d *Dispatcher) retryAt(req *Request, room, now time.Time) time.Time {
-	if req.AnsweredBy.IsZero() || room.IsZero() {
+	if d.fixedReturns(req) || room.IsZero() {
 		return room // it is not known how long the caller waits
 	}
 	latest := req.latestReturn(now)
@@ -118,7 +124,7 @@
 // expectReturn records that a refused caller was told when to come back. d.mu is held.
 func (d *Dispatcher) expectReturn(req *Request, r *Refusal) {
 	id, ok := returnIDOf(req)
-	if !ok || r.RetryAt.IsZero() || req.AnsweredBy.IsZero() || len(d.returns) >= maxReturns {
+	if !ok || r.RetryAt.IsZero() || d.fixedReturns(req) || len(d.returns) >= maxReturns {
 		return
 	}
 	d.returns[id] = expectedReturn{r.RetryAt.Add(-returnMargin), req.AnsweredBy}
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -220,7 +220,7 @@
 		OnChange: func(v *catalog.View) {
 			c.workspaces.Set(v.Catalog)
 			c.dispatch.SetPools(v.Catalog.Services)
-			c.dispatch.SetPrediction(hasGapObjective(v.Catalog))
+			c.dispatch.SetPrediction(s.UnevenEndpoints && hasGapObjective(v.Catalog))
 		},
 	})
 	c.workspaces = workspace.New(workspace.Config{
