--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -198,6 +198,7 @@
 		HostCount:          func() int { return len(c.fleet.Hosts()) },
 		PlannerViewCurrent: func() bool { return c.fleet.PlannerAlive() },
 		OnModelWait:        func() { c.fleet.SendNow() },
+		FixedReturns:       !s.UnevenEndpoints,
 		Rejects:            func(r tamarackknot.RequestIdentity) bool { return c.crashes.Rejects(r) },
 		Isolated:           c.reach.Isolated,
 		Domains:            c.domainPolicy(),
