--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,16 @@
 GOLANGCI := $(BIN)/golangci-lint
 MODULES := ./... ./entry/... ./cli/... ./standin/... ./call/... ./soak/...
 # Packages whose goroutines share state. Their tests also run under the race
-# detector, except TestManyEngines, which has one goroutine and takes 20 s there.
-RACE_PACKAGES := ./catalog ./discovery ./origin ./relay ./lease ./fleet ./planner ./dispatch ./ingress ./platform ./quarantine ./reach
+# detector, except TestManyEngines and TestReplays, which have one goroutine and
+# take 20 s and 100 s there.
+RACE_PACKAGES := ./admission ./catalog ./discovery ./origin ./relay ./lease ./fleet ./planner ./dispatch ./ingress ./platform ./quarantine ./quota ./reach ./workspace
 FUZZ_SECONDS ?= 120
 SOAK_SECONDS ?= 20
 SOAK_SEEDS ?= $(shell bash -c 'echo $$RANDOM')
 # Tests that have cases at the size of the largest deployments.
 SCALE_TESTS := ^(TestLargeConfigurationOnSlowLinks|TestBrittleEndpoints)
+# Tests of a process under hostile callers, which run alone: they measure its memory.
+OVERLOAD := entry/overload
 # Pattern of the tests that KNOWN-RED.txt lists as failing.
 KNOWN_RED := $(shell sed -n 's/^skip: //p' KNOWN-RED.txt | paste -sd '|' -)
 
@@ -31,8 +34,9 @@
 test: lint build cross ## formatter, linter, all tests and a short soak, with fixed seeds
 	go vet $(MODULES)
 	@cat KNOWN-RED.txt
-	go test -count=1 -timeout 30m -skip '$(KNOWN_RED)' $(MODULES)
-	go test -count=1 -race -skip 'TestManyEngines' $(RACE_PACKAGES)
+	go test -count=1 -timeout 30m -skip '$(KNOWN_RED)' $$(go list $(MODULES) | grep -v '$(OVERLOAD)$$')
+	go test -count=1 -race -skip 'TestManyEngines|TestReplays' $(RACE_PACKAGES)
+	go test -count=1 -p 1 -timeout 5m -skip '$(KNOWN_RED)' ./$(OVERLOAD)
 	$(BIN)/tamaracksoak --bin $(BIN) --seed 1 --seconds 5
 
 cross: ## builds and vets for the platforms that are supported
@@ -58,7 +62,7 @@
 	@for seed in $(SOAK_SEEDS); do $(BIN)/tamaracksoak --bin $(BIN) --seed $$seed --seconds $(SOAK_SECONDS) || exit 1; done
 
 bench: ## runs the benchmarks that docs/CAPACITY.md quotes
-	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership
+	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership ./dispatch
 	# These benchmarks undo the change of each iteration, which takes longer than the measured code.
 	go test -run '^$$' -bench . -benchmem -benchtime 300x ./endpoint ./placement
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,10 +21,11 @@
 	// no longer be served.
 	recheckInterval = 20 * time.Millisecond
 	// unknownForecastWaitFraction is the fraction of its timeout for which a
-	// request waits while there is no forecast of when its model is loaded.
+	// request waits while there is no forecast of when its model is loaded, or after
+	// there was one.
 	unknownForecastWaitFraction = 0.35
-	// modelRetryDelay is the minimum retry delay of a caller that is refused because
-	// its model is not available: enough for one load from disk.
+	// modelRetryDelay is the minimum retry delay of a caller whose model is not available,
+	// while there is no forecast: enough for one load from disk.
 	modelRetryDelay = 1500 * time.Millisecond
 	// fullRetryDelay is the retry delay of a caller that is refused because all
 	// endpoints are full.
@@ -51,10 +53,17 @@
 	Priority          int
 	// Tokens is the size of the request; zero if the caller names none.
 	Tokens tamarackknot.RequestTokens
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Objective is when the first byte of the answer is due; Deadline is when
 	// the timeout of the caller or of the route expires.
 	Objective time.Time
 	Deadline  time.Time
+	// GapObjective is the longest time that may pass between two events of the answer; 0 if
+	// there is no limit.
+	GapObjective time.Duration
+	// Stream says that the answer is a stream, so that its events are recorded.
+	Stream bool
 	// AnsweredBy is when the request gets its last answer at the latest.
 	AnsweredBy time.Time
 	// Arrived is when the host finished reading the request.
@@ -66,6 +75,17 @@
 	Content tamarackknot.ContentID
 	// Exclude lists the ids of endpoints that must not get the request.
 	Exclude []string
+	// askedAt is when the request was counted as demand, served that it has got an endpoint,
+	// and band that of the share of its workspace, by which waiting requests are ordered.
+	askedAt time.Time
+	served  bool
+	band    int
+	// awaitsPause says that the request waits for the end of a pause of all endpoints.
+	awaitsPause bool
+	// foreseenAt is when there was last a forecast of when the model is loaded.
+	foreseenAt time.Time
+	// returned says that the caller was refused by this host and told to come back now.
+	returned bool
 	// Pinned means that only endpoints of Version may get the request: it goes on with
 	// a stream that one of them began.
 	Pinned  bool
@@ -119,6 +139,9 @@
 	at       time.Time // when the place was reserved
 	started  bool      // the answer has begun
 	once     sync.Once
+	// Forecast is what was predicted when the endpoint was chosen; zero if nothing was.
+	Forecast    Forecast
+	observation observation
 }
 
 // Config configures a Dispatcher.
@@ -147,7 +170,12 @@
 	// Isolated reports whether this host reaches no endpoint; no request then waits for
 	// one. Nil means that it does.
 	Isolated func() bool
-	Logger   *log.Logger
+	// FixedReturns says that refused callers are told fixed times to come back, whatever room
+	// there is then.
+	FixedReturns bool
+	// Domains prices the traffic between failure domains. Nil means that it costs a constant.
+	Domains *DomainPolicy
+	Logger  *log.Logger
 }
 
 // Dispatcher assigns requests to endpoints. It minimises the load of the chosen
@@ -162,9 +190,17 @@
 	byService map[string][]*endpoint
 	// holders are the endpoints of byService that have a model loaded, in the same order;
 	// nil if it must be derived again.
-	holders   map[target][]*endpoint
-	waiting   []*waiter
-	refused   []refusedDemand
+	holders map[target][]*endpoint
+	// byDomain divides them by failure domain; it is derived again as well.
+	byDomain map[target]domains
+	waiting  []*waiter
+	refused  []refusedDemand
+	// returns are the refused callers that were told when to come back, booked the time after
+	// the last one that was promised for each target.
+	returns   map[returnID]expectedReturn
+	booked    map[target]time.Time
+	prunedAt  time.Time
+	shares    shares
 	forecasts map[target]time.Time
 	history   map[target]*requestHistory
 	slotTimes map[target]time.Duration // how long requests take a slot, on average
@@ -175,9 +211,18 @@
 	versions map[string]map[string]time.Time
 	// othersUntil is when the requests of other hosts no longer count; zero if they don't.
 	othersUntil time.Time
+	predicting  bool                 // endpoints are chosen by what is predicted
+	baselines   map[target]*baseline // for models that this host has sent requests for
+	prior       *baseline            // for others; it doesn't change
+	streams     uint64               // number of the last request whose endpoint is observed
+	freezes     freezes
+	viewedAt    time.Time // when the planner last told of the requests of other hosts
+	random      *rand.Rand
 	changed     map[target]bool // targets whose demand changed since the last report
 	queueWake   chan struct{}   // wakes Run when a request starts to wait
 	shutdown    *Shutdown       // nil unless the host shuts down
+	domains     domainState
+	compared    int // choices of a domain by a sample of the endpoints
 }
 
 // target is a model of an engine service; model is empty for a plain service.
@@ -215,6 +260,10 @@
 		cfg:       cfg,
 		endpoints: make(map[string]*endpoint),
 		byService: make(map[string][]*endpoint),
+		returns:   make(map[returnID]expectedReturn),
+		booked:    make(map[target]time.Time),
+		shares:    newShares(),
+		byDomain:  make(map[target]domains),
 		forecasts: make(map[target]time.Time),
 		history:   make(map[target]*requestHistory),
 		slotTimes: make(map[target]time.Duration),
@@ -222,6 +271,9 @@
 		signals:   make(map[startKey]*signalState),
 		brittle:   make(map[string]*brittleness),
 		versions:  make(map[string]map[string]time.Time),
+		baselines: make(map[target]*baseline),
+		prior:     newBaseline(),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		changed:   make(map[target]bool),
 		queueWake: make(chan struct{}, 1),
 	}
@@ -257,6 +309,8 @@
 		d.mu.Unlock()
 		return nil, r
 	}
+	req.band = shareBands - 1
+	req.returned = req.returned || d.returned(req, now)
 	tight := d.recordRequest(req, now)
 	g, lack := d.tryGrant(req, now)
 	if g != nil {
@@ -329,6 +383,7 @@
 	if i := slices.Index(d.waiting, w); i >= 0 {
 		d.waiting = slices.Delete(d.waiting, i, i+1)
 		d.changed[target{w.req.Service, w.req.Model}] = true
+		d.shares.recordAsked(w.req, time.Now())
 		w.recordWait(w.lack, time.Now())
 		return w.waits
 	}
@@ -344,6 +399,9 @@
 // d.mu.
 func (d *Dispatcher) serveWaiting(now time.Time) {
 	orderWaiting(d.waiting, now)
+	if d.shares.assign(d.waiting, now) {
+		orderWaiting(d.waiting, now)
+	}
 	queue := slices.Clone(d.waiting)
 	clear(d.waiting)
 	d.waiting = d.waiting[:0] // those before the request that is looked at
@@ -386,23 +444,37 @@
 	}
 }
 
-// recordRefused keeps the demand of a refused request that a load of its model would serve.
-// d.mu is held.
+// recordRefused keeps the demand of a refused request that a load of its model would serve,
+// until its caller comes back if it was told when, and expects that return. Without the demand
+// the planner would not go on with the load that the caller is to come back for. d.mu is held.
 func (d *Dispatcher) recordRefused(w *waiter, r *Refusal, now time.Time) {
-	d.pruneRefused(now)
-	if r.wanted {
-		d.refused = append(d.refused, refusedDemand{w, now.Add(refusedDemandTime)})
-		d.changed[target{w.req.Service, w.req.Model}] = true
+	if len(d.refused) >= maxReturns || len(d.returns) >= maxReturns {
+		d.pruneRefused(now)
+	}
+	d.shares.recordAsked(w.req, now)
+	d.expectReturn(w.req, r)
+	d.logRefusal(w.req, r, now)
+	if !r.wanted || len(d.refused) >= maxReturns {
+		return
 	}
+	d.refused = append(d.refused, demandOfReturn(w, r, now))
+	d.changed[target{w.req.Service, w.req.Model}] = true
 }
 
-// pruneRefused forgets the demand that is no longer reported. d.mu is held.
+// pruneRefused forgets the demand that is no longer reported, and the returns that are over.
+// d.mu is held.
 func (d *Dispatcher) pruneRefused(now time.Time) {
-	n := 0
-	for ; n < len(d.refused) && !now.Before(d.refused[n].until); n++ {
-		d.changed[target{d.refused[n].req.Service, d.refused[n].req.Model}] = true
+	d.refused = slices.DeleteFunc(d.refused, func(r refusedDemand) bool {
+		if now.Before(r.until) {
+			return false
+		}
+		d.changed[target{r.req.Service, r.req.Model}] = true
+		return true
+	})
+	if now.Sub(d.prunedAt) >= refusedDemandTime {
+		d.prunedAt = now
+		d.pruneReturns(now)
 	}
-	d.refused = slices.Delete(d.refused, 0, n)
 }
 
 // turnedAway returns a refusal if the request must not be sent from this host, whatever
@@ -433,13 +505,18 @@
 		return d.shutdown.refusal(now)
 	}
 	if d.cfg.Isolated != nil && d.cfg.Isolated() {
-		return &Refusal{Reason: "this host reaches no endpoint", RetryAt: now.Add(fullRetryDelay)}
+		return &Refusal{Reason: "this host reaches no endpoint", RetryAt: d.retryAt(req, now.Add(fullRetryDelay), now)}
 	}
 	if remaining := req.Deadline.Sub(now); remaining < minServiceTime {
 		return &Refusal{Reason: "no time is left"}
 	}
 	if at := d.pausedUntil(req.Service, "", now); at.After(req.Objective) {
-		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: at}
+		// It can wait for the end of the pause, but not come back once more.
+		req.awaitsPause = !d.cfg.FixedReturns && at.Add(minServiceTime).Before(req.Deadline) && (req.awaitsPause || req.returned || !req.canReturnAt(at, now))
+		if req.awaitsPause {
+			return nil
+		}
+		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: d.retryAt(req, at, now)}
 	}
 	if req.Pinned && !d.canContinue(req) {
 		return &Refusal{Reason: "no other endpoint of the stream's version is in service"}
@@ -454,19 +531,49 @@
 	ready, known := d.forecasts[target{req.Service, req.Model}]
 	known = known && d.cfg.PlannerViewCurrent()
 	if at := d.pausedUntil(req.Service, req.Model, now); at.Add(minServiceTime).After(req.Deadline) && (!known || ready.After(at)) {
-		return &Refusal{Reason: "all endpoints with the model have asked for a pause", RetryAt: at, wanted: true}
+		return &Refusal{Reason: "all endpoints with the model have asked for a pause", RetryAt: d.retryAt(req, at, now), wanted: true}
 	}
 	if known {
+		req.foreseenAt = now
 		if ready.Add(minServiceTime).After(req.Deadline) {
-			return &Refusal{Reason: "the model will not be held in time", RetryAt: times.Later(ready, now.Add(modelRetryDelay))}
+			at := d.retryAt(req, ready, now)
+			return &Refusal{Reason: "the model will not be held in time", RetryAt: at, wanted: !at.IsZero() && !d.fixedReturns(req)}
 		}
 		return nil
 	}
+	// A forecast ends when the model has been loaded: a slot is awaited from then on.
 	timeout := req.Deadline.Sub(req.Arrived)
-	if now.Sub(req.Arrived) > time.Duration(unknownForecastWaitFraction*float64(timeout)) {
-		return &Refusal{Reason: "no endpoint that holds the model is free", RetryAt: now.Add(modelRetryDelay)}
+	if now.Sub(times.Later(req.Arrived, req.foreseenAt)) <= time.Duration(unknownForecastWaitFraction*float64(timeout)) {
+		return nil
 	}
-	return nil
+	return d.unforeseen(req, now)
+}
+
+// unforeseen returns a refusal of a request that has waited long while there is no forecast
+// of when its model is loaded, unless it gets a slot in time and came back for it, or can't
+// come back.
+func (d *Dispatcher) unforeseen(req *Request, now time.Time) *Refusal {
+	r := &Refusal{Reason: "no endpoint that holds the model is free"}
+	wait, held := d.slotWait(req, now)
+	inTime := held && now.Add(wait+minServiceTime).Before(req.Deadline)
+	switch {
+	case !d.cfg.PlannerViewCurrent():
+		// Other hosts may hear the planner.
+		r.RetryAt = d.retryAt(req, now.Add(fullRetryDelay), now)
+	case inTime && req.returned:
+		return nil
+	case held:
+		r.RetryAt = d.retryAt(req, now.Add(wait), now)
+		if inTime && r.RetryAt.IsZero() {
+			return nil
+		}
+	case len(d.candidates(req.Service, req.Model)) > 0:
+		r.RetryAt = d.retryAt(req, now.Add(modelRetryDelay), now)
+	default:
+		r.RetryAt = d.retryAt(req, d.loadedBy(req, now), now)
+		r.wanted = !r.RetryAt.IsZero() && !d.fixedReturns(req)
+	}
+	return r
 }
 
 // pausedUntil returns when the first endpoint of a service that has a model loaded, or of
@@ -509,7 +616,7 @@
 		return false
 	}
 	d.expireOthers(now)
-	best, _, _ := d.best(req, now)
+	best, _ := d.best(req, now)
 	return best != nil
 }
 
@@ -525,59 +632,33 @@
 // service has passed and it is not expected to get a slot in time.
 func (d *Dispatcher) unmeetablePlain(req *Request, now time.Time) *Refusal {
 	if now.After(req.Objective) && !d.slotInTime(req, now) {
-		return &Refusal{Reason: "all endpoints are full", RetryAt: now.Add(fullRetryDelay)}
+		return &Refusal{Reason: "all endpoints are full", RetryAt: d.retryAt(req, now.Add(fullRetryDelay), now)}
 	}
 	return nil
 }
 
-// best returns the endpoint with the lowest score for the request and that
-// score; the endpoint is nil if none can take the request, for lack of what the
-// last result says.
-func (d *Dispatcher) best(req *Request, now time.Time) (*endpoint, float64, lack) {
-	var best *endpoint
-	bestScore := 0.0
-	missing := lackModel
-	if req.Model == "" {
-		missing = lackSlot
-	}
-	affinity := d.affinityEndpoint(req)
-	preferred, maxOwn := d.preferredReplica(req), d.maxOwnRequests(req.Service, now)
-	for _, e := range d.candidates(req.Service, req.Model) {
-		if !e.accepts(req, now) || e.own >= maxOwn(e) || !d.limitAllows(e, now) {
-			missing = min(missing, e.lacks(req))
-			continue
-		}
-		score := e.score(req, d.cfg.FailureDomain, now)
-		if e.entry.ID == affinity {
-			score -= affinityBonus
-		}
-		if e == preferred {
-			score -= preferredReplicaBonus
-		}
-		score += e.signals.penalty(now)
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
-		}
-	}
-	return best, bestScore, missing
-}
-
 // tryGrant assigns the request to the best endpoint. If none can take it, it
 // returns nil and what is lacking.
 func (d *Dispatcher) tryGrant(req *Request, now time.Time) (*Grant, lack) {
 	d.expireOthers(now)
-	best, bestScore, missing := d.best(req, now)
+	found := d.search(req, now)
+	best := found.best
 	if best == nil {
-		return nil, missing
+		return nil, found.missing
+	}
+	g := &Grant{Endpoint: best.entry, d: d, req: req, at: now}
+	if found.predicting {
+		d.observe(g, best, found.choice)
 	}
 	best.signals.spend(now)
+	d.shares.recordServed(req, true, now)
 	best.own++
 	best.prefilling++
 	best.running[modelAdapter{req.Model, req.Adapter}]++
 	d.recordAffinity(req, best.entry.ID)
-	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", bestScore,
-		"own", best.own, "others", best.others)
-	return &Grant{Endpoint: best.entry, d: d, req: req, at: now}, 0
+	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", found.score,
+		"own", best.own, "others", best.others, "forecast", g.Forecast, "left", d.leftBecause(best))
+	return g, 0
 }
 
 // preferredReplica returns the engine that this host prefers for a model, nil if
@@ -592,6 +673,9 @@
 	if len(holders) < 2 {
 		return nil
 	}
+	if e := d.preferredAtHome(holders); e != nil {
+		return e
+	}
 	return holders[d.cfg.HostIndex()%len(holders)]
 }
 
@@ -615,15 +699,18 @@
 	return d.holders[target{service, model}]
 }
 
-// affinityEndpoint returns the id of the endpoint that last got the last known
-// shared part of the prompt, or "".
-func (d *Dispatcher) affinityEndpoint(req *Request) string {
+// affinityEndpoint returns the endpoint that last got the last known shared part of the
+// prompt, nil if there is none or it must not get requests.
+func (d *Dispatcher) affinityEndpoint(req *Request) *endpoint {
 	for i := len(req.PromptParts) - 2; i >= 0; i-- {
 		if id, ok := d.affinity[affinityKey{req.Model, req.Adapter, req.PromptParts[i]}]; ok {
-			return id
+			if e := d.endpoints[id]; e != nil && e.routable && e.entry.Service == req.Service {
+				return e
+			}
+			return nil
 		}
 	}
-	return ""
+	return nil
 }
 
 // recordAffinity records the endpoint that gets the shared parts of a prompt. The
@@ -637,8 +724,9 @@
 	}
 }
 
-// Started records that the answer has begun: the engine has finished the
-// prefill of the prompt.
+// Started records that the answer has begun: the engine has finished the prefill of the
+// prompt. It is called for each event that was written to the caller, before the host waits for
+// the next one.
 func (g *Grant) Started() {
 	g.d.mu.Lock()
 	defer g.d.mu.Unlock()
@@ -646,6 +734,9 @@
 		e.backoffs, e.probing = 0, false
 	}
 	g.markStarted()
+	if g.observation.estimate != nil {
+		g.beginAwait(time.Now())
+	}
 }
 
 func (g *Grant) markStarted() {
@@ -669,12 +760,17 @@
 	})
 }
 
-func (g *Grant) finish(r Result) {
+func (g *Grant) finish(r Result) { g.finishAt(r, time.Now()) }
+
+func (g *Grant) finishAt(r Result, now time.Time) {
+	g.endObservation(r, now)
+	if r == ResultFull || r == ResultMisplaced || r == ResultUnreachable {
+		g.d.shares.recordServed(g.req, false, now)
+	}
 	e := g.d.endpoints[g.Endpoint.ID]
 	if e == nil {
 		return
 	}
-	now := time.Now()
 	g.markStarted()
 	e.own--
 	k := modelAdapter{g.req.Model, g.req.Adapter}
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -55,9 +55,17 @@
 
 // endpoint is the state that this host keeps for an endpoint.
 type endpoint struct {
-	entry   tamarackknot.EndpointEntry
-	slots   int
-	signals *signalState // nil if it has said nothing
+	entry tamarackknot.EndpointEntry
+	slots int
+	// domains is nil if traffic between failure domains has no price; elsewhere says that the
+	// endpoint is in another one than this host.
+	domains   *domainState
+	elsewhere bool
+	signals   *signalState // nil if it has said nothing
+	// routable says that the endpoint may get requests of its service.
+	routable bool
+	// estimate is what this host has observed of this start of the endpoint.
+	estimate estimate
 	// own is the number of requests in flight from this host, others that from the
 	// other hosts as reported by the planner.
 	own        int
@@ -119,14 +127,14 @@
 
 // holds reports whether the model and the adapter of the request are loaded.
 func (e *endpoint) holds(req *Request, now time.Time) bool {
-	if until, missing := e.missingUntil[modelAdapter{req.Model, req.Adapter}]; missing && now.Before(until) {
+	if len(e.missingUntil) > 0 && now.Before(e.missingUntil[modelAdapter{req.Model, req.Adapter}]) {
 		return false
 	}
 	return e.lacks(req) == lackSlot
 }
 
-// score rates the endpoint for the request as a fraction of its slots; lower is
-// better.
+// score rates the endpoint by its load as a fraction of its slots; lower is better. It counts
+// where nothing is predicted.
 func (e *endpoint) score(req *Request, failureDomain string, now time.Time) float64 {
 	s := float64(e.own+e.others) / float64(max(e.slots, 1))
 	if req.Model != "" {
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -59,6 +59,7 @@
 		}
 		e.entry, e.signals = entry, d.signals[keyOf(entry)]
 		e.slots = d.slotsOf(entry)
+		d.setEndpointDomain(e)
 		if useEntryModels && entry.Engine != nil {
 			e.held = adaptersByModel(entry.Engine.Held)
 		}
@@ -71,12 +72,18 @@
 	d.pruneSignals(time.Now())
 	d.recordVersions(time.Now())
 	clear(d.byService)
+	for _, e := range d.endpoints {
+		e.routable = false
+	}
 	for service, ids := range byService {
 		for _, id := range ids {
-			d.byService[service] = append(d.byService[service], d.endpoints[id])
+			e := d.endpoints[id]
+			e.routable = true
+			d.byService[service] = append(d.byService[service], e)
 		}
 	}
 	d.holders = nil
+	clear(d.byDomain)
 	d.serveWaiting(time.Now())
 }
 
@@ -159,11 +166,14 @@
 func (d *Dispatcher) SetView(v tamarackknot.FleetView) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.othersUntil = time.Now().Add(othersMemory)
+	d.viewedAt = time.Now()
+	d.othersUntil = d.viewedAt.Add(othersMemory)
+	d.setShares(v)
 	for id, engine := range v.Engines {
 		if e := d.endpoints[id]; e != nil {
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
 			d.holders = nil
+			clear(d.byDomain)
 		}
 	}
 	for _, l := range v.Notices {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -20,8 +20,10 @@
 	Isolated bool                    `json:"isolated,omitempty"`
 	Full     bool                    `json:"all,omitempty"`
 	Running  []tamarackknot.RunCount `json:"running,omitempty"`
-	Models   []modelDemandMessage    `json:"wants,omitempty"`
-	Notices  []noticeMessage         `json:"limits,omitempty"`
+	// Runs are further running requests, for planners that read this form.
+	Runs    shortRuns            `json:"runs,omitempty"`
+	Models  []modelDemandMessage `json:"wants,omitempty"`
+	Notices []noticeMessage      `json:"limits,omitempty"`
 	// Brittle says of services what their endpoints have told the host since the last message.
 	Brittle []brittleMessage `json:"brittle,omitempty"`
 	// Catalog is the version of the configuration in force on the host.
@@ -37,6 +39,8 @@
 	// Lists are the versions of the planner's lists that the host has, which a full view
 	// need not repeat.
 	Lists *heldLists `json:"lists,omitempty"`
+	// ListsUnchanged says that Lists are left out because they are those of the last message.
+	ListsUnchanged bool `json:"sameLists,omitempty"`
 }
 
 // heldLists are versions of lists from the planner with a fencing token.
@@ -44,8 +48,10 @@
 	Fence   int64 `json:"fence"`
 	Hosts   int64 `json:"hosts,omitempty"`
 	Members int64 `json:"members,omitempty"`
-	// Loads says that the host reads the loads of engines by index.
-	Loads bool `json:"loads,omitempty"`
+	// Loads says that the host reads the loads of engines by index, Shares that it reads the
+	// shares of its failure domain.
+	Loads  bool `json:"loads,omitempty"`
+	Shares bool `json:"shares,omitempty"`
 }
 
 type modelDemandMessage struct {
@@ -93,14 +99,22 @@
 	HostsBase    int64                    `json:"hostsBase,omitempty"`
 	HostsSet     []tamarackknot.HostEntry `json:"hostsSet,omitempty"`
 	HostsRemoved []string                 `json:"hostsRemoved,omitempty"`
+	// Shares are the shares that leave the host's failure domain, of the version
+	// SharesVersion, planned SharesAgeMs ago; omitted if they are unchanged since the last
+	// message. SharesVersion is 0 if the planner plans none or the host does not read them.
+	Shares        []shareMessage `json:"shares,omitempty"`
+	SharesVersion int64          `json:"sharesVersion,omitempty"`
+	SharesAgeMs   int64          `json:"sharesAgeMs,omitempty"`
 	// LeaseEnd is the end offset of the lease stream known to the planner, in the
 	// era LeaseEra of the store.
 	LeaseEnd int64 `json:"lease,omitempty"`
 	LeaseEra int64 `json:"leaseEra,omitempty"`
 	// SentMs is the time since boot at the planner, in ms; 0 if it does not say.
 	SentMs int64 `json:"sentMs,omitempty"`
-	// Planner is the planner's own entry, only in full views.
-	Planner *tamarackknot.HostEntry `json:"planner,omitempty"`
+	// Planner is the planner's own entry, only in full views. ReadsShort says, in these, that
+	// the planner reads the short forms of reports.
+	Planner    *tamarackknot.HostEntry `json:"planner,omitempty"`
+	ReadsShort bool                    `json:"readsShort,omitempty"`
 	// Members are the names of the registered hosts, alive or not, of the version
 	// MembersVersion; omitted like Hosts. MembersAgeMs is the age of the planner's
 	// last read of them, -1 if it has not read them.
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -4,14 +4,16 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"tamarackknot.example/tamarackknot/admission"
 )
 
 const (
@@ -36,6 +38,15 @@
 	writeTimeout time.Duration
 	readTimeout  time.Duration // 0 means no timeout
 	counters     *counters
+	onSent       func(host, method string, bytes int) // may be nil
+	host         atomic.Pointer[string]               // at the other end; nil until it is known
+	onShed       func()
+
+	// accepted says that the other side dialled. What it sends is counted by account.
+	accepted bool
+	greeted  bool // the first message has been read
+	account  *admission.Account
+	held     int // bytes held for the message that was read last
 
 	sendMethod   string
 	notification *jsonrpc2.Request
@@ -51,6 +62,8 @@
 		maxBytes:     cfg.MaxMessageBytes,
 		writeTimeout: cfg.WriteTimeout,
 		counters:     c,
+		onSent:       cfg.OnSent,
+		onShed:       cfg.OnShed,
 	}
 }
 
@@ -116,14 +129,23 @@
 		return errors.Wrap(err, "write message")
 	}
 	s.counters.add("out", s.sendMethod, len(frame))
+	if host := s.host.Load(); host != nil && s.onSent != nil {
+		s.onSent(*host, s.sendMethod, len(frame))
+	}
 	return nil
 }
 
 // ReadObject returns an error for a frame over the size limit without reading
 // it, which makes jsonrpc2 close the connection.
 func (s *stream) ReadObject(v any) error {
-	if s.readTimeout > 0 {
-		if err := s.conn.SetReadDeadline(time.Now().Add(s.readTimeout)); err != nil {
+	s.account.Release(admission.Peers, s.takeHeld())
+	s.account.Set(admission.Idle, time.Now())
+	timeout, limit := s.readTimeout, s.maxBytes
+	if s.accepted && !s.greeted {
+		timeout, limit = helloTimeout, maxHelloBytes
+	}
+	if timeout > 0 {
+		if err := s.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			return errors.Wrap(err, "set read deadline")
 		}
 	}
@@ -131,13 +153,14 @@
 	if err != nil {
 		return err // unwrapped: jsonrpc2 compares it with io.EOF
 	}
-	if n > uint64(s.maxBytes) {
-		return errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", n, s.maxBytes)
+	if n > uint64(limit) {
+		return errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", n, limit)
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(s.r, data); err != nil {
+	data, err := s.readMessage(int(n))
+	if err != nil {
 		return err // unwrapped: jsonrpc2 compares it with io.ErrUnexpectedEOF
 	}
+	s.greeted = true
 	s.readBytes = int(n) + len(binary.AppendUvarint(nil, n))
 	return errors.Wrap(json.Unmarshal(data, v), "decode message")
 }
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -15,6 +15,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/internal/wait"
+	"tamarackknot.example/tamarackknot/locality"
 )
 
 const (
@@ -114,6 +115,8 @@
 	// Publish sends the state of the engines to the hosts, without delay to those that wait
 	// for what has changed.
 	Publish func(v tamarackknot.FleetView)
+	// Price is the price of the traffic between failure domains; 0 if it has none.
+	Price locality.Price
 	// FencingEnforced says that engines reject orders with an outdated fencing
 	// token.
 	FencingEnforced bool
@@ -149,6 +152,8 @@
 	busyShares map[string]movingAverage
 	// prefetchedAt is the last decision that could prefetch, by service.
 	prefetchedAt map[string]time.Time
+	// sequencing is kept while another host plans: all engines count alike.
+	sequencing sequencing
 	// coldStartTimes are the starts of loads from the weight store within
 	// LoadWindow.
 	coldStartTimes []time.Time
@@ -160,6 +165,7 @@
 	savedAt time.Time
 	// savedEra is the era of the store in which the history was last written.
 	savedEra int64
+	domains  domainPlan
 }
 
 // modelKey identifies a model of a service.
@@ -189,6 +195,8 @@
 		slowdownSeen: make(map[string]bool),
 		busyShares:   make(map[string]movingAverage),
 		prefetchedAt: make(map[string]time.Time),
+		sequencing:   newSequencing(),
+		domains:      newDomainPlan(cfg.Price),
 	}
 }
 
@@ -276,6 +284,7 @@
 		return
 	}
 	c.active, c.forecasts = false, nil
+	c.domains.reset()
 	clear(c.engines)
 	clear(c.models)
 	c.cfg.Logger.Info("planning stopped")
@@ -351,7 +360,9 @@
 	if !r.Born.IsZero() {
 		e.born = r.Born
 	}
-	stale := e.reported && r.Sequence < e.sequence && now.Sub(e.lastOrderAt) < staleReportWindow
+	stale := now.Sub(e.lastOrderAt) < staleReportWindow &&
+		(e.reported && r.Sequence < e.sequence || r.Sequence < e.unansweredSequence || !e.executed.reflectedIn(r)) ||
+		now.Sub(e.refusedAt) < 2*reportLag && r.Sequence == e.refusedSequence
 	if now.Sub(e.lastOrderAt) < 2*reportLag || e.move != nil || e.pendingAdapterOrders > 0 || stale {
 		if !e.reported {
 			e.reportRequestedAt = now.Add(reportLag - reportInterval)
@@ -367,8 +378,36 @@
 		e.reported, e.reportRequestedAt = false, now.Add(busyReportDelay-reportInterval)
 		return
 	}
+	if r.Sequence < e.unansweredSequence && now.Sub(e.unansweredAt) <= lateOrderWindow {
+		// The sequence was assumed too high when the order was sent, so that the engine may
+		// reach it while the order is still under way.
+		c.cfg.Logger.Warn("unanswered order is ahead of the engine", "endpoint", e.id, "sequence", r.Sequence, "ordered", e.unansweredSequence)
+		e.unansweredSequence = 0
+		c.handleRestart(e, e.unansweredAt, now)
+		e.reported, e.reportRequestedAt = false, now.Add(busyReportDelay-reportInterval)
+		return
+	}
+	c.syncSequence(e, r)
+	resumed := !e.reported
 	e.sequence, e.reported = r.Sequence, true
 	e.merge(r, now)
+	if resumed {
+		c.Replan()
+	}
+}
+
+// syncSequence corrects by a report what is assumed of the sequences of engines.
+func (c *Controller) syncSequence(e *engine, r tamarackknot.EngineReport) {
+	x := &e.executed
+	if r.Sequence != e.sequence && x.known {
+		c.cfg.Logger.Info("engine counts other orders", "endpoint", e.id, "sequence", r.Sequence, "expected", e.sequence, "base", x.base,
+			"loads", x.count[adapterLoaded], "evictions", x.count[adapterEvicted], "drained", x.count[adapterDrained], "others", x.others)
+	}
+	if c.sequencing.observe(x, r, e.sequence) {
+		c.cfg.Logger.Info("sequences of engines assumed otherwise", "endpoint", e.id, "load", c.sequencing.steps[adapterLoaded],
+			"evict", c.sequencing.steps[adapterEvicted], "drain", c.sequencing.steps[adapterDrained], "spaced", c.sequencing.spaced())
+	}
+	e.executed = executedOrders{base: r.Sequence, known: true}
 }
 
 // handleRestart handles the restart of an engine. An unanswered order to the
@@ -418,6 +457,7 @@
 	for _, demand := range c.models {
 		demand.updateAverages(now)
 	}
+	c.syncDomains(d.Domains, now)
 }
 
 // demandFor returns the demand for a model and creates it if needed.
@@ -464,11 +504,11 @@
 
 // serviceState collects the input of a decision for one service.
 func (c *Controller) serviceState(service string, spec *tamarackknot.EngineSpec, now time.Time) ServiceState {
-	s := ServiceState{Now: now, Service: service, Spec: spec, Models: c.states, ColdLimit: c.coldLimitOf(service)}
+	s := ServiceState{Now: now, Service: service, Spec: spec, Price: c.cfg.Price, Models: c.states, ColdLimit: c.coldLimitOf(service)}
 	clear(s.Models)
 	for key, demand := range c.models {
 		if key.service == service {
-			s.Models[key.model] = demand.state
+			s.Models[key.model] = c.withDomains(key, demand.state)
 		}
 	}
 	var limited, leaving map[string]time.Time
@@ -486,6 +526,7 @@
 		e.saysItLeaves = e.isStart(leaving)
 		state := e.state(now)
 		state.Limited = e.isStart(limited)
+		state.Domain = e.entry.FailureDomain
 		s.Engines = append(s.Engines, state)
 		if e.move != nil && e.move.Tier == tamarackknot.TierRemote {
 			s.ColdLoads++
@@ -589,10 +630,11 @@
 	v := tamarackknot.FleetView{Planner: c.cfg.Host, Engines: make(map[string]tamarackknot.EngineView, len(c.engines))}
 	for id, e := range c.engines {
 		if e.contentsKnown {
-			v.Engines[id] = tamarackknot.EngineView{Held: e.usableModels()}
+			v.Engines[id] = tamarackknot.EngineView{Domain: e.entry.FailureDomain, Held: e.usableModels()}
 		}
 	}
 	v.Forecasts = slices.Concat(c.forecasts, c.loadForecasts())
+	v.Shares, v.SharesAt = c.domains.shares, c.domains.sharesAt
 	c.cfg.Publish(v)
 }
 
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/locality"
 )
 
 const (
@@ -84,11 +85,14 @@
 	ColdBudget int
 	// Prefetch says that models may be loaded for which no requests wait.
 	Prefetch bool
+	// Price is the price of the traffic between failure domains; 0 if it has none.
+	Price locality.Price
 }
 
 // EngineState is the state of one model engine.
 type EngineState struct {
-	ID string
+	ID     string
+	Domain string // failure domain
 	// FreeAt is when the order under way is expected to end, zero without one.
 	FreeAt time.Time
 	// Loading is the model being loaded, empty without one.
@@ -97,8 +101,11 @@
 	// InMemory and OnDisk are the models with cached weights at the engine.
 	InMemory map[string]bool
 	OnDisk   map[string]bool
-	// Unavailable engines get no orders.
+	// Unavailable engines get no orders, and what they hold does not count.
 	Unavailable bool
+	// Unsettled engines get no orders for a moment: their next report is awaited. What they
+	// hold goes on serving requests.
+	Unsettled bool
 	// Limited engines take few requests: they name a limit. What they hold does not
 	// count as a replica, and nothing is loaded there unless all engines are limited.
 	Limited bool
@@ -134,6 +141,8 @@
 	// running or waiting at the same time.
 	Rate float64
 	Load float64
+	// Domains is the load by failure domain of the callers; nil if it does not matter.
+	Domains map[string]float64
 }
 
 // Move is the load of a model, with the evictions that free the memory for it.
@@ -162,7 +171,9 @@
 	// adapterReserveMB is the memory reserved for adapters on each engine.
 	adapterReserveMB float64
 	allLimited       bool
-	decision         Decision
+	// copies counts the replicas of models by failure domain; nil if these do not matter.
+	copies   map[domainModel]int
+	decision Decision
 }
 
 // Decide plans the loads and evictions for a service. Models that requests wait
@@ -188,9 +199,11 @@
 			p.replicas[e.Loading]++
 		}
 	}
+	p.countCopies()
 	for _, name := range p.wanted() {
 		p.place(name)
 	}
+	p.placeAtHome()
 	if s.Prefetch {
 		p.prefetch()
 	}
@@ -325,6 +338,7 @@
 	e.Loading, e.FreeAt = m.Model, p.Now.Add(p.Spec.Models[m.Model].LoadTime(m.Tier))
 	e.Held = slices.DeleteFunc(slices.Clone(e.Held), func(h HeldState) bool { return slices.Contains(m.Evict, h.Model) })
 	p.replicas[m.Model]++
+	p.moveCopies(e, m)
 	if p.cached != nil {
 		p.cached[m.Model] = true
 	}
@@ -359,7 +373,7 @@
 // would end, and its cost in penalty seconds, infinite if it is not possible.
 func (p *planState) evaluate(e *EngineState, model tamarackknot.HostedModel, state ModelState) (Move, time.Time, float64) {
 	infeasible := math.Inf(1)
-	if e.Unavailable || p.avoids(e) || e.holds(model.Name) || e.Loading == model.Name {
+	if e.Unavailable || e.Unsettled || p.avoids(e) || e.holds(model.Name) || e.Loading == model.Name {
 		return Move{}, time.Time{}, infeasible
 	}
 	tier := e.tier(model.Name)
@@ -384,6 +398,7 @@
 	if state.Waiting > 0 && at.After(state.Objective) {
 		cost += lateCost
 	}
+	cost += p.awayCost(e, model.Name, state)
 	return Move{Engine: e.ID, Model: model.Name, Tier: tier, Evict: evict}, at, cost
 }
 
@@ -407,7 +422,7 @@
 	}
 	var all []victim
 	for _, h := range e.Held {
-		all = append(all, victim{h.Model, p.evictionCost(h)})
+		all = append(all, victim{h.Model, p.evictionCost(h) + p.lastCopyCost(e, h.Model)})
 	}
 	slices.SortFunc(all, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
 	var out []string
@@ -566,7 +581,7 @@
 	var out []freeDisk
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		if e.Unavailable || !e.FreeAt.IsZero() {
+		if e.Unavailable || e.Unsettled || !e.FreeAt.IsZero() {
 			continue
 		}
 		free := p.Spec.DiskMB
