Explain refusals, and test what confirms a list of hosts

tamarackctl explain counted a request over its quota as lost by the system and did not say why callers got 401, 429 or 503. It now lists the attempts by status and reason, and has causes for quotas and for hosts that are not sure of the configuration or of a quota.

New cases of package fleet cover which messages confirm a list of hosts and a version of the configuration.

--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,12 @@
 MODULES := ./... ./entry/... ./cli/... ./standin/... ./call/... ./soak/...
 # Packages whose goroutines share state. Their tests also run under the race
 # detector, except TestManyEngines, which has one goroutine and takes 20 s there.
-RACE_PACKAGES := ./catalog ./discovery ./origin ./relay ./lease ./fleet ./planner ./dispatch ./ingress ./platform ./quarantine ./reach
+RACE_PACKAGES := ./workspace ./quota ./catalog ./discovery ./origin ./relay ./lease ./fleet ./planner ./dispatch ./ingress ./platform ./quarantine ./reach
 FUZZ_SECONDS ?= 120
 SOAK_SECONDS ?= 20
 SOAK_SEEDS ?= $(shell bash -c 'echo $$RANDOM')
 # Tests that have cases at the size of the largest deployments.
-SCALE_TESTS := ^(TestLargeConfigurationOnSlowLinks|TestBrittleEndpoints)
+SCALE_TESTS := ^(TestLargeConfigurationOnSlowLinks|TestBrittleEndpoints|TestRevokedKeysOfManyHosts|TestQuotasOfManyHosts)
 # Pattern of the tests that KNOWN-RED.txt lists as failing.
 KNOWN_RED := $(shell sed -n 's/^skip: //p' KNOWN-RED.txt | paste -sd '|' -)
 
@@ -58,7 +58,7 @@
 	@for seed in $(SOAK_SEEDS); do $(BIN)/tamaracksoak --bin $(BIN) --seed $$seed --seconds $(SOAK_SECONDS) || exit 1; done
 
 bench: ## runs the benchmarks that docs/CAPACITY.md quotes
-	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership
+	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership ./workspace ./quota
 	# These benchmarks undo the change of each iteration, which takes longer than the measured code.
 	go test -run '^$$' -bench . -benchmem -benchtime 300x ./endpoint ./placement
 
--- a/cli/diagnosis/diagnosis_test.go
+++ b/cli/diagnosis/diagnosis_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -70,6 +71,17 @@
 			lines: []string{`10.0 h1 msg=answered` + common + ` prompt=p1 ran=0 ms=3 status=503 reason="the model will not be held in time"`},
 			want:  map[Cause]float64{CauseRefused: 1},
 		},
+		"over the quota": {
+			lines: []string{`10.0 h1 msg=answered` + common + ` prompt=p1 ran=0 ms=3 status=429 reason="the quota of the workspace is used up"`},
+			want:  map[Cause]float64{CauseQuota: 1},
+		},
+		"a host out of touch": {
+			lines: []string{`10.0 h1 msg=answered` + common + ` prompt=p1 ran=0 ms=3 status=503 reason="it is not known whether the configuration is the newest"`},
+			want:  map[Cause]float64{CauseUncertain: 1},
+		},
+		"without a key": {
+			lines: []string{`10.0 h1 msg=answered` + common + ` prompt=p1 ran=0 ms=3 status=401 reason="the request has no key"`},
+		},
 		"refused and back": {
 			lines: []string{
 				`10.0 h1 msg=answered` + common + ` prompt=p1 ran=0 ms=0 status=503 reason=x`,
@@ -146,6 +158,19 @@
 	require.Equal(t, "no requests in the logs\n", out.String())
 }
 
+// TestRefusals guards against a request of which an operator can't see why it got 401, 429 or
+// 503.
+func TestRefusals(t *testing.T) {
+	refused := func(status int, reason string) string {
+		return fmt.Sprintf(`1.0 h1 msg=answered%s prompt=p1 ran=0 ms=3 status=%d reason=%q`, common, status, reason)
+	}
+	var out bytes.Buffer
+	r := explain(t, Config{Interval: time.Second}, refused(401, "the key is not known"), refused(429, "used up"), refused(429, "used up"), refused(503, "not sure"), refused(404, "no route"))
+	require.NoError(t, r.WriteTables(&out))
+	require.Regexp(t, `(?s)status +attempts +reason\n429 +2 +used up\n401 +1 +the key is not known\n503 +1 +not sure\n`, out.String())
+	require.NotContains(t, out.String(), "no route")
+}
+
 // TestReport guards against tables without a row that was lost, and a chart that
 // cannot be drawn.
 func TestReport(t *testing.T) {
--- a/cli/diagnosis/explain.go
+++ b/cli/diagnosis/explain.go
@@ -27,15 +27,24 @@
 	CauseGap      Cause = "paused while streaming"
 	CauseRefused  Cause = "refused"
 	CauseStarting Cause = "refused by a host without a configuration"
-	CauseEngine   Cause = "run lost with its endpoint"
-	CauseFailed   Cause = "failed by the endpoint"
-	CauseOther    Cause = "failed otherwise"
+	CauseQuota    Cause = "refused over the quota of its workspace"
+	// CauseUncertain: the host did not know whether its configuration, or what is left of a
+	// quota, was the newest.
+	CauseUncertain Cause = "refused since the host was not sure of the key or the quota"
+	CauseEngine    Cause = "run lost with its endpoint"
+	CauseFailed    Cause = "failed by the endpoint"
+	CauseOther     Cause = "failed otherwise"
 )
 
+// uncertainReasons returns the reasons that hosts log for CauseUncertain.
+func uncertainReasons() []string {
+	return []string{"it is not known whether the configuration is the newest", "it is not known what is left of the quota of the workspace"}
+}
+
 // avoidable reports whether a planner that knows all requests in advance could
 // have avoided the cause.
 func (c Cause) avoidable() bool {
-	return c != CauseEngine && c != CauseFailed && c != CauseOther
+	return c != CauseEngine && c != CauseFailed && c != CauseOther && c != CauseQuota
 }
 
 // maxReturn is how long after a refusal an attempt with the same prompt counts as
@@ -70,11 +79,24 @@
 	OwedByRoute map[string]float64
 	Requests    map[string]int
 	Losses      []Loss
+	// Refusals counts the attempts with status 401, 429 and 503.
+	Refusals map[Refusal]int
+}
+
+// Refusal is why requests did not run.
+type Refusal struct {
+	Status int
+	Reason string
 }
 
 // Explain divides what was lost among its causes.
 func Explain(logs *Logs, cfg Config) *Report {
-	r := &Report{Config: cfg, OwedByRoute: make(map[string]float64), Requests: make(map[string]int)}
+	r := &Report{Config: cfg, OwedByRoute: make(map[string]float64), Requests: make(map[string]int), Refusals: make(map[Refusal]int)}
+	for _, q := range logs.Requests {
+		if q.refused() || q.Status == http.StatusUnauthorized {
+			r.Refusals[Refusal{q.Status, q.Reason}]++
+		}
+	}
 	loads := make(map[string][]Load)
 	for _, l := range logs.Loads {
 		loads[l.Model] = append(loads[l.Model], l)
@@ -187,6 +209,10 @@
 	switch {
 	case q.refused() && q.Route == "":
 		return CauseStarting
+	case q.Status == http.StatusTooManyRequests:
+		return CauseQuota
+	case q.refused() && slices.Contains(uncertainReasons(), q.Reason):
+		return CauseUncertain
 	case q.refused():
 		return CauseRefused
 	case q.Ran > 0 && (q.Event != "answered" || q.Status == http.StatusBadGateway):
--- a/cli/diagnosis/table.go
+++ b/cli/diagnosis/table.go
@@ -14,14 +14,17 @@
 // WriteTables writes the losses by cause and route, and by moment, as shares of
 // what is owed in percent. The rows of the first table add up to 100.
 func (r *Report) WriteTables(out io.Writer) error {
-	if r.Owed == 0 {
+	if r.Owed == 0 && len(r.Refusals) == 0 {
 		_, err := fmt.Fprintln(out, "no requests in the logs")
 		return err
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	r.writeCauses(w)
-	r.writeMoments(w)
-	_, _ = fmt.Fprintf(w, "\nbound with all requests known in advance\t%.1f\n", percent(r.Bound()))
+	if r.Owed > 0 {
+		r.writeCauses(w)
+		r.writeMoments(w)
+		_, _ = fmt.Fprintf(w, "\nbound with all requests known in advance\t%.1f\n", percent(r.Bound()))
+	}
+	r.writeRefusals(w)
 	return w.Flush()
 }
 
@@ -84,6 +87,19 @@
 	}
 }
 
+// writeRefusals writes how many attempts did not run, by status and reason, most first.
+func (r *Report) writeRefusals(w io.Writer) {
+	if len(r.Refusals) == 0 {
+		return
+	}
+	_, _ = fmt.Fprint(w, "\nstatus\tattempts\treason\n")
+	for _, k := range slices.SortedFunc(maps.Keys(r.Refusals), func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(r.Refusals[b], r.Refusals[a]), cmp.Compare(a.Status, b.Status), cmp.Compare(a.Reason, b.Reason))
+	}) {
+		_, _ = fmt.Fprintf(w, "%d\t%d\t%s\n", k.Status, r.Refusals[k], k.Reason)
+	}
+}
+
 // writeMoments writes a row for each moment with its dearest cause.
 func (r *Report) writeMoments(w io.Writer) {
 	_, _ = fmt.Fprint(w, "\nfrom second\tlost, of all that is owed\tmost for\n")
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -536,6 +536,98 @@
 	}
 }
 
+// TestHostsConfirmed guards against a host that takes an old list of hosts for that of the
+// planner, since it relies on being the only owner of a quota by it.
+func TestHostsConfirmed(t *testing.T) {
+	hosts, err := json.Marshal([]tamarackknot.HostEntry{{Name: "a"}})
+	require.NoError(t, err)
+	full := func(sequence, echoMs int64) viewMessage {
+		return viewMessage{Fence: 1, Sequence: sequence, Full: true, Hosts: hosts, HostsVersion: 1, EchoMs: echoMs}
+	}
+	for name, tt := range map[string]struct {
+		messages []viewMessage
+		want     time.Duration
+	}{
+		"a list":                       {[]viewMessage{full(1, 9000)}, 9 * time.Second},
+		"no report of this process":    {[]viewMessage{full(1, 1000)}, 0},
+		"no report at all":             {[]viewMessage{full(1, 0)}, 0},
+		"a report of a later time":     {[]viewMessage{full(1, 11000)}, 0},
+		"confirmed":                    {[]viewMessage{full(1, 8000), {Fence: 1, Sequence: 2, EchoMs: 9000}}, 9 * time.Second},
+		"an older message comes late":  {[]viewMessage{full(1, 8000), {Fence: 1, Sequence: 2, EchoMs: 7000}}, 8 * time.Second},
+		"a message is missing":         {[]viewMessage{full(1, 8000), {Fence: 1, Sequence: 3, EchoMs: 9000}}, 8 * time.Second},
+		"of another planner":           {[]viewMessage{full(1, 8000), {Fence: 2, Sequence: 1, EchoMs: 9000}}, 8 * time.Second},
+		"the planner steps down":       {[]viewMessage{full(1, 8000), {Fence: 1, Leaving: true}}, 8 * time.Second},
+		"a change of an unknown list":  {[]viewMessage{full(1, 8000), {Fence: 1, Sequence: 2, EchoMs: 9000, HostsBase: 7, HostsVersion: 8}}, 8 * time.Second},
+		"a change of the list it has":  {[]viewMessage{full(1, 8000), {Fence: 1, Sequence: 2, EchoMs: 9000, HostsBase: 1, HostsVersion: 2}}, 9 * time.Second},
+		"changed after a lost message": {[]viewMessage{full(1, 8000), {Fence: 1, Sequence: 3, EchoMs: 9000, HostsBase: 1, HostsVersion: 2}}, 8 * time.Second},
+		"a list that can't be read":    {[]viewMessage{{Fence: 1, Sequence: 1, Full: true, Hosts: json.RawMessage(`"x"`), EchoMs: 9000}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 2 * time.Second
+			c := NewClient(ClientConfig{
+				Self: tamarackknot.HostEntry{Name: "a"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("a"), Logger: log.New(io.Discard),
+				Clock: func() time.Duration { return now }, OnView: func(tamarackknot.FleetView) {},
+				OnStreamStates: func(_, _ tamarackknot.StreamState) {}, OnStoreEra: func(int64) {},
+			})
+			now = 10 * time.Second
+			for _, m := range tt.messages {
+				c.applyView("p", m)
+			}
+			require.Equal(t, tt.want, c.HostsConfirmedAt())
+		})
+	}
+}
+
+// TestHeartbeatWithHosts guards against a heartbeat in place of a full view that confirms an old
+// list of hosts, and against a list for a host that has none of this planner to change.
+func TestHeartbeatWithHosts(t *testing.T) {
+	p := NewPublisher(PublisherConfig{
+		Self: tamarackknot.HostEntry{Name: "p"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("p"), Logger: log.New(io.Discard),
+		Catalog:   func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
+		Endpoints: func() tamarackknot.StreamState { return tamarackknot.StreamState{} },
+	})
+	_, err := p.hostList.add([]tamarackknot.HostEntry{{Name: "a"}})
+	require.NoError(t, err)
+	for fence, want := range map[int64]bool{4: true, 3: false} {
+		s := p.state("a")
+		s.fence, s.hostListVersion = fence, 0
+		m := p.buildView("a", &round{fence: 4, now: time.Now()})
+		require.False(t, m.Full)
+		require.Equal(t, want, len(m.Hosts) > 0)
+	}
+}
+
+// TestConfirmedMsAgo guards against a confirmation of the configuration that a host dates later
+// than the planner's read, whenever the two processes are suspended.
+func TestConfirmedMsAgo(t *testing.T) {
+	for name, tt := range map[string]struct {
+		echoMs, agoMs int64
+		want          time.Duration
+	}{
+		"usual":                         {9000, 700, 8300 * time.Millisecond},
+		"the planner does not say":      {9000, 0, 0},
+		"negative":                      {9000, -5, 0},
+		"no report of this process":     {1000, 700, 0},
+		"a report of a later time":      {11000, 700, 0},
+		"before the clock of this host": {9000, 9500, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 2 * time.Second
+			var got tamarackknot.StreamState
+			c := NewClient(ClientConfig{
+				Self: tamarackknot.HostEntry{Name: "a"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("a"), Logger: log.New(io.Discard),
+				Clock: func() time.Duration { return now }, OnView: func(tamarackknot.FleetView) {},
+				OnStreamStates: func(catalog, _ tamarackknot.StreamState) { got = catalog }, OnStoreEra: func(int64) {},
+			})
+			now = 10 * time.Second
+			c.applyView("p", viewMessage{Fence: 1, Sequence: 1, Full: true, EchoMs: tt.echoMs, Catalog: streamMessage{Version: 7, ConfirmedMsAgo: tt.agoMs}})
+			require.Equal(t, tt.want, got.ConfirmedAt)
+		})
+	}
+	require.Zero(t, confirmedMsAgo(tamarackknot.StreamState{}, time.Hour), "never confirmed")
+	require.Equal(t, int64(501), confirmedMsAgo(tamarackknot.StreamState{ConfirmedAt: time.Hour - 500*time.Millisecond}, time.Hour), "rounded up")
+}
+
 // TestLimits guards against hosts that do not learn of a limit that an endpoint named to
 // another host, and against an older observation that replaces a newer one.
 func TestLimits(t *testing.T) {
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -378,6 +378,8 @@
 	const lasts = 30 * time.Second
 	half := func(s *simulation) (names []string) {
 		owner := s.owner()
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		for i := range len(s.hosts) / 2 {
 			names = append(names, s.name(i))
 		}
@@ -392,13 +394,13 @@
 	}{
 		"calm": {func(s *simulation) { wait.For(s.ctx, lasts) }, 0.95},
 		"callers that move": {func(s *simulation) {
-			first, began := s.spread, time.Now()
-			s.spread = func(rng *rand.Rand) string {
+			first, began, hosts := s.spread, time.Now(), len(s.hosts)
+			s.setSpread(func(rng *rand.Rand) string {
 				if time.Since(began)/(700*time.Millisecond)%2 == 0 {
-					return s.name(int(time.Since(began)/(700*time.Millisecond)) % len(s.hosts))
+					return s.name(int(time.Since(began)/(700*time.Millisecond)) % hosts)
 				}
 				return first(rng)
-			}
+			})
 			wait.For(s.ctx, lasts)
 		}, 0.95},
 		"endpoints stop for 2 s now and then": {func(s *simulation) {
@@ -479,6 +481,12 @@
 	}
 }
 
+func (s *simulation) setSpread(spread func(rng *rand.Rand) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spread = spread
+}
+
 func (s *simulation) setPause(pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -497,7 +505,9 @@
 	for name, tt := range map[string]struct{ from, to float64 }{"lowered": {100000, 20000}, "raised": {20000, 100000}} {
 		t.Run(name, func(t *testing.T) {
 			s := simulate(t, 8, tamarackknot.Quota{PerSecond: tt.from, Burst: tt.from}, func(s *simulation) {
+				s.mu.Lock()
 				s.demand = 1.5 * max(tt.from, tt.to)
+				s.mu.Unlock()
 				wait.For(s.ctx, 15*time.Second)
 				s.setQuota(tt.to)
 				wait.For(s.ctx, 15*time.Second)
@@ -576,9 +586,7 @@
 	case "quota":
 		s.setQuota(q.PerSecond * []float64{0.3, 1, 2}[i%3])
 	case "move":
-		s.mu.Lock()
-		s.spread = func(*rand.Rand) string { return target }
-		s.mu.Unlock()
+		s.setSpread(func(*rand.Rand) string { return target })
 	case "pause":
 		s.setPause(lasts / 4)
 		wait.For(s.ctx, lasts)
