--- a/entry/hosted/workspaces_test.go
+++ b/entry/hosted/workspaces_test.go
@@ -393,6 +393,7 @@
 		return []map[string]any{{"name": "a", "apiKeys": []string{stayingKey}, "unit": "tokens", "ratePerS": tr.quota.PerSecond, "burst": tr.quota.Burst}}
 	}
 	var output strings.Builder
+	var asked, returned fake.PeerCount
 	synctest.Test(t, func(*testing.T) {
 		c, cancel := startCluster(size, true, &output)
 		tr.c, c.quiet = c, true
@@ -401,6 +402,7 @@
 		wait.For(c.ctx, 3*time.Second)
 		c.wg.Go(func() { play(c) })
 		wait.For(c.ctx, lasts)
+		asked, returned = c.peers.Sent("", "quota.take"), c.peers.Sent("", "quota.return")
 		cancel()
 		c.wg.Wait()
 		c.peers.Wait()
@@ -410,7 +412,7 @@
 		sum += r.cost
 	}
 	usable := sum / (tr.quota.PerSecond * (lasts + 3*time.Second).Seconds())
-	t.Logf("%s: worst window %.3f of the limit, usable %.3f", name, tr.worst(), usable)
+	t.Logf("%s: worst window %.3f of the limit, usable %.3f; of %d requests asked %+v, returned %+v", name, tr.worst(), usable, len(tr.runs), asked, returned)
 	require.LessOrEqual(t, tr.worst(), 1.0)
 	least := 0.8
 	switch name {
