--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SOAK_SECONDS ?= 20
 SOAK_SEEDS ?= $(shell bash -c 'echo $$RANDOM')
 # Tests that have cases at the size of the largest deployments.
-SCALE_TESTS := ^(TestLargeConfigurationOnSlowLinks|TestBrittleEndpoints)
+SCALE_TESTS := ^(TestLargeConfigurationOnSlowLinks|TestBrittleEndpoints|TestRevokedKeysOfManyHosts|TestQuotasOfManyHosts)
 # Tests of a process under hostile callers, which run alone: they measure its memory.
 OVERLOAD := entry/overload
 # Pattern of the tests that KNOWN-RED.txt lists as failing.
@@ -62,7 +62,7 @@
 	@for seed in $(SOAK_SEEDS); do $(BIN)/tamaracksoak --bin $(BIN) --seed $$seed --seconds $(SOAK_SECONDS) || exit 1; done
 
 bench: ## runs the benchmarks that docs/CAPACITY.md quotes
-	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership ./dispatch
+	go test -run '^$$' -bench . -benchmem -benchtime 0.3s ./ledger ./journal ./routing ./membership ./dispatch ./workspace ./quota
 	# These benchmarks undo the change of each iteration, which takes longer than the measured code.
 	go test -run '^$$' -bench . -benchmem -benchtime 300x ./endpoint ./placement
 
