Close connections for others also while they wait or send an unread body

Seen by reading the code: at the addresses for readiness, addresses and metrics net/http reads the rest of a body after the handler has answered, for up to 10 s. Such a connection counted as serving a request, which is never closed for others, so that as many of them as the address has connections kept everybody out. The same held for requests that wait for their turn since they were sent before earlier answers, for up to 5 s. TestFullGroup shows both: the ordinary caller's connection is closed.

Change: both may be closed for others. The connections at all addresses but that for other hosts get 0.36 of the descriptors in place of 0.4, since streams had up to 150 of the 160 that the test allows.

--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -25,7 +25,7 @@
 	// connectionShare and peerShare are the parts of the other descriptors that connections of
 	// callers, and of other hosts, take. A request needs another one for its endpoint, and a planner
 	// gets a connection from each of 770 hosts: 805 of the 2,875 descriptors of the smallest hosts.
-	connectionShare = 0.4
+	connectionShare = 0.36
 	peerShare       = 0.28
 	minConnections  = 16
 	// auxiliaryShare is the part of the connections, one in so many, of each address that is not
--- a/entry/guard/options.go
+++ b/entry/guard/options.go
@@ -36,7 +36,7 @@
 func (s *Settings) options() []option {
 	return []option{
 		{&s.HeldMB, "heldMB", 0, maxMB, "memory in MB held for callers and other hosts; 0 is 0.3 of the host's (TAMARACKD_HELD_MB)"},
-		{&s.MaxConnections, "maxConnections", 0, maxOpen, "open connections on all addresses but that for other hosts; 0 is 0.4 of the descriptors (TAMARACKD_MAX_CONNECTIONS)"},
+		{&s.MaxConnections, "maxConnections", 0, maxOpen, "open connections on all addresses but that for other hosts; 0 is 0.36 of the descriptors (TAMARACKD_MAX_CONNECTIONS)"},
 		{&s.BodyTimeoutMs, "bodyTimeoutMs", 1, maxTimeoutMs, "milliseconds without a byte of a request's body (TAMARACKD_BODY_TIMEOUT_MS)"},
 		{&s.AnswerTimeoutMs, "answerTimeoutMs", 1, maxTimeoutMs, "milliseconds in which a caller reads nothing of an answer (TAMARACKD_ANSWER_TIMEOUT_MS)"},
 	}
--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -208,11 +208,11 @@
 	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // of a connection
 }
 
-// evict makes room for others: a connection without a request is closed, a request whose body is
-// being read is refused, and an answer that is not read is cut off.
+// evict makes room for others: a connection without a request, or with one that has not begun, is
+// closed, a request whose body is being read is refused, and an answer that is not read is cut off.
 func (c *callerConn) evict(activity admission.Activity) {
 	c.timeouts.cfg.Shedding.Closed(reasonEvicted)
-	if activity == admission.Writing || c.endIf(func(c *callerConn) bool { return c.phase != phaseServing }) {
+	if activity == admission.Writing || activity == admission.ReadingHead || c.endIf(func(c *callerConn) bool { return c.phase != phaseServing }) {
 		_ = c.Close()
 		return
 	}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -100,12 +100,14 @@
 			return
 		}
 		if conn.startRequest() > fewPipelined {
-			if !c.acquirePipelined(r.Context()) {
+			if !c.acquirePipelined(r.Context(), conn) {
 				c.refuse(w, r, reasonPipelined)
 				return
 			}
 			defer func() { <-c.pipelined }()
 		}
+		// After the handler net/http reads the rest of the body, for which others need not wait.
+		defer func() { conn.account.Set(admission.ReadingBody, time.Now()) }()
 		if !conn.account.Hold(admission.Requests, admission.RequestBytes, time.Now()) {
 			c.refuse(w, r, admission.Requests.String())
 			return
@@ -124,8 +126,11 @@
 	return &callerListener{Listener: c.listener, timeouts: c}
 }
 
-// acquirePipelined waits for the turn of a pipelined request.
-func (c *ConnTimeouts) acquirePipelined(ctx context.Context) bool {
+// acquirePipelined waits for the turn of a pipelined request. Meanwhile the connection may be
+// closed for others.
+func (c *ConnTimeouts) acquirePipelined(ctx context.Context, conn *callerConn) bool {
+	conn.account.Set(admission.ReadingHead, time.Now())
+	defer func() { conn.account.Set(admission.Serving, time.Now()) }()
 	ctx, cancel := context.WithTimeout(ctx, pipelinedTimeout)
 	defer cancel()
 	select {
--- a/ingress/hostile_test.go
+++ b/ingress/hostile_test.go
@@ -158,6 +158,44 @@
 	g.requireFree(t)
 }
 
+// TestFullGroup guards against connections that keep all others out: with bodies that nobody
+// waits for and that do not arrive, or with requests that wait for their turn.
+func TestFullGroup(t *testing.T) {
+	const limit = 20
+	for name, hostile := range map[string]string{
+		"unread bodies": head("Content-Length: 100000"),
+		"pipelined":     strings.Repeat(strings.Replace(head("Content-Length: 0"), "/p/x", "/slow", 1), 10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := admission.New(admission.Config{Bytes: 64 << 20, Connections: limit}, time.Now())
+			c := NewConns(ConnConfig{
+				Limits: func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} },
+				Group:  b.Group(admission.GroupConfig{Kind: admission.Connections, Bytes: admission.ConnectionBytes, Shared: true}),
+			})
+			s := &http.Server{ReadTimeout: time.Minute, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/slow" {
+					time.Sleep(time.Second)
+				}
+			})}
+			l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			go func() { _ = s.Serve(c.Watch(s, l)) }()
+			defer func() { _ = s.Close() }()
+			g := guarded{l: l}
+			for range limit {
+				_, err := io.WriteString(g.dial(t), hostile)
+				require.NoError(t, err)
+			}
+			// The requests that wait for their turn are each the fourth on a connection.
+			time.Sleep((fewPipelined+1)*time.Second + 500*time.Millisecond)
+			conn := g.dial(t)
+			_, err = io.WriteString(conn, head("Content-Length: 0"))
+			require.NoError(t, err)
+			require.Equal(t, "HTTP/1.1 200 OK", readLine(t, conn))
+		})
+	}
+}
+
 // shortListener fails for lack of descriptors before it accepts connections.
 type shortListener struct {
 	net.Listener
