Simulate batches of engines in package fake

The replays of the choice of endpoints need engines that read prompts between the tokens of other requests, and preempt requests when their memory is full. Other replays can use them too.

--- a/dispatch/prediction_test.go
+++ b/dispatch/prediction_test.go
@@ -17,7 +17,7 @@
 }
 
 // next brings the next event of a stream.
-func (h *harness) next(g *Grant, now time.Time) {
+func (d *Dispatcher) next(g *Grant, now time.Time) {
 	g.received(now)
 	g.markStarted()
 	g.beginAwait(now)
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/fake"
 )
 
 const (
@@ -38,17 +38,9 @@
 	seed    uint64
 }
 
-type replayStream struct {
-	g                    *Grant
-	arrived, last        time.Time
-	prompt, unread, left int
-	produced             int
-	preempted, late      bool
-}
-
 type replayEngine struct {
-	streams []*replayStream
-	stepEnd time.Time
+	*fake.Batch
+	running map[*Grant]bool
 	got     [60]int // requests by second
 }
 
@@ -62,7 +54,6 @@
 	start          time.Time
 	requests, late int
 	refused        int
-	preemptions    int
 	cross          int // requests that were sent to another failure domain
 }
 
@@ -72,7 +63,7 @@
 		entries: make(map[string]tamarackknot.EndpointEntry),
 	}
 	for i := range r.engines {
-		p.engines = append(p.engines, &replayEngine{stepEnd: p.start})
+		p.engines = append(p.engines, p.newEngine(i, p.start))
 		id := fmt.Sprint(i)
 		p.entries[id] = tamarackknot.EndpointEntry{
 			ID: id, Service: "s", FailureDomain: p.domain(i), State: tamarackknot.EndpointReady, Born: p.start,
@@ -86,24 +77,30 @@
 		d.random = rand.New(rand.NewPCG(r.seed, uint64(i)))
 		d.SetPools(map[string]tamarackknot.PoolSpec{"s": {Name: "s", Engine: &tamarackknot.EngineSpec{Slots: r.slots, MemoryTokens: r.memory}}})
 		d.SetPrediction(r.predict)
+		p.list(d)
 		p.hosts = append(p.hosts, d)
 	}
-	p.list()
 	p.run()
 	return p
 }
 
+func (p *player) newEngine(i int, start time.Time) *replayEngine {
+	cfg := fake.BatchConfig{Slots: p.slots, MemoryTokens: int(p.memory), Start: start}
+	if p.slow != nil {
+		cfg.Slow = func(now time.Time, n int) float64 { return p.slow(i, now.Sub(p.start), n) }
+	}
+	return &replayEngine{Batch: fake.NewBatch(cfg), running: make(map[*Grant]bool)}
+}
+
 func (p *player) domain(i int) string { return fmt.Sprint(i % max(p.domains, 1)) }
 
-// list tells all hosts the entries.
-func (p *player) list() {
+// list tells a host the entries.
+func (p *player) list(d *Dispatcher) {
 	var ids []string
 	for i := range p.engines {
 		ids = append(ids, fmt.Sprint(i))
 	}
-	for _, d := range p.hosts {
-		d.SetEndpoints(p.entries, map[string][]string{"s": ids}, true)
-	}
+	d.SetEndpoints(p.entries, map[string][]string{"s": ids}, true)
 }
 
 func (p *player) run() {
@@ -111,16 +108,14 @@
 	var view []int
 	next, viewed := p.start, p.start
 	for now := p.start; now.Sub(p.start) < p.duration; now = now.Add(tick) {
-		for i, e := range p.engines {
-			for !e.stepEnd.After(now) {
-				p.step(i, e)
-			}
+		for _, e := range p.engines {
+			e.Advance(now)
 		}
 		if now.Sub(viewed) >= p.viewAge || view == nil {
 			p.applyView(view)
 			view, viewed = nil, now
 			for _, e := range p.engines {
-				view = append(view, len(e.streams))
+				view = append(view, e.Len())
 			}
 		}
 		for ; !next.After(now); next = next.Add(time.Duration(p.random.ExpFloat64() / p.perSecond * float64(time.Second))) {
@@ -160,75 +155,35 @@
 	}
 	var i int
 	_, _ = fmt.Sscan(g.Endpoint.ID, &i)
-	p.engines[i].got[now.Sub(p.start)/time.Second]++
-	p.engines[i].streams = append(p.engines[i].streams, &replayStream{g: g, arrived: now, prompt: prompt, unread: prompt, left: output})
-}
-
-// step ends a step of an engine, which brings an event for each stream whose prompt has been
-// read, and begins the next one, in which a piece of each prompt is read.
-func (p *player) step(i int, e *replayEngine) {
-	now := e.stepEnd
-	held := 0
-	for _, s := range e.streams[:min(len(e.streams), p.slots)] {
-		if s.unread == 0 {
-			p.event(s, now)
-		}
-		if !s.preempted {
-			held += s.prompt + s.produced
-		}
-	}
-	e.streams = slices.DeleteFunc(e.streams, func(s *replayStream) bool { return s.left == 0 })
-	running := e.streams[:min(len(e.streams), p.slots)]
-	for n := len(running) - 1; n > 0 && p.memory > 0 && float64(held) > p.memory; n-- {
-		s := running[n]
-		if s.preempted {
-			continue
-		}
-		held -= s.prompt + s.produced
-		s.unread, s.preempted = s.prompt+s.produced, true
-		p.preemptions++
-	}
-	read := 0
-	for _, s := range running {
-		if s.preempted && float64(held+s.unread) > 0.95*p.memory {
-			continue
-		}
-		if s.preempted {
-			s.preempted = false
-			held += s.unread
-		}
-		piece := min(s.unread, pieceTokens)
-		s.unread -= piece
-		read += piece
-	}
-	took := 0.009 + 0.0001*float64(len(running)) + float64(read)/20_000
-	if p.slow != nil {
-		took *= p.slow(i, now.Sub(p.start), len(running))
-	}
-	e.stepEnd = now.Add(time.Duration(took * float64(time.Second)))
-}
-
-// event brings a stream's next event to its host.
-func (p *player) event(s *replayStream, now time.Time) {
-	if s.last.IsZero() && now.Sub(s.arrived) > replayObjective || !s.last.IsZero() && now.Sub(s.last) > replayGap {
-		if !s.late {
+	e := p.engines[i]
+	e.got[now.Sub(p.start)/time.Second]++
+	e.running[g] = true
+	before, limit, late := now, replayObjective, false
+	e.Add(prompt, output, func(now time.Time, last bool) {
+		if !late && now.Sub(before) > limit {
+			late = true
 			p.late++
 		}
-		s.late = true
-	}
-	s.last = now
-	s.g.received(now)
-	s.g.markStarted()
-	s.g.beginAwait(now)
-	s.produced++
-	if s.left--; s.left == 0 {
-		s.g.finishAt(ResultAnswered, now)
-	}
+		before, limit = now, replayGap
+		d.next(g, now)
+		if last {
+			g.finishAt(ResultAnswered, now)
+			delete(e.running, g)
+		}
+	})
 }
 
 // latePercent is the part of the requests that were late or found no place.
 func (p *player) latePercent() float64 { return 100 * float64(p.late+p.refused) / float64(p.requests) }
 
+func (p *player) preemptedPercent() float64 {
+	n := 0
+	for _, e := range p.engines {
+		n += e.Preemptions
+	}
+	return 100 * float64(n) / float64(p.requests)
+}
+
 // sharePercent is the number of requests that the first engines got within some seconds, in
 // percent of those that as many engines got on average.
 func (p *player) sharePercent(engines, from, to int) float64 {
@@ -292,26 +247,21 @@
 			if at != 8*time.Second {
 				return
 			}
-			old := make(map[*endpoint]estimate)
-			p.eachEndpoint(func(e *endpoint) { old[e] = e.estimate })
 			for i := range troubled {
-				for _, s := range p.engines[i].streams {
-					s.g.finishAt(ResultDisconnected, p.start.Add(at))
+				for g := range p.engines[i].running {
+					g.finishAt(ResultDisconnected, p.start.Add(at))
 				}
-				p.engines[i].streams, p.engines[i].stepEnd = nil, p.start.Add(at)
+				p.engines[i].Batch = p.newEngine(i, p.start.Add(at)).Batch
 				entry := p.entries[fmt.Sprint(i)]
 				entry.Born = p.start.Add(at)
 				p.entries[entry.ID] = entry
 			}
-			before := make(map[*Dispatcher]map[string]*endpoint)
 			for _, d := range p.hosts {
-				before[d] = maps.Clone(d.endpoints)
-			}
-			p.list()
-			for d, endpoints := range before {
-				for id, e := range endpoints {
+				before := maps.Clone(d.endpoints)
+				p.list(d)
+				for id, e := range before {
 					if keep {
-						d.endpoints[id].estimate = old[e]
+						d.endpoints[id].estimate = e.estimate
 					}
 				}
 			}
@@ -349,7 +299,7 @@
 				r.slow, r.stepped = slowFrom(5*time.Second, 8*time.Second), restart(false)
 			},
 			without: restart(true),
-			figure:  func(p *player) float64 { return 100 - p.sharePercent(troubled, 8, 10) }, limit: 30, seeds: 2,
+			figure:  func(p *player) float64 { return 100 - p.sharePercent(troubled, 8, 10) }, limit: 3, seeds: 8,
 		},
 		"a third of the engines is 1.3 times slower": {
 			change: func(r *replay) {
@@ -400,7 +350,7 @@
 					d.pools["s"].Engine.MemoryTokens = 0
 				}
 			},
-			figure: func(p *player) float64 { return 100 * float64(p.preemptions) / float64(p.requests) }, limit: 1, seeds: 12,
+			figure: (*player).preemptedPercent, limit: 1, seeds: 12,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
