--- a/dispatch/prediction_test.go
+++ b/dispatch/prediction_test.go
@@ -105,10 +105,11 @@
 	for name, tt := range map[string]struct {
 		tokens tamarackknot.RequestTokens
 		stream bool
+		age    time.Duration // of the requests that run
 	}{
 		"no size":        {stream: true},
 		"malformed size": {tokens: tamarackknot.RequestTokens{Known: true, Malformed: true, Prompt: 1e9, Output: 1e9}, stream: true},
-		"not a stream":   {tokens: tamarackknot.RequestTokens{Known: true, Prompt: 1200, Output: 300}},
+		"not a stream":   {tokens: tamarackknot.RequestTokens{Known: true, Prompt: 1200, Output: 300}, age: 10 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h, req, now := newPredictionHarness(3)
@@ -116,12 +117,7 @@
 			r.Tokens, r.Stream = tt.tokens, tt.stream
 			h.endpoints["1"].others = 9
 			for range 2 {
-				_, _ = h.tryGrant(r, now)
-			}
-			if !tt.stream {
-				now = now.Add(10 * time.Second)
-				r = req(now)
-				r.Stream = false
+				_, _ = h.tryGrant(r, now.Add(-tt.age))
 			}
 			c, _ := h.newChoice(r, now)
 			for _, e := range h.endpoints {
