--- a/entry/hosted/workspaces_test.go
+++ b/entry/hosted/workspaces_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/fake"
@@ -267,6 +268,25 @@
 	}
 }
 
+// TestRevokedKeysSeries guards against series of faults, which may fall together, after which a
+// key is served too late or answered with 401 though it holds.
+func TestRevokedKeysSeries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 8).Draw(rt, "faults")
+		tr := playKeys(t, 4, io.Discard, func(c *cluster) {
+			for _, f := range faults {
+				wait.For(c.ctx, time.Duration(f.pauseMs)*time.Millisecond)
+				c.begin(f)
+			}
+		})
+		if len(tr.wrong) > 0 {
+			// Goroutine order is not seeded, so rapid may not see the failure again.
+			t.Logf("faults=%v: %q", faults, tr.wrong)
+		}
+		require.Empty(rt, tr.wrong)
+	})
+}
+
 // TestRevokedKeysOfManyHosts is TestRevokedKeys at the size of the largest deployment with
 // workspaces.
 func TestRevokedKeysOfManyHosts(t *testing.T) {
