Learn from reports how engines count orders for adapters

Cause: the planner names in each order the sequence that it expects after the order before, and assumes that each load or eviction of an adapter advances it by one when it is answered. The platform does not say so (docs/platform.md asks it). On engines that count otherwise the order after is refused. Four things made that dear: the engine got no order for 240 ms and more from the refused order on, although that has changed nothing; an adapter that had been evicted for the refused load was published as held; a report from before the last order could bring its sequence and contents back; and the models of an engine whose report was awaited counted as not held, so that others were evicted to load them elsewhere. Adapters in use also counted as unused when the place for another was looked for at a moment without requests.

Change: a report is compared with the orders since the last one. Two equal observations in a row change what a load or an eviction is assumed to count, and that an order waits until the adapter before is loaded. A report that does not show the adapters that were ordered is left aside. An order that was sent ahead of the engine's sequence and has no answer raises the fencing token, or stops orders for the time in which it may be late, since the engine may reach its sequence. Orders to one engine queue in a channel: a wait under the mutex stopped the clock of tests. Engines whose report is awaited keep what they hold. The fake counts in each of these ways, and its reports no longer lose their lag after the first load.

Which way the platform's engines count is not known here; the log line "engine counts other orders" shows it.

--- a/fake/weights.go
+++ b/fake/weights.go
@@ -24,15 +24,40 @@
 	Born  time.Time           // start of the process
 	// IgnoresFence says that the engine accepts outdated fencing tokens.
 	IgnoresFence bool
+	// AdapterTime is how long the load of an adapter takes; 0 means none.
+	AdapterTime time.Duration
+	// Counting says when orders for adapters advance the sequence.
+	Counting AdapterCounting
 
 	sequence  int64
 	fence     int64
 	busyUntil time.Time // end of the last load
 	complete  func()    // applies the load in progress; nil if none
+	transit   []adapterLoad
 	crashes   int
+	conflicts int
 	reports   []timedReport // oldest first
 }
 
+// AdapterCounting says when orders for adapters advance the sequence of an engine, beyond
+// the acceptance of loads and evictions. The zero value is what the planner assumes at first.
+type AdapterCounting struct {
+	// LoadEnd counts a load when it has ended, LoadStart not when it is accepted.
+	LoadEnd, NotLoadStart bool
+	// NotEvict leaves out evictions, EvictTwice counts them when they are accepted and when
+	// they have ended.
+	NotEvict, EvictTwice bool
+}
+
+// adapterLoad is the load of an adapter in progress.
+type adapterLoad struct {
+	model, adapter string
+	endsAt         time.Time
+}
+
+// maxTransit is the number of adapters that an engine loads at once.
+const maxTransit = 4
+
 type timedReport struct {
 	at     time.Time
 	report tamarackknot.EngineReport
@@ -90,7 +115,7 @@
 	defer w.mu.Unlock()
 	e := w.engines[address]
 	e.Born, e.Held, e.Cache = born, make(map[string][]string), nil
-	e.sequence, e.fence, e.complete, e.reports = 0, 0, nil, nil
+	e.sequence, e.fence, e.complete, e.transit, e.reports = 0, 0, nil, nil, nil
 	e.recordReport()
 }
 
@@ -102,6 +127,20 @@
 	return w.engines[address].crashes
 }
 
+// Configure changes the fields of an engine that is not in use yet.
+func (w *WeightEngines) Configure(address string, change func(*WeightEngine)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w.engines[address])
+}
+
+// Conflicts returns the number of orders that an engine refused with WeightConflict.
+func (w *WeightEngines) Conflicts(address string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.engines[address].conflicts
+}
+
 // Holds reports whether an engine holds a model and, unless adapter is empty, the
 // adapter.
 func (w *WeightEngines) Holds(address, model, adapter string) bool {
@@ -178,17 +217,31 @@
 	return tamarackknot.EngineReport{}, errors.New("no report yet")
 }
 
-// completeOrder applies the load in progress if its load time has passed.
+// completeOrder applies the loads in progress whose load time has passed.
 func (e *WeightEngine) completeOrder() {
+	for len(e.transit) > 0 && !time.Now().Before(e.transit[0].endsAt) {
+		l := e.transit[0]
+		e.transit = e.transit[1:]
+		if adapters, held := e.Held[l.model]; held {
+			e.Held[l.model] = append(slices.Clone(adapters), l.adapter)
+		}
+		if e.Counting.LoadEnd {
+			e.sequence++
+		}
+		e.recordReportAt(l.endsAt)
+	}
 	if e.complete != nil && !time.Now().Before(e.busyUntil) {
 		e.complete()
 		e.complete = nil
-		e.recordReport()
+		e.recordReportAt(e.busyUntil)
 	}
 }
 
 // recordReport records the current state for later reports.
-func (e *WeightEngine) recordReport() {
+func (e *WeightEngine) recordReport() { e.recordReportAt(time.Now()) }
+
+// recordReportAt records the state since a time.
+func (e *WeightEngine) recordReportAt(at time.Time) {
 	r := tamarackknot.EngineReport{Born: e.Born, Sequence: e.sequence, Busy: e.complete != nil, InMemory: slices.Clone(e.Cache)}
 	for m, adapters := range e.Held {
 		r.Held = append(r.Held, tamarackknot.HeldModel{Name: m, Adapters: slices.Clone(adapters)})
@@ -196,9 +249,8 @@
 	for m := range e.Disk {
 		r.OnDisk = append(r.OnDisk, m)
 	}
-	at := time.Now()
-	if e.complete == nil && !e.busyUntil.IsZero() && e.busyUntil.Before(at) {
-		at = e.busyUntil
+	for _, l := range e.transit {
+		r.Pending = append(r.Pending, l.model+"/"+l.adapter)
 	}
 	e.reports = append(e.reports, timedReport{at, r})
 }
@@ -209,17 +261,18 @@
 	switch {
 	case o.Fence < e.fence && !e.IgnoresFence:
 		return tamarackknot.WeightFenced
-	case o.Sequence != e.sequence || e.complete != nil:
+	case o.Sequence != e.sequence || e.complete != nil, o.Kind == tamarackknot.WeightLoad && o.Adapter != "" && len(e.transit) >= maxTransit:
+		e.conflicts++
 		return tamarackknot.WeightConflict
 	case o.Kind == tamarackknot.WeightLoad && o.Adapter == "" && held:
 		return tamarackknot.WeightHolds
 	}
 	e.fence = o.Fence
-	e.sequence++
 	defer e.recordReport()
 	if o.Adapter != "" {
 		return e.executeAdapter(o)
 	}
+	e.sequence++
 	if o.Kind == tamarackknot.WeightEvict {
 		delete(e.Held, o.Model)
 		return tamarackknot.WeightAccepted
@@ -250,10 +303,23 @@
 	adapters := slices.DeleteFunc(slices.Clone(e.Held[o.Model]), func(a string) bool { return a == o.Adapter })
 	if o.Kind == tamarackknot.WeightEvict {
 		e.Held[o.Model] = adapters
+		if !e.Counting.NotEvict {
+			e.sequence++
+		}
+		if e.Counting.EvictTwice {
+			e.sequence++
+		}
 		return tamarackknot.WeightHolds
 	}
-	e.Held[o.Model] = append(adapters, o.Adapter)
-	n := 0
+	if !e.Counting.NotLoadStart {
+		e.sequence++
+	}
+	if e.AdapterTime > 0 {
+		e.transit = append(e.transit, adapterLoad{o.Model, o.Adapter, time.Now().Add(e.AdapterTime)})
+	} else {
+		e.Held[o.Model] = append(adapters, o.Adapter)
+	}
+	n := len(e.transit)
 	for _, a := range e.Held {
 		n += len(a)
 	}
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -149,6 +149,8 @@
 	busyShares map[string]movingAverage
 	// prefetchedAt is the last decision that could prefetch, by service.
 	prefetchedAt map[string]time.Time
+	// sequencing is kept while another host plans: all engines count alike.
+	sequencing sequencing
 	// coldStartTimes are the starts of loads from the weight store within
 	// LoadWindow.
 	coldStartTimes []time.Time
@@ -189,6 +191,7 @@
 		slowdownSeen: make(map[string]bool),
 		busyShares:   make(map[string]movingAverage),
 		prefetchedAt: make(map[string]time.Time),
+		sequencing:   newSequencing(),
 	}
 }
 
@@ -351,7 +354,8 @@
 	if !r.Born.IsZero() {
 		e.born = r.Born
 	}
-	stale := e.reported && r.Sequence < e.sequence && now.Sub(e.lastOrderAt) < staleReportWindow
+	stale := now.Sub(e.lastOrderAt) < staleReportWindow &&
+		(e.reported && r.Sequence < e.sequence || r.Sequence < e.unansweredSequence || !e.executed.reflectedIn(r))
 	if now.Sub(e.lastOrderAt) < 2*reportLag || e.move != nil || e.pendingAdapterOrders > 0 || stale {
 		if !e.reported {
 			e.reportRequestedAt = now.Add(reportLag - reportInterval)
@@ -367,8 +371,36 @@
 		e.reported, e.reportRequestedAt = false, now.Add(busyReportDelay-reportInterval)
 		return
 	}
+	if r.Sequence < e.unansweredSequence && now.Sub(e.unansweredAt) <= lateOrderWindow {
+		// The sequence was assumed too high when the order was sent, so that the engine may
+		// reach it while the order is still under way.
+		c.cfg.Logger.Warn("unanswered order is ahead of the engine", "endpoint", e.id, "sequence", r.Sequence, "ordered", e.unansweredSequence)
+		e.unansweredSequence = 0
+		c.handleRestart(e, e.unansweredAt, now)
+		e.reported, e.reportRequestedAt = false, now.Add(busyReportDelay-reportInterval)
+		return
+	}
+	c.syncSequence(e, r)
+	resumed := !e.reported
 	e.sequence, e.reported = r.Sequence, true
 	e.merge(r, now)
+	if resumed {
+		c.Replan()
+	}
+}
+
+// syncSequence corrects by a report what is assumed of the sequences of engines.
+func (c *Controller) syncSequence(e *engine, r tamarackknot.EngineReport) {
+	x := &e.executed
+	if r.Sequence != e.sequence && x.known {
+		c.cfg.Logger.Info("engine counts other orders", "endpoint", e.id, "sequence", r.Sequence, "expected", e.sequence, "base", x.base,
+			"loads", x.count[adapterLoaded], "evictions", x.count[adapterEvicted], "drained", x.count[adapterDrained], "others", x.others)
+	}
+	if c.sequencing.observe(x, r, e.sequence) {
+		c.cfg.Logger.Info("sequences of engines assumed otherwise", "endpoint", e.id, "load", c.sequencing.steps[adapterLoaded],
+			"evict", c.sequencing.steps[adapterEvicted], "drain", c.sequencing.steps[adapterDrained], "spaced", c.sequencing.spaced())
+	}
+	e.executed = executedOrders{base: r.Sequence, known: true}
 }
 
 // handleRestart handles the restart of an engine. An unanswered order to the
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -97,8 +97,11 @@
 	// InMemory and OnDisk are the models with cached weights at the engine.
 	InMemory map[string]bool
 	OnDisk   map[string]bool
-	// Unavailable engines get no orders.
+	// Unavailable engines get no orders, and what they hold does not count.
 	Unavailable bool
+	// Unsettled engines get no orders for a moment: their next report is awaited. What they
+	// hold goes on serving requests.
+	Unsettled bool
 	// Limited engines take few requests: they name a limit. What they hold does not
 	// count as a replica, and nothing is loaded there unless all engines are limited.
 	Limited bool
@@ -359,7 +362,7 @@
 // would end, and its cost in penalty seconds, infinite if it is not possible.
 func (p *planState) evaluate(e *EngineState, model tamarackknot.HostedModel, state ModelState) (Move, time.Time, float64) {
 	infeasible := math.Inf(1)
-	if e.Unavailable || p.avoids(e) || e.holds(model.Name) || e.Loading == model.Name {
+	if e.Unavailable || e.Unsettled || p.avoids(e) || e.holds(model.Name) || e.Loading == model.Name {
 		return Move{}, time.Time{}, infeasible
 	}
 	tier := e.tier(model.Name)
@@ -566,7 +569,7 @@
 	var out []freeDisk
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		if e.Unavailable || !e.FreeAt.IsZero() {
+		if e.Unavailable || e.Unsettled || !e.FreeAt.IsZero() {
 			continue
 		}
 		free := p.Spec.DiskMB
--- a/planner/decide_test.go
+++ b/planner/decide_test.go
@@ -71,6 +71,13 @@
 			models: map[string]ModelState{"m06": waiting(4), "m03": idle, "m04": idle, "m05": idle},
 			moves:  []Move{{Engine: "b", Model: "m06", Tier: tamarackknot.TierDisk, Evict: []string{"m03"}}},
 		},
+		"a model on an engine whose next report is awaited is not loaded elsewhere": {
+			engines: []EngineState{
+				{ID: "a", Held: held("m06"), OnDisk: onDisk("m06"), Unsettled: true},
+				{ID: "b", Held: held("m03"), OnDisk: onDisk("m03", "m06")},
+			},
+			models: map[string]ModelState{"m06": waiting(4)},
+		},
 		"a model whose only replica is on a limited engine is loaded elsewhere": {
 			engines: []EngineState{
 				{ID: "a", Held: held("m06"), OnDisk: onDisk("m06"), Limited: true},
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"tamarackknot.example/tamarackknot"
@@ -17,7 +16,7 @@
 type modelAdapter struct{ model, adapter string }
 
 // engine is the planner's state of one model engine, guarded by the
-// Controller's mu except for orderMu and the fields that do not change.
+// Controller's mu except for ordering and the fields that do not change.
 type engine struct {
 	// id, address and service do not change.
 	id      string
@@ -27,14 +26,15 @@
 	// saysItLeaves is set when its answers say that it leaves, whatever the entry says.
 	saysItLeaves bool
 	spec         *tamarackknot.EngineSpec
-	// orderMu serialises the orders to the engine, so that each carries the
-	// sequence that follows the previous one.
-	orderMu sync.Mutex
+	// ordering has one element while an order is sent, so that each carries the sequence that
+	// follows the previous one.
+	ordering chan struct{}
 
 	contentsKnown     bool // its contents are known, if only from its endpoint entry
 	reported          bool // has a report that orders may be based on
 	born              time.Time
-	sequence          int64
+	sequence          int64 // that the next order carries
+	executed          executedOrders
 	held              map[string]*heldModel
 	inMemory          []string // least recently used first
 	inMemorySet       map[string]bool
@@ -53,6 +53,10 @@
 	// lowest fencing token that the next order may carry.
 	unansweredAt time.Time
 	minFence     int64
+	// unansweredSequence is the highest sequence that an unanswered order carried.
+	unansweredSequence int64
+	// adapterOrderedAt is when the engine last accepted the load of an adapter.
+	adapterOrderedAt time.Time
 	// pendingAdapterOrders counts the adapter loads under way. Reports do not
 	// show their slots yet.
 	pendingAdapterOrders int
@@ -73,7 +77,7 @@
 }
 
 func newEngine(entry tamarackknot.EndpointEntry) *engine {
-	e := &engine{id: entry.ID, address: entry.Address, service: entry.Service, entry: entry, born: entry.Born, running: make(map[modelAdapter]int)}
+	e := &engine{id: entry.ID, address: entry.Address, service: entry.Service, entry: entry, born: entry.Born, running: make(map[modelAdapter]int), ordering: make(chan struct{}, 1)}
 	e.reset()
 	if entry.Engine != nil {
 		e.merge(*entry.Engine, time.Now())
@@ -87,6 +91,7 @@
 	e.setInMemory(nil)
 	e.onDisk = make(map[string]bool)
 	e.reported = false
+	e.executed, e.unansweredSequence = executedOrders{}, 0
 }
 
 // merge updates the contents of the engine from a report.
@@ -182,11 +187,15 @@
 	return named && born.UnixMilli() == e.entry.Born.UnixMilli()
 }
 
-// updateLoad updates the average number of requests at the engine.
+// updateLoad updates the average number of requests at the engine, and when its adapters were
+// last used.
 func (e *engine) updateLoad(now time.Time) {
 	n := 0
-	for _, k := range e.running {
-		n += k
+	for k, running := range e.running {
+		n += running
+		if h := e.held[k.model]; running > 0 && h != nil && h.adapters[k.adapter] != nil {
+			h.adapters[k.adapter].usedAt = now
+		}
 	}
 	weight := min(now.Sub(e.load.at).Seconds()/loadTimeConstant.Seconds(), 1)
 	e.load = movingAverage{value: e.load.value*(1-weight) + float64(n)*weight, at: now}
@@ -196,7 +205,8 @@
 func (e *engine) state(now time.Time) EngineState {
 	s := EngineState{
 		ID: e.id, InMemory: e.inMemorySet, OnDisk: e.onDisk, ColdLoads: e.coldLoads, Load: e.load.value,
-		Unavailable: e.draining() || !e.reported || e.missedReports >= maxMissedReports || now.Before(e.pausedUntil),
+		Unavailable: e.draining() || e.missedReports >= maxMissedReports || !e.contentsKnown,
+		Unsettled:   !e.reported || now.Before(e.pausedUntil),
 	}
 	if e.move != nil {
 		s.Loading, s.FreeAt = e.move.Model, e.freeAt
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -252,9 +252,19 @@
 // sequence: the engine executes only the one that arrives first. After any
 // other failure the engine must report again.
 func (c *Controller) order(ctx context.Context, e *engine, o tamarackknot.WeightOrder) tamarackknot.WeightOutcome {
-	e.orderMu.Lock()
-	defer e.orderMu.Unlock()
+	select {
+	case e.ordering <- struct{}{}:
+		defer func() { <-e.ordering }()
+	case <-ctx.Done():
+		return tamarackknot.WeightUnknown
+	}
 	outcome := tamarackknot.WeightUnknown
+	c.mu.Lock()
+	pause := c.sequencing.untilLoaded(e.adapterOrderedAt, time.Now())
+	c.mu.Unlock()
+	if !wait.For(ctx, pause) {
+		return outcome
+	}
 	unanswered, busy := 0, 0
 	for unanswered < maxOrderAttempts {
 		fence, ended, ok := c.cfg.Lease.BeginOrder()
@@ -265,8 +275,10 @@
 		// After a restart the engine has a new entry in c.engines.
 		ok = c.engines[e.id] == e && e.reported && fence >= e.minFence
 		o.Sequence, o.Owner, o.Fence, o.Endpoint = e.sequence, c.cfg.Host, fence, e.id
-		address := e.address
-		e.lastOrderAt = time.Now()
+		address, previousAt := e.address, e.lastOrderAt
+		if ok {
+			e.lastOrderAt = time.Now()
+		}
 		c.mu.Unlock()
 		if !ok {
 			ended()
@@ -276,16 +288,7 @@
 		ended()
 		c.cfg.Logger.Debug("order", "endpoint", o.Endpoint, "kind", o.Kind, "model", o.Model, "adapter", o.Adapter,
 			"sequence", o.Sequence, "fence", fence, "outcome", outcome)
-		c.mu.Lock()
-		e.lastOrderAt = time.Now()
-		if advancesSequence(o, outcome) {
-			e.sequence++
-		}
-		if outcome == tamarackknot.WeightUnknown {
-			e.unansweredAt = e.lastOrderAt
-		}
-		evicting := e.move != nil
-		c.mu.Unlock()
+		evicting := c.recordOrder(e, o, outcome, previousAt)
 		switch {
 		case outcome == tamarackknot.WeightUnknown && ctx.Err() == nil:
 			unanswered++
@@ -305,18 +308,30 @@
 		c.mu.Lock()
 		e.reported, e.reportRequestedAt = false, time.Time{}
 		c.mu.Unlock()
+		c.Replan()
 		c.cfg.Logger.Warn("order failed", "endpoint", e.id, "kind", o.Kind, "model", o.Model, "adapter", o.Adapter, "outcome", outcome)
 	}
 	return outcome
 }
 
-// advancesSequence reports whether the engine counts the order in its sequence.
-func advancesSequence(o tamarackknot.WeightOrder, outcome tamarackknot.WeightOutcome) bool {
-	if outcome == tamarackknot.WeightAccepted {
-		return true
-	}
-	// An idle adapter is evicted at once, which is answered with WeightHolds.
-	return outcome == tamarackknot.WeightHolds && o.Kind == tamarackknot.WeightEvict && o.Adapter != ""
+// recordOrder records the outcome of an order; the one before was sent at previousAt. It
+// reports whether a move is under way.
+func (c *Controller) recordOrder(e *engine, o tamarackknot.WeightOrder, outcome tamarackknot.WeightOutcome, previousAt time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.lastOrderAt = time.Now()
+	e.sequence += c.sequencing.step(o, outcome)
+	e.executed.record(o, outcome)
+	switch {
+	case outcome == tamarackknot.WeightUnknown:
+		e.unansweredAt, e.unansweredSequence = e.lastOrderAt, max(e.unansweredSequence, o.Sequence)
+	case outcome == tamarackknot.WeightConflict:
+		// A refused order has changed nothing that a report could miss.
+		e.lastOrderAt = previousAt
+	case o.Adapter != "" && o.Kind == tamarackknot.WeightLoad:
+		e.adapterOrderedAt = e.lastOrderAt
+	}
+	return e.move != nil
 }
 
 // planAdapters starts the loads of adapters that requests wait for. The caller
@@ -350,10 +365,11 @@
 		if e.service != key.service || h == nil || h.evicting {
 			continue
 		}
-		if h.adapters[adapter] != nil {
+		if a := h.adapters[adapter]; a != nil {
+			a.usedAt = now
 			return nil, adapterVictim{}, false
 		}
-		if e.draining() || !e.reported || e.move != nil || e.missedReports >= maxMissedReports || e.pendingAdapters(now) >= maxPendingAdapters {
+		if e.draining() || !e.reported || e.move != nil || now.Before(e.pausedUntil) || e.missedReports >= maxMissedReports || e.pendingAdapters(now) >= maxPendingAdapters {
 			continue
 		}
 		victim, ok := e.findAdapterSlot(spec, now)
@@ -398,9 +414,6 @@
 	var oldest time.Time
 	for model, h := range e.held {
 		for name, a := range h.adapters {
-			if e.running[modelAdapter{model, name}] > 0 {
-				a.usedAt = now
-			}
 			if a.evicting || now.Before(a.usableAt) || now.Sub(a.usedAt) < minResidentTime {
 				continue
 			}
@@ -440,6 +453,7 @@
 			})
 		}
 	}
+	evicted := ok && evict.adapter != ""
 	if ok {
 		ok = succeeded(c.order(ctx, e, tamarackknot.WeightOrder{Kind: tamarackknot.WeightLoad, Model: model, Adapter: adapter}))
 	}
@@ -449,7 +463,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if h := e.held[evict.model]; h != nil && evict.adapter != "" {
-		if ok {
+		if evicted {
+			// Also if the other one is not loaded: requests for it would be declined.
 			delete(h.adapters, evict.adapter)
 		} else if a := h.adapters[evict.adapter]; a != nil {
 			a.evicting = false
@@ -461,6 +476,7 @@
 	}
 	if !ok {
 		delete(h.adapters, adapter)
+		c.Replan()
 		return
 	}
 	now := time.Now()
