Leave aside reports that do not explain a refused order yet

Since a refused order no longer delays the next report, an engine that refuses for a reason of its own, or whose reports are older than the cause, could be sent the same order at each decision. A report that shows the sequence which the engine has just refused is now left aside for 240 ms, as all were before; one with another sequence counts at once (TestReportAfterRefusal).

--- a/planner/adapters_test.go
+++ b/planner/adapters_test.go
@@ -137,3 +137,33 @@
 		})
 	}
 }
+
+// TestReportAfterRefusal guards against an engine that gets no orders for long because it refused
+// one, and against orders that it refuses again and again while its reports are older than the
+// cause.
+func TestReportAfterRefusal(t *testing.T) {
+	for name, tt := range map[string]struct {
+		sequence int64
+		resumes  time.Duration
+	}{
+		"a report with another sequence": {sequence: 9},
+		"one with the same":              {sequence: 7, resumes: 2 * reportLag},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 1)
+				c := New(Config{Lease: h, Control: h.weights, Logger: log.New(io.Discard), Publish: func(tamarackknot.FleetView) {}})
+				e := newEngine(h.entries["e0"])
+				e.spec, c.engines["e0"], e.reported, e.sequence = h.spec, e, true, 7
+				started := time.Now()
+				order := tamarackknot.WeightOrder{Kind: tamarackknot.WeightLoad, Model: "m00", Adapter: "a1"}
+				require.Equal(t, tamarackknot.WeightConflict, c.order(t.Context(), e, order))
+				for !e.reported {
+					c.applyReport(e, tamarackknot.EngineReport{Born: e.born, Sequence: tt.sequence, Held: []tamarackknot.HeldModel{{Name: "m00"}}})
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.InDelta(t, tt.resumes, time.Since(started), float64(20*time.Millisecond))
+			})
+		})
+	}
+}
--- a/planner/controller.go
+++ b/planner/controller.go
@@ -355,7 +355,8 @@
 		e.born = r.Born
 	}
 	stale := now.Sub(e.lastOrderAt) < staleReportWindow &&
-		(e.reported && r.Sequence < e.sequence || r.Sequence < e.unansweredSequence || !e.executed.reflectedIn(r))
+		(e.reported && r.Sequence < e.sequence || r.Sequence < e.unansweredSequence || !e.executed.reflectedIn(r)) ||
+		now.Sub(e.refusedAt) < 2*reportLag && r.Sequence == e.refusedSequence
 	if now.Sub(e.lastOrderAt) < 2*reportLag || e.move != nil || e.pendingAdapterOrders > 0 || stale {
 		if !e.reported {
 			e.reportRequestedAt = now.Add(reportLag - reportInterval)
--- a/planner/engine.go
+++ b/planner/engine.go
@@ -55,6 +55,10 @@
 	minFence     int64
 	// unansweredSequence is the highest sequence that an unanswered order carried.
 	unansweredSequence int64
+	// refusedAt is when the engine last refused an order, refusedSequence what the order
+	// carried. A report of that sequence does not say yet why.
+	refusedAt       time.Time
+	refusedSequence int64
 	// adapterOrderedAt is when the engine last accepted the load of an adapter.
 	adapterOrderedAt time.Time
 	// pendingAdapterOrders counts the adapter loads under way. Reports do not
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -327,6 +327,7 @@
 		e.unansweredAt, e.unansweredSequence = e.lastOrderAt, max(e.unansweredSequence, o.Sequence)
 	case outcome == tamarackknot.WeightConflict:
 		// A refused order has changed nothing that a report could miss.
+		e.refusedAt, e.refusedSequence = e.lastOrderAt, o.Sequence
 		e.lastOrderAt = previousAt
 	case o.Adapter != "" && o.Kind == tamarackknot.WeightLoad:
 		e.adapterOrderedAt = e.lastOrderAt
