Take adapters out of the comparison when their model is evicted

A report was left aside for up to 2 s after a move, since it did not show the adapters of the evicted model that had been loaded before (TestReportAfterModelEviction).

--- a/planner/adapters_test.go
+++ b/planner/adapters_test.go
@@ -167,3 +167,13 @@
 		})
 	}
 }
+
+// TestReportAfterModelEviction guards against reports that are left aside because they don't show
+// an adapter whose model has been evicted since.
+func TestReportAfterModelEviction(t *testing.T) {
+	var x executedOrders
+	x.record(tamarackknot.WeightOrder{Kind: tamarackknot.WeightLoad, Model: "m", Adapter: "a"}, tamarackknot.WeightAccepted)
+	require.False(t, x.reflectedIn(tamarackknot.EngineReport{}))
+	x.record(tamarackknot.WeightOrder{Kind: tamarackknot.WeightEvict, Model: "m"}, tamarackknot.WeightAccepted)
+	require.True(t, x.reflectedIn(tamarackknot.EngineReport{}))
+}
--- a/planner/sequence.go
+++ b/planner/sequence.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -108,6 +109,10 @@
 		x.refused = x.refused || o.Adapter != ""
 	case outcome != tamarackknot.WeightHolds:
 		x.others = true
+		if o.Kind == tamarackknot.WeightEvict && o.Adapter == "" {
+			// Its adapters go with it.
+			maps.DeleteFunc(x.loaded, func(k modelAdapter, _ bool) bool { return k.model == o.Model })
+		}
 	}
 }
 
