--- a/fake/weights.go
+++ b/fake/weights.go
@@ -311,6 +311,10 @@
 		}
 		return tamarackknot.WeightHolds
 	}
+	loads := func(l adapterLoad) bool { return l.model == o.Model && l.adapter == o.Adapter }
+	if e.AdapterTime > 0 && (len(adapters) < len(e.Held[o.Model]) || slices.ContainsFunc(e.transit, loads)) {
+		return tamarackknot.WeightHolds
+	}
 	if !e.Counting.NotLoadStart {
 		e.sequence++
 	}
--- a/planner/adapters_test.go
+++ b/planner/adapters_test.go
@@ -52,12 +52,9 @@
 	return total / time.Duration(max(n, 1))
 }
 
-// TestAdapterOrders guards against orders for adapters that engines refuse because the planner
-// assumes another sequence than they count, and against requests that therefore wait for
-// adapters, or cause loads of models that engines hold already.
-func TestAdapterOrders(t *testing.T) {
-	const engines = 2
-	for name, counting := range map[string]fake.AdapterCounting{
+// countings are the ways in which engines may count orders for adapters.
+func countings() map[string]fake.AdapterCounting {
+	return map[string]fake.AdapterCounting{
 		"as assumed":                                    {},
 		"idle evictions don't count":                    {NotEvict: true},
 		"evictions count twice":                         {EvictTwice: true},
@@ -66,15 +63,28 @@
 		"loads count at the end, evictions don't":       {LoadEnd: true, NotLoadStart: true, NotEvict: true},
 		"loads count twice, idle evictions don't":       {LoadEnd: true, NotEvict: true},
 		"loads count at the end, evictions count twice": {LoadEnd: true, NotLoadStart: true, EvictTwice: true},
-	} {
+	}
+}
+
+// count makes the engines count orders for adapters in a way, and take time to load them.
+func (h *harness) count(counting fake.AdapterCounting) {
+	for id := range h.entries {
+		h.weights.Configure(id, func(e *fake.WeightEngine) { e.Counting, e.AdapterTime = counting, 20*time.Millisecond })
+	}
+}
+
+// TestAdapterOrders guards against orders for adapters that engines refuse because the planner
+// assumes another sequence than they count, and against requests that therefore wait for
+// adapters, or cause loads of models that engines hold already.
+func TestAdapterOrders(t *testing.T) {
+	const engines = 2
+	for name, counting := range countings() {
 		for _, lag := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%s, reports %v old", name, lag), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					h := newHarness(t, engines)
 					h.weights.Lag = lag
-					for id := range h.entries {
-						h.weights.Configure(id, func(e *fake.WeightEngine) { e.Counting, e.AdapterTime = counting, 20*time.Millisecond })
-					}
+					h.count(counting)
 					_, stop := h.start()
 					defer stop()
 					time.Sleep(time.Second)
@@ -100,6 +110,34 @@
 	}
 }
 
+// TestLateAdapterOrders guards against more adapters than an engine has places for, because orders
+// are executed late by engines that count otherwise than assumed.
+func TestLateAdapterOrders(t *testing.T) {
+	for name, counting := range countings() {
+		t.Run(name, func(t *testing.T) {
+			for seed := range 8 {
+				synctest.Test(t, func(t *testing.T) {
+					h := newHarness(t, 2)
+					h.count(counting)
+					_, stop := h.start()
+					defer stop()
+					rnd := rand.New(rand.NewPCG(uint64(seed), 0))
+					for i := range 40 {
+						if i%3 == 0 {
+							h.weights.DelayOrders(rnd.IntN(5), time.Duration(1+rnd.IntN(6))*time.Second)
+						}
+						adapter := func() string { return fmt.Sprintf("a%d", rnd.IntN(12)) }
+						h.setDemand(waitingDemand(fmt.Sprintf("m%02d", rnd.IntN(6)), adapter(), adapter()), waitingDemand(fmt.Sprintf("m%02d", rnd.IntN(8)), adapter()))
+						time.Sleep(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
+					}
+					time.Sleep(10 * time.Second)
+					require.Zero(t, h.crashes(), "seed %d", seed)
+				})
+			}
+		})
+	}
+}
+
 // TestUnansweredAhead guards against an unanswered order that an engine executes late, because
 // later orders bring its sequence up to one that was assumed too high.
 func TestUnansweredAhead(t *testing.T) {
