Keep the place of an adapter whose load got no answer

Cause: an engine that counts a load of an adapter at its end may execute a late order with the same sequence while the next one is loading, and the planner had given the place of the one without an answer to the next.

Change: the place is kept until a report shows a higher sequence than that of the order, or the order has expired. The adapter may be ordered again meanwhile, also elsewhere.

TestAdapterOrders is unchanged.

--- a/planner/engine.go
+++ b/planner/engine.go
@@ -78,6 +78,22 @@
 	usableAt time.Time
 	usedAt   time.Time
 	evicting bool
+	// lateUntil is until when the load, which got no answer, may still be executed if the
+	// engine's sequence does not exceed lateSequence; zero for others.
+	lateUntil    time.Time
+	lateSequence int64
+}
+
+// unanswered reports whether only a slot is kept, for a load that got no answer.
+func (a *heldAdapter) unanswered(now time.Time) bool {
+	return a.usableAt.Sub(now) > orderTimeoutMargin
+}
+
+// isLate reports whether the load may still be executed by an engine with a sequence. Its slot
+// is kept free until then: an engine that counts a load at its end may execute two orders with
+// one sequence.
+func (a *heldAdapter) isLate(sequence int64, now time.Time) bool {
+	return now.Before(a.lateUntil) && sequence <= a.lateSequence
 }
 
 func newEngine(entry tamarackknot.EndpointEntry) *engine {
@@ -113,11 +129,11 @@
 			if h.adapters[a] == nil {
 				h.adapters[a] = &heldAdapter{usableAt: now, usedAt: now}
 			} else if now.Before(h.adapters[a].usableAt) {
-				h.adapters[a].usableAt = now
+				h.adapters[a].usableAt, h.adapters[a].lateUntil = now, time.Time{}
 			}
 		}
-		for a := range h.adapters {
-			if !slices.Contains(m.Adapters, a) && !slices.Contains(r.Pending, m.Name+"/"+a) {
+		for a, held := range h.adapters {
+			if !held.isLate(r.Sequence, now) && !slices.Contains(m.Adapters, a) && !slices.Contains(r.Pending, m.Name+"/"+a) {
 				delete(h.adapters, a)
 			}
 		}
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -325,6 +325,7 @@
 	switch {
 	case outcome == tamarackknot.WeightUnknown:
 		e.unansweredAt, e.unansweredSequence = e.lastOrderAt, max(e.unansweredSequence, o.Sequence)
+		e.keepSlot(o)
 	case outcome == tamarackknot.WeightConflict:
 		// A refused order has changed nothing that a report could miss.
 		e.refusedAt, e.refusedSequence = e.lastOrderAt, o.Sequence
@@ -335,6 +336,16 @@
 	return e.move != nil
 }
 
+// keepSlot keeps the slot of an adapter whose load got no answer.
+func (e *engine) keepSlot(o tamarackknot.WeightOrder) {
+	h := e.held[o.Model]
+	if o.Kind != tamarackknot.WeightLoad || o.Adapter == "" || h == nil || h.adapters[o.Adapter] == nil {
+		return
+	}
+	a := h.adapters[o.Adapter]
+	a.lateUntil, a.lateSequence = e.lastOrderAt.Add(lateOrderWindow), max(a.lateSequence, o.Sequence)
+}
+
 // planAdapters starts the loads of adapters that requests wait for. The caller
 // must hold mu.
 func (c *Controller) planAdapters(ctx context.Context, service string, spec *tamarackknot.EngineSpec, now time.Time) {
@@ -366,7 +377,7 @@
 		if e.service != key.service || h == nil || h.evicting {
 			continue
 		}
-		if a := h.adapters[adapter]; a != nil {
+		if a := h.adapters[adapter]; a != nil && !a.unanswered(now) {
 			a.usedAt = now
 			return nil, adapterVictim{}, false
 		}
@@ -397,7 +408,7 @@
 	n := 0
 	for _, h := range e.held {
 		for _, a := range h.adapters {
-			if now.Before(a.usableAt) {
+			if now.Before(a.usableAt) && !a.unanswered(now) {
 				n++
 			}
 		}
@@ -431,8 +442,13 @@
 	if evict.adapter != "" {
 		e.held[evict.model].adapters[evict.adapter].evicting = true
 	}
-	// The slot is reserved now and becomes usable when the load completes.
-	e.held[model].adapters[adapter] = &heldAdapter{usableAt: now.Add(orderTimeoutMargin), usedAt: now}
+	// The slot is reserved now and becomes usable when the load completes. An earlier load
+	// that got no answer is of the same adapter and takes the same slot.
+	a := &heldAdapter{usableAt: now.Add(orderTimeoutMargin), usedAt: now}
+	if late := e.held[model].adapters[adapter]; late != nil {
+		a.lateUntil, a.lateSequence = late.lateUntil, late.lateSequence
+	}
+	e.held[model].adapters[adapter] = a
 	e.pendingAdapterOrders++
 	c.wg.Go(func() { c.runAdapterLoad(ctx, e, model, adapter, evict) })
 }
@@ -476,7 +492,11 @@
 		return
 	}
 	if !ok {
-		delete(h.adapters, adapter)
+		if a := h.adapters[adapter]; a != nil && time.Now().Before(a.lateUntil) {
+			a.usableAt = a.lateUntil.Add(lateOrderWindow) // unless a report shows it before
+		} else {
+			delete(h.adapters, adapter)
+		}
 		c.Replan()
 		return
 	}
