Promise refused callers a time at which there is room for them

Cause: a refusal named a time that did not depend on the room there. All callers of a full service were told 400 ms, whatever the queue; those of a model without a forecast 1.5 s, whether it is held or takes 10 to 20 s to load; those of a forecast the same moment, also where it lies beyond the third of their time for which callers honour it. The planner gave up a load whose waiting requests had all been refused. A caller that came back went to the end of the queue. And requests that had waited for a load were refused at the moment it ended if the slots of the engine were taken by others that had waited, since the forecast was gone and its time counted as time without one.

Change: a time is promised as long as half of this host's slots can serve those who were promised one before, within a third of the caller's time, spread over 200 ms. A caller that can't come back in time gets none; one that can wait the rest at the host is told the latest moment. Demand for the model is reported until then. The host recognises by content or last prompt part whom it told (4,096 at most, until their deadline, once, not before the time), and serves them first among those of the same priority that are not late. The time without a forecast counts from the last one. Callers whose time is not known (tests, no deadline) get the times as before.

Not changed: what an endpoint asks for as a pause, but for the spread and the limit to usable times; refusals of a host that leaves. Weighed and left out: telling other hosts whom this one refused (a message for each refusal).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,10 +20,11 @@
 	// no longer be served.
 	recheckInterval = 20 * time.Millisecond
 	// unknownForecastWaitFraction is the fraction of its timeout for which a
-	// request waits while there is no forecast of when its model is loaded.
+	// request waits while there is no forecast of when its model is loaded, or after
+	// there was one.
 	unknownForecastWaitFraction = 0.35
-	// modelRetryDelay is the minimum retry delay of a caller that is refused because
-	// its model is not available: enough for one load from disk.
+	// modelRetryDelay is the minimum retry delay of a caller whose model is not available,
+	// while there is no forecast: enough for one load from disk.
 	modelRetryDelay = 1500 * time.Millisecond
 	// fullRetryDelay is the retry delay of a caller that is refused because all
 	// endpoints are full.
@@ -66,6 +67,10 @@
 	Content tamarackknot.ContentID
 	// Exclude lists the ids of endpoints that must not get the request.
 	Exclude []string
+	// foreseenAt is when there was last a forecast of when the model is loaded.
+	foreseenAt time.Time
+	// returned says that the caller was refused by this host and told to come back now.
+	returned bool
 	// Pinned means that only endpoints of Version may get the request: it goes on with
 	// a stream that one of them began.
 	Pinned  bool
@@ -162,9 +167,14 @@
 	byService map[string][]*endpoint
 	// holders are the endpoints of byService that have a model loaded, in the same order;
 	// nil if it must be derived again.
-	holders   map[target][]*endpoint
-	waiting   []*waiter
-	refused   []refusedDemand
+	holders map[target][]*endpoint
+	waiting []*waiter
+	refused []refusedDemand
+	// returns are the refused callers that were told when to come back, booked the time after
+	// the last one that was promised for each target.
+	returns   map[returnID]expectedReturn
+	booked    map[target]time.Time
+	prunedAt  time.Time
 	forecasts map[target]time.Time
 	history   map[target]*requestHistory
 	slotTimes map[target]time.Duration // how long requests take a slot, on average
@@ -215,6 +225,8 @@
 		cfg:       cfg,
 		endpoints: make(map[string]*endpoint),
 		byService: make(map[string][]*endpoint),
+		returns:   make(map[returnID]expectedReturn),
+		booked:    make(map[target]time.Time),
 		forecasts: make(map[target]time.Time),
 		history:   make(map[target]*requestHistory),
 		slotTimes: make(map[target]time.Duration),
@@ -257,6 +269,7 @@
 		d.mu.Unlock()
 		return nil, r
 	}
+	req.returned = req.returned || d.returned(req, now)
 	tight := d.recordRequest(req, now)
 	g, lack := d.tryGrant(req, now)
 	if g != nil {
@@ -386,23 +399,34 @@
 	}
 }
 
-// recordRefused keeps the demand of a refused request that a load of its model would serve.
-// d.mu is held.
+// recordRefused keeps the demand of a refused request that a load of its model would serve,
+// until its caller comes back if it was told when, and expects that return. Without the demand
+// the planner would not go on with the load that the caller is to come back for. d.mu is held.
 func (d *Dispatcher) recordRefused(w *waiter, r *Refusal, now time.Time) {
 	d.pruneRefused(now)
-	if r.wanted {
-		d.refused = append(d.refused, refusedDemand{w, now.Add(refusedDemandTime)})
-		d.changed[target{w.req.Service, w.req.Model}] = true
+	d.expectReturn(w.req, r)
+	d.logRefusal(w.req, r, now)
+	if !r.wanted || len(d.refused) >= maxReturns {
+		return
 	}
+	d.refused = append(d.refused, demandOfReturn(w, r, now))
+	d.changed[target{w.req.Service, w.req.Model}] = true
 }
 
-// pruneRefused forgets the demand that is no longer reported. d.mu is held.
+// pruneRefused forgets the demand that is no longer reported, and the returns that are over.
+// d.mu is held.
 func (d *Dispatcher) pruneRefused(now time.Time) {
-	n := 0
-	for ; n < len(d.refused) && !now.Before(d.refused[n].until); n++ {
-		d.changed[target{d.refused[n].req.Service, d.refused[n].req.Model}] = true
+	d.refused = slices.DeleteFunc(d.refused, func(r refusedDemand) bool {
+		if now.Before(r.until) {
+			return false
+		}
+		d.changed[target{r.req.Service, r.req.Model}] = true
+		return true
+	})
+	if now.Sub(d.prunedAt) >= refusedDemandTime {
+		d.prunedAt = now
+		d.pruneReturns(now)
 	}
-	d.refused = slices.Delete(d.refused, 0, n)
 }
 
 // turnedAway returns a refusal if the request must not be sent from this host, whatever
@@ -433,13 +457,13 @@
 		return d.shutdown.refusal(now)
 	}
 	if d.cfg.Isolated != nil && d.cfg.Isolated() {
-		return &Refusal{Reason: "this host reaches no endpoint", RetryAt: now.Add(fullRetryDelay)}
+		return &Refusal{Reason: "this host reaches no endpoint", RetryAt: d.retryAt(req, now.Add(fullRetryDelay), now)}
 	}
 	if remaining := req.Deadline.Sub(now); remaining < minServiceTime {
 		return &Refusal{Reason: "no time is left"}
 	}
 	if at := d.pausedUntil(req.Service, "", now); at.After(req.Objective) {
-		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: at}
+		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: d.retryAt(req, at, now)}
 	}
 	if req.Pinned && !d.canContinue(req) {
 		return &Refusal{Reason: "no other endpoint of the stream's version is in service"}
@@ -454,19 +478,44 @@
 	ready, known := d.forecasts[target{req.Service, req.Model}]
 	known = known && d.cfg.PlannerViewCurrent()
 	if at := d.pausedUntil(req.Service, req.Model, now); at.Add(minServiceTime).After(req.Deadline) && (!known || ready.After(at)) {
-		return &Refusal{Reason: "all endpoints with the model have asked for a pause", RetryAt: at, wanted: true}
+		return &Refusal{Reason: "all endpoints with the model have asked for a pause", RetryAt: d.retryAt(req, at, now), wanted: true}
 	}
 	if known {
+		req.foreseenAt = now
 		if ready.Add(minServiceTime).After(req.Deadline) {
-			return &Refusal{Reason: "the model will not be held in time", RetryAt: times.Later(ready, now.Add(modelRetryDelay))}
+			at := d.retryAt(req, ready, now)
+			return &Refusal{Reason: "the model will not be held in time", RetryAt: at, wanted: !at.IsZero() && !req.AnsweredBy.IsZero()}
 		}
 		return nil
 	}
+	// A forecast ends when the model has been loaded: a slot is awaited from then on.
 	timeout := req.Deadline.Sub(req.Arrived)
-	if now.Sub(req.Arrived) > time.Duration(unknownForecastWaitFraction*float64(timeout)) {
-		return &Refusal{Reason: "no endpoint that holds the model is free", RetryAt: now.Add(modelRetryDelay)}
+	if now.Sub(times.Later(req.Arrived, req.foreseenAt)) <= time.Duration(unknownForecastWaitFraction*float64(timeout)) {
+		return nil
 	}
-	return nil
+	return d.unforeseen(req, now)
+}
+
+// unforeseen returns a refusal of a request that has waited long while there is no forecast
+// of when its model is loaded, unless it came back for a slot that it gets in time.
+func (d *Dispatcher) unforeseen(req *Request, now time.Time) *Refusal {
+	r := &Refusal{Reason: "no endpoint that holds the model is free"}
+	wait, held := d.slotWait(req, now)
+	switch {
+	case !d.cfg.PlannerViewCurrent():
+		// Other hosts may hear the planner.
+		r.RetryAt = d.retryAt(req, now.Add(fullRetryDelay), now)
+	case held && req.returned && now.Add(wait+minServiceTime).Before(req.Deadline):
+		return nil
+	case held:
+		r.RetryAt = d.retryAt(req, now.Add(wait), now)
+	case len(d.candidates(req.Service, req.Model)) > 0:
+		r.RetryAt = d.retryAt(req, now.Add(modelRetryDelay), now)
+	default:
+		r.RetryAt = d.retryAt(req, d.loadedBy(req, now), now)
+		r.wanted = !r.RetryAt.IsZero() && !req.AnsweredBy.IsZero()
+	}
+	return r
 }
 
 // pausedUntil returns when the first endpoint of a service that has a model loaded, or of
@@ -525,7 +574,7 @@
 // service has passed and it is not expected to get a slot in time.
 func (d *Dispatcher) unmeetablePlain(req *Request, now time.Time) *Refusal {
 	if now.After(req.Objective) && !d.slotInTime(req, now) {
-		return &Refusal{Reason: "all endpoints are full", RetryAt: now.Add(fullRetryDelay)}
+		return &Refusal{Reason: "all endpoints are full", RetryAt: d.retryAt(req, now.Add(fullRetryDelay), now)}
 	}
 	return nil
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -13,10 +13,25 @@
 // which are short, the ones that can still meet their objective come first: otherwise a queue
 // that is longer than the objective makes all of them late.
 func orderWaiting(waiting []*waiter, now time.Time) {
-	slices.SortStableFunc(waiting, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.req.WorkspacePriority, b.req.WorkspacePriority), cmp.Compare(a.req.Priority, b.req.Priority),
-			cmp.Compare(a.req.lateness(now), b.req.lateness(now)), a.req.Objective.Compare(b.req.Objective))
-	})
+	slices.SortStableFunc(waiting, func(a, b *waiter) int { return compareWaiting(a.req, b.req, now) })
+}
+
+// compareWaiting is negative if request a goes before b, zero if the one that came first does.
+// Of those of the same priority that are not late, callers that have come back go first.
+func compareWaiting(a, b *Request, now time.Time) int {
+	return cmp.Or(cmp.Compare(a.WorkspacePriority, b.WorkspacePriority), cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.lateness(now), b.lateness(now)), compareReturned(a, b), a.Objective.Compare(b.Objective))
+}
+
+func compareReturned(a, b *Request) int {
+	switch {
+	case a.returned == b.returned:
+		return 0
+	case a.returned:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // lateness is 1 from the objective of a request to a plain service on, 0 before.
@@ -39,10 +54,34 @@
 // can run it, and to be answered by its deadline, after those of the same target that wait. It
 // is false while that is not known. d.mu is held.
 func (d *Dispatcher) slotInTime(req *Request, now time.Time) bool {
+	wait, known := d.slotWait(req, now)
+	return known && now.Add(wait+minServiceTime).Before(req.Deadline)
+}
+
+// slotWait returns how long a request is expected to wait for a slot at one of the endpoints
+// that can run it, after those of the same target that go before it; ok is false while that
+// is not known. d.mu is held.
+func (d *Dispatcher) slotWait(req *Request, now time.Time) (wait time.Duration, ok bool) {
 	took, known := d.slotTimes[target{req.Service, req.Model}]
 	if !known {
-		return false
+		return 0, false
+	}
+	slots := d.ownSlots(req, now)
+	if slots == 0 {
+		return 0, false
+	}
+	ahead := 0
+	for _, w := range d.waiting {
+		if w.req != req && w.req.Service == req.Service && w.req.Model == req.Model && compareWaiting(w.req, req, now) <= 0 {
+			ahead++
+		}
 	}
+	return time.Duration(float64(ahead+1) / slots * float64(took)), true
+}
+
+// ownSlots returns this host's part of the slots of the endpoints that can run a request. d.mu
+// is held.
+func (d *Dispatcher) ownSlots(req *Request, now time.Time) float64 {
 	// The hosts share the slots, those of brittle endpoints by a fixed part.
 	slots, brittle, hosts := 0.0, d.isBrittle(req.Service, now), d.hostCount()
 	for _, e := range d.candidates(req.Service, req.Model) {
@@ -55,15 +94,5 @@
 			slots += float64(e.slots) / float64(hosts)
 		}
 	}
-	if slots == 0 {
-		return false
-	}
-	ahead := 0
-	for _, w := range d.waiting {
-		if w.req.Service == req.Service && w.req.Model == req.Model {
-			ahead++
-		}
-	}
-	wait := time.Duration(float64(ahead+1) / slots * float64(took))
-	return now.Add(wait + minServiceTime).Before(req.Deadline)
+	return slots
 }
