Let callers wait for the end of a pause that they can't come back after

All endpoints of a service may ask for a pause that ends after the objective of a request. Its caller was told the end also where that lies beyond the third of its time for which it honours it, came back before, and was refused again. Such a request, and one whose caller has come back, now waits if it can still be answered by its deadline. Callers of requests that endpoints declined are told a time with room as well, in place of 300 ms for all (one line in ingress).

TestPauseBeyondReturn; the tests of ingress and TestEndpointThatAsksForPause pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,8 @@
 	Content tamarackknot.ContentID
 	// Exclude lists the ids of endpoints that must not get the request.
 	Exclude []string
+	// awaitsPause says that the request waits for the end of a pause of all endpoints.
+	awaitsPause bool
 	// foreseenAt is when there was last a forecast of when the model is loaded.
 	foreseenAt time.Time
 	// returned says that the caller was refused by this host and told to come back now.
@@ -463,6 +465,11 @@
 		return &Refusal{Reason: "no time is left"}
 	}
 	if at := d.pausedUntil(req.Service, "", now); at.After(req.Objective) {
+		// It can wait for the end of the pause, but not come back once more.
+		req.awaitsPause = at.Add(minServiceTime).Before(req.Deadline) && (req.awaitsPause || req.returned || !req.canReturnAt(at, now))
+		if req.awaitsPause {
+			return nil
+		}
 		return &Refusal{Reason: "all endpoints have asked for a pause", RetryAt: d.retryAt(req, at, now)}
 	}
 	if req.Pinned && !d.canContinue(req) {
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -56,7 +56,7 @@
 	if req.AnsweredBy.IsZero() {
 		return room // it is not known how long the caller waits
 	}
-	latest := now.Add(req.AnsweredBy.Sub(now)/returnDivisor - returnMargin)
+	latest := req.latestReturn(now)
 	if !latest.After(now) || req.AnsweredBy.Sub(room) < minServiceTime {
 		return time.Time{}
 	}
@@ -80,6 +80,28 @@
 	return at
 }
 
+// latestReturn returns until when the caller comes back if it is told to.
+func (r *Request) latestReturn(now time.Time) time.Time {
+	return now.Add(r.AnsweredBy.Sub(now)/returnDivisor - returnMargin)
+}
+
+// canReturnAt reports whether the caller comes back at a time if it is told so.
+func (r *Request) canReturnAt(at, now time.Time) bool {
+	return r.AnsweredBy.IsZero() || !at.After(r.latestReturn(now))
+}
+
+// RetryAt returns when the caller of a request that endpoints have declined should come back,
+// not before a time, and expects it; zero if it can't.
+func (d *Dispatcher) RetryAt(req *Request, earliest time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	r := &Refusal{Reason: "endpoints declined the request", RetryAt: d.retryAt(req, earliest, now)}
+	d.expectReturn(req, r)
+	d.logRefusal(req, r, now)
+	return r.RetryAt
+}
+
 // returnSpacing returns the time between two returns that the promised share of the slots
 // serves. d.mu is held.
 func (d *Dispatcher) returnSpacing(req *Request, now time.Time) time.Duration {
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -175,6 +175,32 @@
 	}
 }
 
+// TestPauseBeyondReturn guards against refusing a caller that can't come back after a pause of
+// all endpoints, but could wait for its end.
+func TestPauseBeyondReturn(t *testing.T) {
+	for name, tt := range map[string]struct {
+		timeout time.Duration
+		want    returnTally
+	}{
+		"time to come back":      {timeout: 10 * time.Second, want: returnTally{servedOnReturn: 1}},
+		"time to wait":           {timeout: 4 * time.Second, want: returnTally{served: 1}},
+		"its time ends before":   {timeout: 2 * time.Second, want: returnTally{refused: 1}},
+		"its time ends too soon": {timeout: 2100 * time.Millisecond, want: returnTally{refused: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				h.add("e0", "p", "z1", 1)
+				g := h.grant(t, request("p", ""))
+				g.ObservePause(time.Now().Add(2 * time.Second))
+				g.Done(ResultFull)
+				caller := returningCaller{service: "p", objective: 150 * time.Millisecond, patience: tt.timeout, timeout: tt.timeout}
+				require.Equal(t, tt.want, h.replayReturns(t, []returningCaller{caller}))
+			})
+		})
+	}
+}
+
 // TestReturnedFirst guards against a caller that comes back when it was told and finds its
 // place taken, against one that comes early or again to pass others, and against state of
 // callers that never come back.
@@ -188,14 +214,14 @@
 				Deadline: now.Add(10 * time.Second), AnsweredBy: now.Add(10 * time.Second),
 			}
 		}
-		h.mu.Lock()
-		defer h.mu.Unlock()
 		told := now.Add(time.Second)
 		for _, part := range []string{"a", "b"} {
-			h.expectReturn(req(part), &Refusal{RetryAt: told})
+			require.WithinRange(t, h.RetryAt(req(part), told.Add(-returnSpread)), told.Add(-returnSpread), told.Add(unknownReturnSpacing))
 		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
 		require.False(t, h.returned(req("a"), now), "before the time")
-		require.True(t, h.returned(req("a"), told))
+		require.True(t, h.returned(req("a"), told), "a caller that endpoints declined")
 		require.False(t, h.returned(req("a"), told), "once more")
 		require.False(t, h.returned(req("c"), told), "another caller")
 		require.False(t, h.returned(req("b"), now.Add(10*time.Second)), "after its deadline")
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -183,7 +183,7 @@
 		}
 		x.refuse(refusal.Reason, refusal.RetryAt)
 	case x.possibleRuns == 0:
-		x.refuse(x.lastErr, time.Now().Add(declinedRetryDelay))
+		x.refuse(x.lastErr, x.server.cfg.Dispatch.RetryAt(&x.request, time.Now().Add(declinedRetryDelay)))
 	case !time.Now().Before(x.deadline):
 		x.fail(http.StatusGatewayTimeout, "the endpoint did not answer in time")
 	default:
