Bound the times promised for models that callers name

A caller may name any model; each name kept a time until it passed. At most 4,096 are kept now. A model that the service does not have is refused without a time to come back (TestReturnToLoadedModel). Expired demand is dropped when it is reported or the bound is reached, not at each refusal.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -405,7 +405,9 @@
 // until its caller comes back if it was told when, and expects that return. Without the demand
 // the planner would not go on with the load that the caller is to come back for. d.mu is held.
 func (d *Dispatcher) recordRefused(w *waiter, r *Refusal, now time.Time) {
-	d.pruneRefused(now)
+	if len(d.refused) >= maxReturns || len(d.returns) >= maxReturns {
+		d.pruneRefused(now)
+	}
 	d.expectReturn(w.req, r)
 	d.logRefusal(w.req, r, now)
 	if !r.wanted || len(d.refused) >= maxReturns {
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -53,7 +53,7 @@
 // time is promised to so many callers only as a share of the slots can serve after it. d.mu is
 // held.
 func (d *Dispatcher) retryAt(req *Request, room, now time.Time) time.Time {
-	if req.AnsweredBy.IsZero() {
+	if req.AnsweredBy.IsZero() || room.IsZero() {
 		return room // it is not known how long the caller waits
 	}
 	latest := req.latestReturn(now)
@@ -72,7 +72,9 @@
 	if at.After(latest) {
 		return time.Time{}
 	}
-	d.booked[t] = at.Add(d.returnSpacing(req, now))
+	if len(d.booked) < maxReturns || !d.booked[t].IsZero() {
+		d.booked[t] = at.Add(d.returnSpacing(req, now))
+	}
 	at = at.Add(rand.N(returnSpread))
 	if at.After(latest) {
 		return latest
@@ -182,11 +184,16 @@
 }
 
 // loadedBy returns when a model that no endpoint holds, and for which there is no forecast, is
-// loaded at best: from a disk, after the planner has ordered it.
+// loaded at best: from a disk, after the planner has ordered it. It is zero if the service does
+// not have the model.
 func (d *Dispatcher) loadedBy(req *Request, now time.Time) time.Time {
-	load := modelRetryDelay
-	if pool, ok := d.pools[req.Service]; ok && pool.Engine != nil {
-		load = max(load, pool.Engine.Models[req.Model].LoadDisk)
+	pool, ok := d.pools[req.Service]
+	if !ok || pool.Engine == nil {
+		return now.Add(modelRetryDelay)
+	}
+	model, ok := pool.Engine.Models[req.Model]
+	if !ok {
+		return time.Time{}
 	}
-	return now.Add(load)
+	return now.Add(max(modelRetryDelay, model.LoadDisk))
 }
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"sync"
@@ -130,6 +131,7 @@
 // wanted when they come back.
 func TestReturnToLoadedModel(t *testing.T) {
 	for name, tt := range map[string]struct {
+		model            string        // m if empty
 		forecast, loaded time.Duration // since the callers arrive; no forecast if zero
 		timeout          time.Duration
 		want             returnTally
@@ -140,6 +142,7 @@
 		"loaded while they wait once more":   {forecast: 6 * time.Second, loaded: 6 * time.Second, timeout: 15 * time.Second, want: returnTally{servedOnReturn: 8}},
 		"a load of 20 s":                     {forecast: 20 * time.Second, loaded: 20 * time.Second, timeout: 15 * time.Second, want: returnTally{refused: 8}},
 		"their time is over before the load": {forecast: 4 * time.Second, loaded: 4 * time.Second, timeout: 4 * time.Second, want: returnTally{refused: 8}},
+		"not a model of the service":         {model: "x", loaded: 2 * time.Second, timeout: 20 * time.Second, want: returnTally{refused: 8}},
 		"no forecast, loaded from disk":      {loaded: 2 * time.Second, timeout: 20 * time.Second, want: returnTally{servedOnReturn: 8}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -153,7 +156,7 @@
 				var callers []returningCaller
 				for range 8 {
 					callers = append(callers, returningCaller{
-						service: "s", model: "m", objective: 600 * time.Millisecond, patience: 2400 * time.Millisecond,
+						service: "s", model: cmp.Or(tt.model, "m"), objective: 600 * time.Millisecond, patience: 2400 * time.Millisecond,
 						timeout: tt.timeout, work: 500 * time.Millisecond,
 					})
 				}
