Serve first the workspace of whose demand the least was served

Seen: requests of the same priority wait in the order of their objectives, so that a workspace that floods a service takes nearly all of it.

Change: of each workspace and service the host counts what was asked for in the last seconds (served, refused, or waiting past its objective) and what of it was served. Waiting requests of the same priority and lateness are ordered by the workspace's share, in steps of a quarter of the share of all workspaces; the top step is ordered by objective as before. Nothing changes in what is served when only some requests can be, and with one workspace, or none, the order is that of before.

Weighed: comparing exact shares.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,11 @@
 	Content tamarackknot.ContentID
 	// Exclude lists the ids of endpoints that must not get the request.
 	Exclude []string
+	// askedAt is when the request was counted as demand, served that it has got an endpoint,
+	// and band that of the share of its workspace, by which waiting requests are ordered.
+	askedAt time.Time
+	served  bool
+	band    int
 	// awaitsPause says that the request waits for the end of a pause of all endpoints.
 	awaitsPause bool
 	// foreseenAt is when there was last a forecast of when the model is loaded.
@@ -177,6 +182,7 @@
 	returns   map[returnID]expectedReturn
 	booked    map[target]time.Time
 	prunedAt  time.Time
+	shares    shares
 	forecasts map[target]time.Time
 	history   map[target]*requestHistory
 	slotTimes map[target]time.Duration // how long requests take a slot, on average
@@ -229,6 +235,7 @@
 		byService: make(map[string][]*endpoint),
 		returns:   make(map[returnID]expectedReturn),
 		booked:    make(map[target]time.Time),
+		shares:    newShares(),
 		forecasts: make(map[target]time.Time),
 		history:   make(map[target]*requestHistory),
 		slotTimes: make(map[target]time.Duration),
@@ -271,6 +278,7 @@
 		d.mu.Unlock()
 		return nil, r
 	}
+	req.band = shareBands - 1
 	req.returned = req.returned || d.returned(req, now)
 	tight := d.recordRequest(req, now)
 	g, lack := d.tryGrant(req, now)
@@ -344,6 +352,7 @@
 	if i := slices.Index(d.waiting, w); i >= 0 {
 		d.waiting = slices.Delete(d.waiting, i, i+1)
 		d.changed[target{w.req.Service, w.req.Model}] = true
+		d.shares.recordAsked(w.req, time.Now())
 		w.recordWait(w.lack, time.Now())
 		return w.waits
 	}
@@ -359,6 +368,9 @@
 // d.mu.
 func (d *Dispatcher) serveWaiting(now time.Time) {
 	orderWaiting(d.waiting, now)
+	if d.shares.assign(d.waiting, now) {
+		orderWaiting(d.waiting, now)
+	}
 	queue := slices.Clone(d.waiting)
 	clear(d.waiting)
 	d.waiting = d.waiting[:0] // those before the request that is looked at
@@ -408,6 +420,7 @@
 	if len(d.refused) >= maxReturns || len(d.returns) >= maxReturns {
 		d.pruneRefused(now)
 	}
+	d.shares.recordAsked(w.req, now)
 	d.expectReturn(w.req, r)
 	d.logRefusal(w.req, r, now)
 	if !r.wanted || len(d.refused) >= maxReturns {
@@ -634,6 +647,7 @@
 		return nil, missing
 	}
 	best.signals.spend(now)
+	d.shares.recordServed(req, true, now)
 	best.own++
 	best.prefilling++
 	best.running[modelAdapter{req.Model, req.Adapter}]++
@@ -733,11 +747,14 @@
 }
 
 func (g *Grant) finish(r Result) {
+	now := time.Now()
+	if r == ResultFull || r == ResultMisplaced || r == ResultUnreachable {
+		g.d.shares.recordServed(g.req, false, now)
+	}
 	e := g.d.endpoints[g.Endpoint.ID]
 	if e == nil {
 		return
 	}
-	now := time.Now()
 	g.markStarted()
 	e.own--
 	k := modelAdapter{g.req.Model, g.req.Adapter}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -9,18 +9,20 @@
 // slotTimeWeight is the weight of one request in the average time that requests take a slot.
 const slotTimeWeight = 0.1
 
-// orderWaiting orders requests by the priority of their workspace and that of their route, then by objective. Of those for plain services,
-// which are short, the ones that can still meet their objective come first: otherwise a queue
-// that is longer than the objective makes all of them late.
+// orderWaiting orders requests by the priority of their workspace and that of their route, then
+// by the share of their workspace, and by objective. Of those for plain services, which are
+// short, the ones that can still meet their objective come first: otherwise a queue that is
+// longer than the objective makes all of them late.
 func orderWaiting(waiting []*waiter, now time.Time) {
 	slices.SortStableFunc(waiting, func(a, b *waiter) int { return compareWaiting(a.req, b.req, now) })
 }
 
 // compareWaiting is negative if request a goes before b, zero if the one that came first does.
-// Of those of the same priority that are not late, callers that have come back go first.
+// Of those of the same priority and lateness, the workspace with the smallest share goes first,
+// and of its requests those of callers that have come back.
 func compareWaiting(a, b *Request, now time.Time) int {
 	return cmp.Or(cmp.Compare(a.WorkspacePriority, b.WorkspacePriority), cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(a.lateness(now), b.lateness(now)), compareReturned(a, b), a.Objective.Compare(b.Objective))
+		cmp.Compare(a.lateness(now), b.lateness(now)), cmp.Compare(a.band, b.band), compareReturned(a, b), a.Objective.Compare(b.Objective))
 }
 
 func compareReturned(a, b *Request) int {
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -133,7 +133,7 @@
 	if !req.foreseenAt.IsZero() {
 		forecastAge = now.Sub(req.foreseenAt).Milliseconds()
 	}
-	d.cfg.Logger.Debug("refused", "request", req.ID, "reason", r.Reason, "retryAfterMs", after, "returned", req.returned,
+	d.cfg.Logger.Debug("refused", "request", req.ID, "reason", r.Reason, "retryAfterMs", after, "returned", req.returned, "workspace", req.Workspace, "band", req.band,
 		"leftMs", req.AnsweredBy.Sub(now).Milliseconds(), "forecastAgeMs", forecastAge, "waiting", len(d.waiting), "returns", len(d.returns))
 }
 
