Ask again for quotas of which it is not known what is left, and settle after a restart

A process that restarts asks the others since when they have relied on its list: if three quarters have since before its start, its former process was the owner and it need not wait. Requests wait for a part of their objective before they are refused because it is not known what is left.

--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -15,6 +15,13 @@
 	// coming back takes a caller longer.
 	maxQuotaWaiting     = 128
 	quotaWaitObjectives = 0.5
+	// quotaWaitDivisor is the part of its time that a request waits at most: callers come back
+	// within the same part.
+	quotaWaitDivisor = 3
+	// unknownQuotaPause is the pause before a quota is asked for again of which it was not known
+	// what is left, and minQuotaPause the least one before any.
+	unknownQuotaPause = 200 * time.Millisecond
+	minQuotaPause     = 20 * time.Millisecond
 	// quotaHoldTime is how long a request that waits for an endpoint keeps what was taken from
 	// its quota; then it is given back, and taken again when the request is sent. Many that
 	// waited together would otherwise run within one window in addition to what that allows.
@@ -83,7 +90,7 @@
 	}
 	x.quotaCost = requestCost(x.workspace.Quota, x.caller.Tokens)
 	d := x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
-	if x.awaitQuota(d) {
+	for x.awaitQuota(d) {
 		d = x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
 	}
 	if !d.Allowed {
@@ -105,18 +112,23 @@
 	x.refuse(d.Reason, d.RetryAt)
 }
 
-// awaitQuota waits until there may be room in the quota, if the request can still meet its
-// objective after that. It returns false if there is no reason to ask again.
+// awaitQuota waits until there may be room in the quota, or until it may be known what is left,
+// if the request can still meet its objective after that. It returns false if there is no
+// reason to ask again.
 func (x *exchange) awaitQuota(d tamarackknot.QuotaDecision) bool {
-	latest := x.arrived.Add(time.Duration(quotaWaitObjectives * float64(x.route.Objective)))
-	if d.Allowed || !d.Exceeded || d.RetryAt.IsZero() || d.RetryAt.After(latest) {
+	latest := x.arrived.Add(min(time.Duration(quotaWaitObjectives*float64(x.route.Objective)), x.firstEventDeadline.Sub(x.arrived)/quotaWaitDivisor))
+	retryAt := d.RetryAt
+	if !d.Exceeded {
+		retryAt = time.Now().Add(unknownQuotaPause)
+	}
+	if d.Allowed || retryAt.IsZero() || retryAt.After(latest) {
 		return false
 	}
 	defer x.server.quotaWaiting.Add(-1)
 	if x.server.quotaWaiting.Add(1) > maxQuotaWaiting {
 		return false
 	}
-	return wait.For(x.r.Context(), time.Until(d.RetryAt))
+	return wait.For(x.r.Context(), max(time.Until(retryAt), minQuotaPause))
 }
 
 // chargesQuota reports whether the next attempt is the first that counts for the quota.
--- a/ingress/quota_test.go
+++ b/ingress/quota_test.go
@@ -135,6 +135,17 @@
 	}
 }
 
+// TestQuotaKnownLater guards against requests that are refused although it is known within their
+// objective that they fit into the quota.
+func TestQuotaKnownLater(t *testing.T) {
+	q := &testQuotas{decisions: []func() tamarackknot.QuotaDecision{notKnown, notKnown, allowed}}
+	k := newQuotaHarness(t, tamarackknot.RouteRepeatable, q, tamarackknot.Quota{PerSecond: 1}, respond(http.StatusOK, "x"))
+	resp, body, err := k.do(call{header: map[string]string{"Key": "Bearer " + secretKey, "Patience": "20s"}})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
+	require.Equal(t, []float64{1, 1, 1}, q.taken)
+}
+
 // TestQuotaOfWaitingRequest guards against requests that keep what they took while they wait,
 // so that all of them run within one window, and against ones that run without it.
 func TestQuotaOfWaitingRequest(t *testing.T) {
--- a/quota/agreement.go
+++ b/quota/agreement.go
@@ -46,6 +46,8 @@
 	Confirmed bool `json:"confirmed,omitempty"`
 	// UptimeMs is the time since the start of its process.
 	UptimeMs int64 `json:"uptimeMs"`
+	// StableMs is the time for which it has relied on this list, 0 if it does not.
+	StableMs int64 `json:"stableMs,omitempty"`
 }
 
 // handoverParams is what the bucket of a workspace holds.
@@ -71,9 +73,13 @@
 	defer k.mu.Unlock()
 	now := k.cfg.Clock()
 	k.refresh(now)
-	return viewResult{
+	r := viewResult{
 		Hash: k.view.hash, Confirmed: now-k.view.confirmedAt <= confirmedTime, UptimeMs: (now - k.startedAt).Milliseconds(),
-	}, nil
+	}
+	if k.view.isTrusted(now) {
+		r.StableMs = (now - k.view.changedAt()).Milliseconds()
+	}
+	return r, nil
 }
 
 func (k *Keeper) handleHandover(_ context.Context, from string, params json.RawMessage) (any, error) {
@@ -122,12 +128,10 @@
 		if len(hosts) == 0 {
 			continue
 		}
-		agreed, started := k.askViews(ctx, hosts, hash, begun)
+		a := k.askViews(ctx, hosts, hash, begun)
 		enough := agreementPart * float64(len(hosts))
-		if float64(started) >= enough {
-			k.recordSameStart()
-		}
-		if float64(agreed) >= enough {
+		k.recordStart(hash, float64(a.started) >= enough, float64(a.stable) >= enough)
+		if float64(a.agreed) >= enough {
 			k.agree(hash, begun)
 		}
 	}
@@ -138,16 +142,21 @@
 func (k *Keeper) agreementPause() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.startedTogether && k.cfg.Clock()-k.startedAt <= earlyStartTime {
+	if !k.startedTogether && !k.startedStable && k.cfg.Clock()-k.startedAt <= earlyStartTime {
 		return earlyInterval
 	}
 	return agreementInterval
 }
 
-func (k *Keeper) recordSameStart() {
+// recordStart records what most other hosts say of the start of this one: they have started
+// with it, or they have relied on the list with a hash since before it.
+func (k *Keeper) recordStart(hash uint64, together, stable bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.startedTogether = true
+	k.startedTogether = k.startedTogether || together
+	if stable && k.view.hash == hash && len(k.view.earlier) == 0 {
+		k.startedStable = true
+	}
 }
 
 // agree records that at a time most other hosts knew no newer list than the one with a hash.
@@ -169,7 +178,7 @@
 	defer k.mu.Unlock()
 	now := k.cfg.Clock()
 	k.refresh(now)
-	starting := !k.startedTogether && now-k.startedAt <= startTime
+	starting := !k.startedTogether && !k.startedStable && now-k.startedAt <= startTime
 	if now-k.view.confirmedAt < agreementAge && !starting || k.grantedAt == 0 || now-k.grantedAt > idleTime {
 		return nil, 0, 0
 	}
@@ -179,9 +188,12 @@
 	return hosts[:min(len(hosts), agreementSample)], k.view.hash, now
 }
 
-// askViews returns how many hosts hear no planner that has another list, and how many have
-// started with this one.
-func (k *Keeper) askViews(ctx context.Context, hosts []string, hash uint64, now time.Duration) (agreed, started int) {
+// answers counts what hosts say: that they hear no planner with another list, that they have
+// started with this host, and that they have relied on its list since before.
+type answers struct{ agreed, started, stable int }
+
+// askViews asks hosts for their lists.
+func (k *Keeper) askViews(ctx context.Context, hosts []string, hash uint64, now time.Duration) (a answers) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(askTimeout))
 	defer cancel()
 	results := make([]*viewResult, len(hosts))
@@ -201,11 +213,15 @@
 			continue
 		}
 		if !r.Confirmed || r.Hash == hash {
-			agreed++
+			a.agreed++
+		}
+		uptime := now - k.startedAt
+		if (time.Duration(r.UptimeMs)*time.Millisecond - uptime).Abs() <= sameStartTime {
+			a.started++
 		}
-		if uptime := time.Duration(r.UptimeMs) * time.Millisecond; (uptime - (now - k.startedAt)).Abs() <= sameStartTime {
-			started++
+		if r.Hash == hash && time.Duration(r.StableMs)*time.Millisecond > uptime+settleTime {
+			a.stable++
 		}
 	}
-	return agreed, started
+	return a
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -257,8 +257,8 @@
 	}
 	since := k.view.settledAt(p.Workspace, k.cfg.Self)
 	handed, ok := handedBucket{}, false
-	if now < since && k.startedTogether {
-		// No host owns a quota by a list of before.
+	if now < since && (k.startedTogether || k.startedStable && len(k.view.earlier) == 0) {
+		// No other host owns the quota by a list of before.
 		since = k.view.uncertainAt
 	}
 	if now < since {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -96,6 +96,9 @@
 	// startedTogether says that most other hosts have started with this one, as after a loss of
 	// power of all.
 	startedTogether bool
+	// startedStable says that most hosts have relied on this host's list since before its start,
+	// so that its former process was the owner by it.
+	startedStable bool
 	// grantedAt is when this host was last asked for a quota that it holds by its list.
 	grantedAt time.Duration
 	// handovers are buckets for other hosts, and handed those that other hosts have sent.
--- a/quota/view.go
+++ b/quota/view.go
@@ -90,6 +90,14 @@
 	k.dropOwned("another host is the owner", func(workspace string) bool { return v.holdersOf(workspace)[0] != k.cfg.Self })
 }
 
+// changedAt returns since when the present list is relied on.
+func (v *hostView) changedAt() time.Duration {
+	if len(v.earlier) > 0 {
+		return max(v.uncertainAt, v.earlier[0].until)
+	}
+	return v.uncertainAt
+}
+
 // settledAt returns when this host is, or was, the only owner of a quota for certain, by the
 // lists that hosts may go by. It is an owner by the present one.
 func (v *hostView) settledAt(workspace, self string) time.Duration {
