--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -193,6 +193,20 @@
 	}
 }
 
+// restartAll ends the processes of all hosts and starts new ones.
+func (s *simulation) restartAll() {
+	s.mu.Lock()
+	n := len(s.hosts)
+	s.mu.Unlock()
+	for i := range n {
+		s.kill(s.name(i))
+	}
+	wait.For(s.ctx, 500*time.Millisecond)
+	for i := range n {
+		s.start(s.name(i))
+	}
+}
+
 // cut separates some hosts from the others, and from the planner if that is set.
 func (s *simulation) cut(names []string, planner, cut bool) {
 	s.mu.Lock()
@@ -458,6 +472,18 @@
 			}
 			wait.For(s.ctx, lasts/4)
 		}, 0.8},
+		"the planner is lost for 10 s": {func(s *simulation) {
+			wait.For(s.ctx, lasts/4)
+			s.setPlans(false)
+			wait.For(s.ctx, 10*time.Second)
+			s.setPlans(true)
+			wait.For(s.ctx, lasts*3/4-10*time.Second)
+		}, 0.8},
+		"all hosts are restarted": {func(s *simulation) {
+			wait.For(s.ctx, lasts/3)
+			s.restartAll()
+			wait.For(s.ctx, lasts*2/3)
+		}, 0.8},
 		"the planner is lost for 3 s": {func(s *simulation) {
 			wait.For(s.ctx, lasts/3)
 			s.setPlans(false)
