Don't let a planner that is cut off confirm its own list of hosts

The host that is cut off is the planner at times. It drops the others from its list and owns all quotas by it, while these go on without a planner.

--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -288,7 +288,7 @@
 	})
 	c.publisher.Bind(c.fleet)
 	c.quotas = quota.New(quota.Config{
-		Self: s.Host, Peers: c.cfg.peers, Hosts: c.quotaHosts, ListConfirmedAt: c.fleet.HostsConfirmedAt, Planner: c.fleet.Planner, Sharers: c.shares.Count, Limit: c.workspaceQuota,
+		Self: s.Host, Peers: c.cfg.peers, Hosts: c.quotaHosts, ListConfirmedAt: c.quotaListConfirmedAt, Planner: c.fleet.Planner, Sharers: c.shares.Count, Limit: c.workspaceQuota,
 		Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: s.QuotaSlack, Clock: c.cfg.clock, Logger: logger, Metrics: c.cfg.metrics,
 	})
 	c.planner = planner.New(planner.Config{
--- a/entry/hosted/workspaces.go
+++ b/entry/hosted/workspaces.go
@@ -75,3 +75,13 @@
 	}
 	return c.quotaList
 }
+
+// quotaListConfirmedAt returns when the planner is known to have had the list of hosts. A planner
+// that hears less than half of the registered hosts may be cut off from the others, which go on
+// without it: its own list then confirms nothing.
+func (c *components) quotaListConfirmedAt() time.Duration {
+	if c.fleet.Planner() == c.self.Name && 2*len(c.fleet.Hosts()) < len(c.hosts.Hosts()) {
+		return 0
+	}
+	return c.fleet.HostsConfirmedAt()
+}
