ingress, workspace: read shared test state under its lock

TestQuota read the recorded calls while the timer of a hold could still write them, and TestManyUnknownKeys read the counts of decisions and of lookups while goroutines wrote them. The checks and their bounds are unchanged.

--- a/ingress/quota_test.go
+++ b/ingress/quota_test.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// calls returns the costs taken and the buckets returned so far.
+func (q *testQuotas) calls() (taken []float64, returned []int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Clone(q.taken), slices.Clone(q.returned)
+}
+
 func notKnown() tamarackknot.QuotaDecision {
 	return tamarackknot.QuotaDecision{Reason: "not known", RetryAt: time.Now().Add(500 * time.Millisecond)}
 }
@@ -122,12 +129,13 @@
 			require.Equal(t, tt.retry > 0, err == nil)
 			require.LessOrEqual(t, after, tt.retry)
 			require.GreaterOrEqual(t, after, 0.0)
-			if tt.status == 503 && len(q.returned) > 0 {
-				require.Len(t, q.returned, len(q.taken), "it is taken again for each attempt")
+			taken, returned := q.calls()
+			if tt.status == 503 && len(returned) > 0 {
+				require.Len(t, returned, len(taken), "it is taken again for each attempt")
 				return
 			}
-			require.Equal(t, tt.taken, q.taken)
-			require.Equal(t, tt.returned, q.returned)
+			require.Equal(t, tt.taken, taken)
+			require.Equal(t, tt.returned, returned)
 			if tt.status == 429 {
 				require.Empty(t, k.reached())
 			}
@@ -143,7 +151,8 @@
 	resp, body, err := k.do(call{header: map[string]string{"Key": "Bearer " + secretKey, "Patience": "20s"}})
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, resp.StatusCode, body)
-	require.Equal(t, []float64{1, 1, 1}, q.taken)
+	taken, _ := q.calls()
+	require.Equal(t, []float64{1, 1, 1}, taken)
 }
 
 // TestQuotaOfWaitingRequest guards against requests that keep what they took while they wait,
@@ -166,15 +175,14 @@
 				}
 			})
 			time.Sleep(3 * quotaHoldTime)
-			q.mu.Lock()
-			returned := slices.Clone(q.returned)
-			q.mu.Unlock()
+			_, returned := q.calls()
 			release()
 			wg.Wait()
 			require.Equal(t, []int64{1}, returned)
 			require.Equal(t, tt.status, status)
-			require.Equal(t, []float64{1, 1}, q.taken)
-			require.Equal(t, []int64{1}, q.returned)
+			taken, returned := q.calls()
+			require.Equal(t, []float64{1, 1}, taken)
+			require.Equal(t, []int64{1}, returned)
 			require.Len(t, k.reached(), map[bool]int{true: 1}[status == 200])
 		})
 	}
@@ -193,7 +201,9 @@
 	resp, _, err := k.do(call{header: map[string]string{"Key": "Bearer " + secretKey}})
 	require.NoError(t, err)
 	require.Equal(t, 200, resp.StatusCode)
-	require.Equal(t, []int64{1}, q.returned)
-	require.Equal(t, []float64{1}, other.taken)
-	require.Empty(t, other.returned)
+	_, returned := q.calls()
+	require.Equal(t, []int64{1}, returned)
+	taken, returned := other.calls()
+	require.Equal(t, []float64{1}, taken)
+	require.Empty(t, returned)
 }
--- a/workspace/authority_test.go
+++ b/workspace/authority_test.go
@@ -211,25 +211,35 @@
 			defer mu.Unlock()
 			at[d] = append(at[d], took)
 		}
+		decided := func(d tamarackknot.AuthDecision) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(at[d])
+		}
+		lookups := func() int {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return len(h.lookups)
+		}
 		for i := range 1000 {
 			go ask(strconv.Itoa(i))
 		}
 		synctest.Wait()
-		require.Len(t, at[uncertain], 1000-maxUnknownWaiting)
-		require.Len(t, h.lookups, maxUnknownWaiting)
+		require.Equal(t, 1000-maxUnknownWaiting, decided(uncertain))
+		require.Equal(t, maxUnknownWaiting, lookups())
 		_, d, took := h.ask("known")
 		require.Equal(t, granted, d)
 		require.Zero(t, took)
 		time.Sleep(2 * time.Second)
-		require.Len(t, at[unknown], maxUnknownWaiting)
-		require.Empty(t, h.lookups)
+		require.Equal(t, maxUnknownWaiting, decided(unknown))
+		require.Zero(t, lookups())
 		h.confirm(4)
 		time.Sleep(time.Millisecond)
 		for range maxUnknownWaiting {
 			go ask("one")
 		}
 		synctest.Wait()
-		require.Len(t, h.lookups, 1, "requests with the same key share the wait")
+		require.Equal(t, 1, lookups(), "requests with the same key share the wait")
 		time.Sleep(2 * time.Second)
 		for i := range 3 * maxRejected {
 			h.directory.reject(tamarackknot.HashKey(strconv.Itoa(i)), h.clock())
@@ -241,7 +251,7 @@
 			_, d := h.Authenticate(ctx, tamarackknot.HashKey("left "+strconv.Itoa(i)))
 			require.Equal(t, uncertain, d)
 		}
-		require.LessOrEqual(t, len(h.lookups), maxUnknownWaiting, "also of callers that have left")
+		require.LessOrEqual(t, lookups(), maxUnknownWaiting, "also of callers that have left")
 		require.Zero(t, h.waiting.Load())
 		time.Sleep(2 * time.Second)
 	})
