dispatch, quota, caller, peer, configcheck: use one piece for what stood twice

The preferred replica at home comes from the cached division of the holders instead of two scans of all of them for each request, and the count of why a request left is no longer taken among the arguments of a log line. The quota that an owner grants, the close of an accepted connection and the change of a priority had two copies each. The reader of bodies with a timeout moves to internal/timedread.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -18,6 +18,7 @@
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/admission"
 	"tamarackknot.example/tamarackknot/endpoint"
+	"tamarackknot.example/tamarackknot/internal/timedread"
 	"tamarackknot.example/tamarackknot/routing"
 )
 
@@ -268,7 +269,9 @@
 	account := admission.FromContext(x.r.Context())
 	x.bodyHeld = holding{account: account, kind: admission.Bodies}
 	account.Set(admission.ReadingBody, x.start)
-	body, err := readAll(&timedReader{http.MaxBytesReader(x.w, x.r.Body, x.s.cfg.MaxBody), rc, x.s.cfg.BodyTimeout, x.opts.deadline}, &x.bodyHeld)
+	body, err := readAll(&timedread.Reader{
+		R: http.MaxBytesReader(x.w, x.r.Body, x.s.cfg.MaxBody), Controller: rc, Timeout: x.s.cfg.BodyTimeout, By: x.opts.deadline,
+	}, &x.bodyHeld)
 	account.Set(admission.Serving, time.Now())
 	x.body = body
 	var tooLarge *http.MaxBytesError
--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/timedread"
 )
 
 const (
@@ -339,7 +340,7 @@
 // TestBody guards against accepting request bodies that are too large or
 // incomplete, and against waiting for one without a limit.
 func TestBody(t *testing.T) {
-	const pause = defaultBodyTimeout / 2
+	const pause = timedread.DefaultTimeout / 2
 	send := func(t *testing.T, h *harness, request ...string) response {
 		t.Helper()
 		c, err := h.net.DialContext(context.Background(), "tcp", h.hosts[0].address)
@@ -372,7 +373,7 @@
 		a = send(t, h, head+"Content-Length: 10\r\n\r\nabc")
 		require.Equal(t, http.StatusRequestTimeout, a.status)
 		require.Equal(t, NotRun, a.runStatus(t))
-		require.Equal(t, defaultBodyTimeout, time.Since(start), "nothing arrives any more")
+		require.Equal(t, timedread.DefaultTimeout, time.Since(start), "nothing arrives any more")
 		start = time.Now()
 		a = send(t, h, head+"Content-Length: 100\r\n\r\n", "a", "b", "c", "d", "e", "f", "g")
 		require.Equal(t, http.StatusRequestTimeout, a.status)
--- a/caller/holding.go
+++ b/caller/holding.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,12 +9,7 @@
 	"tamarackknot.example/tamarackknot/admission"
 )
 
-const (
-	// defaultBodyTimeout is how long nothing may arrive of a body, by default. It is above the
-	// retransmission times of a link that is lost for some seconds.
-	defaultBodyTimeout = 10 * time.Second
-	firstBufferBytes   = 4 << 10
-)
+const firstBufferBytes = 4 << 10
 
 // errNoMemory means that the host has no memory for a body, a response or an event.
 var errNoMemory = errors.New("the host has no memory left")
@@ -66,22 +60,3 @@
 		}
 	}
 }
-
-// timedReader fails if nothing arrives for a time, or at a deadline.
-type timedReader struct {
-	r       io.Reader
-	rc      *http.ResponseController
-	timeout time.Duration
-	by      time.Time
-}
-
-// Read implements io.Reader.
-func (t *timedReader) Read(p []byte) (int, error) {
-	until := time.Now().Add(t.timeout)
-	if t.by.Before(until) {
-		until = t.by
-	}
-	// Connections in tests may not support deadlines.
-	_ = t.rc.SetReadDeadline(until)
-	return t.r.Read(p) //nolint:wrapcheck // the caller checks its type
-}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot/admission"
+	"tamarackknot.example/tamarackknot/internal/times"
 )
 
 const (
@@ -251,10 +252,7 @@
 
 // limitWrite limits the next write to streamWriteTimeout.
 func (x *exchange) limitWrite() {
-	by := time.Now().Add(streamWriteTimeout)
-	if end := x.opts.deadline.Add(writeGrace); end.Before(by) {
-		by = end
-	}
+	by := times.Earlier(time.Now().Add(streamWriteTimeout), x.opts.deadline.Add(writeGrace))
 	_ = http.NewResponseController(x.w).SetWriteDeadline(by)
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -20,6 +20,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/endpoint"
+	"tamarackknot.example/tamarackknot/internal/timedread"
 	"tamarackknot.example/tamarackknot/routing"
 )
 
@@ -126,7 +127,7 @@
 		cfg.MaxReplay = 64 << 20
 	}
 	if cfg.BodyTimeout == 0 {
-		cfg.BodyTimeout = defaultBodyTimeout
+		cfg.BodyTimeout = timedread.DefaultTimeout
 	}
 	if cfg.Linger == nil {
 		cfg.Linger = func(http.ResponseWriter, *http.Request) {}
--- a/configcheck/diff.go
+++ b/configcheck/diff.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// priority adds the change of a priority, of which a lower number comes first.
+func (d *differ) priority(what string, before, after int) {
+	switch {
+	case before < after:
+		d.add(ChangeLowered, "%s, priority: %d, was %d (0 is the highest)", what, after, before)
+	case before > after:
+		d.add(ChangeRaised, "%s, priority: %d, was %d (0 is the highest)", what, after, before)
+	}
+}
+
 func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
@@ -120,11 +130,7 @@
 	d.limit(what+", objective in ms", float64(b.Objective.Milliseconds()), float64(a.Objective.Milliseconds()))
 	d.limit(what+", objective for pauses in ms", float64(b.GapObjective.Milliseconds()), float64(a.GapObjective.Milliseconds()))
 	d.number(what+", attempts", float64(b.Attempts), float64(a.Attempts))
-	if b.Priority < a.Priority {
-		d.add(ChangeLowered, "%s, priority: %d, was %d (0 is the highest)", what, a.Priority, b.Priority)
-	} else if b.Priority > a.Priority {
-		d.add(ChangeRaised, "%s, priority: %d, was %d (0 is the highest)", what, a.Priority, b.Priority)
-	}
+	d.priority(what, b.Priority, a.Priority)
 	if !slices.Equal(b.Shares, a.Shares) {
 		d.add(ChangeOther, "%s: services %s, were %s", what, sharesText(a.Shares), sharesText(b.Shares))
 	}
@@ -271,14 +277,11 @@
 		d.add(ChangeOther, "%s: cost of requests in tokens %t with %g by default, was %t with %g", what,
 			a.Quota.InTokens, a.Quota.PlainCost, b.Quota.InTokens, b.Quota.PlainCost)
 	}
-	switch {
-	case b.HasPriority != a.HasPriority:
+	if b.HasPriority != a.HasPriority {
 		d.add(ChangeOther, "%s: priority of its own %t, was %t", what, a.HasPriority, b.HasPriority)
-	case b.Priority < a.Priority:
-		d.add(ChangeLowered, "%s, priority: %d, was %d (0 is the highest)", what, a.Priority, b.Priority)
-	case b.Priority > a.Priority:
-		d.add(ChangeRaised, "%s, priority: %d, was %d (0 is the highest)", what, a.Priority, b.Priority)
+		return
 	}
+	d.priority(what, b.Priority, a.Priority)
 }
 
 // missing returns the number of keys that a list lacks.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -656,8 +656,9 @@
 	best.prefilling++
 	best.running[modelAdapter{req.Model, req.Adapter}]++
 	d.recordAffinity(req, best.entry.ID)
+	left := d.countLeft(best)
 	d.cfg.Logger.Debug("endpoint chosen", "request", req.ID, "endpoint", best.entry.ID, "score", found.score,
-		"own", best.own, "others", best.others, "forecast", g.Forecast, "left", d.leftBecause(best))
+		"own", best.own, "others", best.others, "forecast", g.Forecast, "left", left)
 	return g, 0
 }
 
@@ -673,8 +674,10 @@
 	if len(holders) < 2 {
 		return nil
 	}
-	if e := d.preferredAtHome(holders); e != nil {
-		return e
+	if d.domains.policy != nil {
+		if own := d.domainsOf(target{req.Service, req.Model}, holders).own; len(own) > 0 {
+			holders = own
+		}
 	}
 	return holders[d.cfg.HostIndex()%len(holders)]
 }
--- a/dispatch/domain.go
+++ b/dispatch/domain.go
@@ -170,9 +170,9 @@
 	return d.domains.guarded && e.elsewhere && locality.Reserved(e.own+e.others, e.maxRequests(req))
 }
 
-// leftBecause returns why a request left this host's failure domain for the endpoint that was
-// chosen, and counts it. d.mu is held.
-func (d *Dispatcher) leftBecause(e *endpoint) string {
+// countLeft counts why a request left this host's failure domain for the endpoint that was
+// chosen, and returns it. d.mu is held.
+func (d *Dispatcher) countLeft(e *endpoint) string {
 	if d.domains.policy == nil {
 		return ""
 	}
@@ -187,31 +187,3 @@
 	d.domains.policy.Counters.Count(reason)
 	return reason.String()
 }
-
-// preferredAtHome returns the holder of a model in this host's failure domain that this host
-// prefers, nil if there is none. d.mu is held.
-func (d *Dispatcher) preferredAtHome(holders []*endpoint) *endpoint {
-	if d.domains.policy == nil {
-		return nil
-	}
-	n := 0
-	for _, e := range holders {
-		if !e.elsewhere {
-			n++
-		}
-	}
-	if n == 0 {
-		return nil
-	}
-	n = d.cfg.HostIndex() % n
-	for _, e := range holders {
-		if e.elsewhere {
-			continue
-		}
-		if n == 0 {
-			return e
-		}
-		n--
-	}
-	return nil
-}
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -151,10 +151,7 @@
 		return demand
 	}
 	later, next := r.RetryAt.Sub(w.req.Arrived), *w.req
-	next.Arrived, next.Objective, next.Deadline = r.RetryAt, next.Objective.Add(later), next.Deadline.Add(later)
-	if next.Deadline.After(next.AnsweredBy) {
-		next.Deadline = next.AnsweredBy
-	}
+	next.Arrived, next.Objective, next.Deadline = r.RetryAt, next.Objective.Add(later), times.Earlier(next.Deadline.Add(later), next.AnsweredBy)
 	demand.until = times.Later(demand.until, r.RetryAt)
 	demand.waiter = &waiter{req: &next, tight: w.tight}
 	return demand
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -82,8 +82,7 @@
 			d.byService[service] = append(d.byService[service], e)
 		}
 	}
-	d.holders = nil
-	clear(d.byDomain)
+	d.forgetHolders()
 	d.serveWaiting(time.Now())
 }
 
@@ -161,6 +160,12 @@
 	return held
 }
 
+// forgetHolders makes the lists of who holds a model be derived again. d.mu is held.
+func (d *Dispatcher) forgetHolders() {
+	d.holders = nil
+	clear(d.byDomain)
+}
+
 // SetView applies the planner's view: the loaded models and requests of the
 // engines that it names, and all forecasts.
 func (d *Dispatcher) SetView(v tamarackknot.FleetView) {
@@ -172,8 +177,7 @@
 	for id, engine := range v.Engines {
 		if e := d.endpoints[id]; e != nil {
 			e.held, e.others = adaptersByModel(engine.Held), engine.Others
-			d.holders = nil
-			clear(d.byDomain)
+			d.forgetHolders()
 		}
 	}
 	for _, l := range v.Notices {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -309,9 +309,7 @@
 		if s.account, ok = m.cfg.Group.Open(time.Now(), s.evict); !ok {
 			m.cfg.OnShed()
 			_ = c.Close()
-			m.mu.Lock()
-			m.inbound--
-			m.mu.Unlock()
+			m.removeInbound()
 			return
 		}
 	}
@@ -328,9 +326,14 @@
 	defer m.running.Done()
 	<-conn.DisconnectNotify()
 	account.Close()
+	m.removeInbound()
+}
+
+// removeInbound counts an accepted connection as closed.
+func (m *Mesh) removeInbound() {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.inbound--
-	m.mu.Unlock()
 }
 
 func (m *Mesh) handler(method string) (tamarackknot.PeerHandler, bool) {
--- a/quota/agreement.go
+++ b/quota/agreement.go
@@ -163,11 +163,9 @@
 func (k *Keeper) agree(hash uint64, at time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	v := &k.view
-	if v.hash != hash {
-		return
+	if k.view.hash == hash {
+		k.view.agreedAt = at
 	}
-	v.agreedAt = at
 }
 
 // sample returns the hosts that are asked and when they are, none if the list is confirmed or
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -219,13 +219,20 @@
 	return r, true
 }
 
-// ownedQuota returns the state of a quota that this host grants, nil if it holds too many.
-// k.mu is held.
-func (k *Keeper) ownedQuota(p takeParams, now time.Duration) *ownedQuota {
-	q, known := k.cfg.Limit(p.Workspace)
+// quotaOf returns the quota that is granted: that of this host's configuration or, if it has none,
+// that of the host that asks. known says that the configuration has the workspace.
+func (k *Keeper) quotaOf(p takeParams) (q tamarackknot.Quota, known bool) {
+	q, known = k.cfg.Limit(p.Workspace)
 	if !known || !q.Limited() {
 		q = tamarackknot.Quota{PerSecond: p.PerSecond, Burst: p.Burst}
 	}
+	return q, known
+}
+
+// ownedQuota returns the state of a quota that this host grants, nil if it holds too many.
+// k.mu is held.
+func (k *Keeper) ownedQuota(p takeParams, now time.Duration) *ownedQuota {
+	q, known := k.quotaOf(p)
 	o := k.owned[p.Workspace]
 	if o == nil {
 		if !known && len(k.owned) >= maxOwned {
@@ -267,10 +274,7 @@
 		}
 		since = handed.at
 	}
-	q, known := k.cfg.Limit(p.Workspace)
-	if !known || !q.Limited() {
-		q = tamarackknot.Quota{PerSecond: p.PerSecond, Burst: p.Burst}
-	}
+	q, _ := k.quotaOf(p)
 	o.main = newBucket(limitOf(q, k.tolerance), since)
 	o.main.level = min(handed.level, o.main.capacity)
 	k.cfg.Logger.Info("quota taken over", "workspace", p.Workspace, "emptyMsAgo", (now - since).Milliseconds(), "hosts", len(k.view.names))
