ingress, guard: remove copies of limits and answers

Both modes of the daemon set the memory limit through guard.SetMemoryLimit, and the addresses that are not for requests share one group. NewConnTimeouts takes the ConnConfig itself: the form with limits alone had only tests as callers. The Retry-After of a refusal for lack of memory stood as a duration and as a text, the reasons about keys and the steps that drop a body in two places. Behavior is unchanged; the tests of ingress, entry/daemon and entry/overload pass.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -172,9 +171,7 @@
 // closures, none of which is called before Serve starts the components.
 func (d *Daemon) buildComponents() error {
 	s, logger := d.cfg.Settings, d.cfg.Logger
-	if s.HostMB > 0 {
-		debug.SetMemoryLimit(int64(guard.MemoryLimitRatio * float64(s.HostMB) * bytesPerMB))
-	}
+	guard.SetMemoryLimit(s.HostMB)
 	d.guard = guard.New(s.Limits.Options(s.HostMB, 0), d.registry, logger)
 	d.mesh = peer.New(peer.Config{
 		Group: d.guard.Peers(), OnShed: d.guard.ShedPeer,
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -15,11 +16,10 @@
 	"tamarackknot.example/tamarackknot/ingress"
 )
 
-// MemoryLimitRatio is the fraction of the host's memory that is set as the soft limit of the Go
-// runtime.
-const MemoryLimitRatio = 0.6
-
 const (
+	// memoryLimitRatio is the fraction of the host's memory that is set as the soft limit of the Go
+	// runtime.
+	memoryLimitRatio = 0.6
 	// reservedDescriptors are left to the process itself and to the platform.
 	reservedDescriptors = 200
 	// connectionShare and peerShare are the parts of the other descriptors that connections of
@@ -41,6 +41,14 @@
 	bytesPerMB            = 1 << 20
 )
 
+// SetMemoryLimit sets the soft limit of the Go runtime on a host with a memory in MB; 0 means that
+// it is not known, and leaves the limit as it is.
+func SetMemoryLimit(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(memoryMB) * bytesPerMB))
+	}
+}
+
 // Options are the limits of a host.
 type Options struct {
 	// MemoryMB is the memory of the host, 0 if it is not known. HeldMB is what of it is held for
@@ -96,7 +104,7 @@
 
 // Callers returns the limits of the connections at the callers' address.
 func (g *Guard) Callers(limits func() tamarackknot.CallerLimits, refuse func(w http.ResponseWriter, reason string)) *ingress.ConnTimeouts {
-	return ingress.NewConns(ingress.ConnConfig{
+	return ingress.NewConnTimeouts(ingress.ConnConfig{
 		Limits: limits, Refuse: refuse, AnswerTimeout: g.options.AnswerTimeout, Shedding: g.Shedding,
 		Group: g.Budget.Group(admission.GroupConfig{Kind: admission.Connections, Bytes: admission.ConnectionBytes, Shared: true}),
 	})
@@ -107,26 +115,27 @@
 func (g *Guard) Auxiliary(s *http.Server) *ingress.ConnTimeouts {
 	s.ReadTimeout, s.WriteTimeout, s.IdleTimeout = auxiliaryTimeout, auxiliaryTimeout, auxiliaryIdleTimeout
 	s.MaxHeaderBytes = maxAuxiliaryHeadBytes
-	return ingress.NewConns(ingress.ConnConfig{
+	return ingress.NewConnTimeouts(ingress.ConnConfig{
 		Limits: func() tamarackknot.CallerLimits {
 			return tamarackknot.CallerLimits{HeaderBytes: auxiliaryHeadBytes, HeaderTimeout: auxiliaryHeadTimeout, IdleTimeout: auxiliaryIdleTimeout}
 		},
-		AnswerTimeout: g.options.AnswerTimeout, Shedding: g.Shedding,
-		Group: g.Budget.Group(admission.GroupConfig{
-			Kind: admission.Connections, Bytes: admission.ConnectionBytes, Shared: true, Max: max(g.options.MaxConnections/auxiliaryShare, minConnections),
-		}),
+		AnswerTimeout: g.options.AnswerTimeout, Shedding: g.Shedding, Group: g.auxiliaryGroup(),
+	})
+}
+
+// auxiliaryGroup returns the group of the connections at an address that is not for requests.
+func (g *Guard) auxiliaryGroup() *admission.Group {
+	return g.Budget.Group(admission.GroupConfig{
+		Kind: admission.Connections, Bytes: admission.ConnectionBytes, Shared: true, Max: max(g.options.MaxConnections/auxiliaryShare, minConnections),
 	})
 }
 
 // Operators returns the limits of the connections at the operators' address, whose answers may
 // last long.
 func (g *Guard) Operators() *ingress.ConnTimeouts {
-	return ingress.NewConns(ingress.ConnConfig{
+	return ingress.NewConnTimeouts(ingress.ConnConfig{
 		Limits:        func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} },
-		AnswerTimeout: g.options.AnswerTimeout, Shedding: g.Shedding,
-		Group: g.Budget.Group(admission.GroupConfig{
-			Kind: admission.Connections, Bytes: admission.ConnectionBytes, Shared: true, Max: max(g.options.MaxConnections/auxiliaryShare, minConnections),
-		}),
+		AnswerTimeout: g.options.AnswerTimeout, Shedding: g.Shedding, Group: g.auxiliaryGroup(),
 	})
 }
 
--- a/entry/hosted/components.go
+++ b/entry/hosted/components.go
@@ -371,7 +371,7 @@
 	if streams == nil || c.fleet.Planner() == c.self.Name || !c.fleet.PlannerAlive() || time.Since(streams.catalog.ReadAt) > maxCatalogAge {
 		return false
 	}
-	if !c.confirmedByPlanner() {
+	if c.mustConfirmNow() {
 		return false
 	}
 	return c.catalogVersion() >= streams.catalog.Version || time.Since(streams.catalogSeenAt) < relayTimeout
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -54,7 +54,6 @@
 	plannerCPUFactor = 0.25
 	// maxHeaderBytes is above the limit in the configuration, which the connections check.
 	maxHeaderBytes = 1 << 20
-	bytesPerMB     = 1 << 20
 )
 
 // Config configures a Daemon.
@@ -89,9 +88,7 @@
 	s := cfg.Settings
 	d := &Daemon{cfg: cfg, registry: metrics.NewRegistry()}
 	incarnation := uuid.Must(uuid.NewV7()).String()
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(guard.MemoryLimitRatio * float64(s.MemoryMB) * bytesPerMB))
-	}
+	guard.SetMemoryLimit(s.MemoryMB)
 	debug.SetGCPercent(gcPercent)
 	limits := cfg.Limits.Options(s.MemoryMB, s.MaxDescriptors)
 	d.guard = guard.New(limits, d.registry, cfg.Logger)
--- a/entry/hosted/workspaces.go
+++ b/entry/hosted/workspaces.go
@@ -36,11 +36,6 @@
 	return c.mustConfirmCatalog() && c.now()-c.catalog.ConfirmedAt(c.catalogVersion()) > maxAge
 }
 
-// confirmedByPlanner reports whether this host need not confirm the configuration itself.
-func (c *components) confirmedByPlanner() bool {
-	return !c.mustConfirmNow()
-}
-
 // now returns the time since boot, including the time of suspension.
 func (c *components) now() time.Duration {
 	if c.cfg.clock != nil {
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -19,9 +18,6 @@
 	minBlockBytes   = 512
 	firstBlockBytes = 4 << 10
 	maxBlockBytes   = 64 << 10
-	// defaultBodyTimeout is how long nothing may arrive of a body, by default. It is above the
-	// retransmission times of a link that is lost for some seconds.
-	defaultBodyTimeout = 10 * time.Second
 	// renewShare is the part of a timeout, one in so many, after which its deadline is renewed:
 	// not with each of many small reads.
 	renewShare = 8
@@ -167,26 +163,3 @@
 	}
 	return 0, io.EOF
 }
-
-// steadyReader reads a body and fails if nothing arrives for a time, or at a deadline.
-type steadyReader struct {
-	r       io.Reader
-	rc      *http.ResponseController
-	timeout time.Duration
-	by      time.Time
-	renewAt time.Time
-}
-
-// Read implements io.Reader.
-func (s *steadyReader) Read(p []byte) (int, error) {
-	if now := time.Now(); !now.Before(s.renewAt) {
-		until := now.Add(s.timeout)
-		if s.by.Before(until) {
-			until = s.by
-		}
-		// Connections in tests may not support deadlines.
-		_ = s.rc.SetReadDeadline(until)
-		s.renewAt = now.Add(s.timeout / renewShare)
-	}
-	return s.r.Read(p) //nolint:wrapcheck // the caller checks its type
-}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -75,12 +75,7 @@
 }
 
 // NewConnTimeouts returns a ConnTimeouts that reads its limits with each sweep.
-func NewConnTimeouts(limits func() tamarackknot.CallerLimits) *ConnTimeouts {
-	return NewConns(ConnConfig{Limits: limits})
-}
-
-// NewConns returns a ConnTimeouts.
-func NewConns(cfg ConnConfig) *ConnTimeouts {
+func NewConnTimeouts(cfg ConnConfig) *ConnTimeouts {
 	if cfg.AnswerTimeout <= 0 {
 		cfg.AnswerTimeout = defaultAnswerTimeout
 	}
@@ -150,7 +145,7 @@
 		Linger(w, r)
 		return
 	}
-	w.Header().Set("Retry-After", overloadRetryAfter)
+	w.Header().Set("Retry-After", retryAfter(overloadRetryDelay))
 	answerUnread(w, r, http.StatusServiceUnavailable, overloadReason)
 }
 
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -73,7 +73,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var limits atomic.Pointer[tamarackknot.CallerLimits]
 				limits.Store(&tt.limits)
-				c := NewConnTimeouts(func() tamarackknot.CallerLimits { return *limits.Load() })
+				c := NewConnTimeouts(ConnConfig{Limits: func() tamarackknot.CallerLimits { return *limits.Load() }})
 				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					time.Sleep(tt.serving)
 					w.WriteHeader(http.StatusNoContent)
@@ -140,7 +140,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				served := 0
-				c := NewConnTimeouts(func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{IdleTimeout: time.Minute} })
+				c := NewConnTimeouts(ConnConfig{Limits: func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{IdleTimeout: time.Minute} }})
 				s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					served++
 					w.WriteHeader(http.StatusNoContent)
--- a/ingress/hostile_test.go
+++ b/ingress/hostile_test.go
@@ -35,7 +35,7 @@
 	g := &guarded{harness: newHarness(tb, route, endpoint)}
 	g.server.cfg.BodyTimeout = 300 * time.Millisecond
 	g.budget = admission.New(admission.Config{Bytes: 4 << 20, Connections: 50}, time.Now())
-	g.conns = NewConns(ConnConfig{
+	g.conns = NewConnTimeouts(ConnConfig{
 		Limits:        func() tamarackknot.CallerLimits { return g.view.Catalog.Limits },
 		Group:         g.budget.Group(admission.GroupConfig{Kind: admission.Connections, Bytes: admission.ConnectionBytes, Shared: true}),
 		AnswerTimeout: time.Second, Shedding: NewShedding(g.budget, metrics.NewRegistry(), log.New(io.Discard)),
@@ -168,7 +168,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := admission.New(admission.Config{Bytes: 64 << 20, Connections: limit}, time.Now())
-			c := NewConns(ConnConfig{
+			c := NewConnTimeouts(ConnConfig{
 				Limits: func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} },
 				Group:  b.Group(admission.GroupConfig{Kind: admission.Connections, Bytes: admission.ConnectionBytes, Shared: true}),
 			})
--- a/ingress/listener_test.go
+++ b/ingress/listener_test.go
@@ -45,7 +45,7 @@
 		t.Run(name, func(t *testing.T) {
 			tcp, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			c := NewConnTimeouts(func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} })
+			c := NewConnTimeouts(ConnConfig{Limits: func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} }})
 			server := &http.Server{ReadHeaderTimeout: minStallTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				time.Sleep(later)
 				w.Header().Set("Connection", "close")
@@ -90,7 +90,7 @@
 func TestDrainIdle(t *testing.T) {
 	tcp, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	c := NewConnTimeouts(func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} })
+	c := NewConnTimeouts(ConnConfig{Limits: func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} }})
 	server := &http.Server{ReadHeaderTimeout: minStallTimeout, Handler: http.NotFoundHandler()}
 	go func() { _ = server.Serve(c.Watch(server, tcp)) }()
 	for _, sent := range []string{"", "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"} {
--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -89,9 +89,9 @@
 		return true
 	}
 	x.quotaCost = requestCost(x.workspace.Quota, x.caller.Tokens)
-	d := x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
+	d := x.takeCost()
 	for x.awaitQuota(d) {
-		d = x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
+		d = x.takeCost()
 	}
 	if !d.Allowed {
 		x.refuseQuota(d)
@@ -102,6 +102,10 @@
 	return true
 }
 
+func (x *exchange) takeCost() tamarackknot.QuotaDecision {
+	return x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
+}
+
 // refuseQuota answers a request that does not fit into the quota of its workspace, or of which
 // that is not known.
 func (x *exchange) refuseQuota(d tamarackknot.QuotaDecision) {
@@ -140,7 +144,7 @@
 	if !x.chargesQuota() || x.quota.endWaiting() {
 		return true
 	}
-	d := x.server.cfg.Quotas.Take(x.r.Context(), x.workspace.Name, x.workspace.Quota, x.quotaCost)
+	d := x.takeCost()
 	if d.Allowed {
 		x.quota.set(d.Grant)
 		return true
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackknot.example/tamarackknot/admission"
+	"tamarackknot.example/tamarackknot/internal/times"
 )
 
 const (
@@ -18,12 +19,17 @@
 	lingerQuiet    = 500 * time.Millisecond
 	maxLingerBytes = 8 << 20
 	lingerBytes    = 4 << 10
-	// overloadRetryAfter is the Retry-After of what is refused for lack of memory, in seconds:
-	// most requests end within it.
-	overloadRetryAfter = "1.00"
+	// overloadRetryDelay is the Retry-After of what is refused for lack of memory: most requests
+	// end within it.
+	overloadRetryDelay = time.Second
 	overloadReason     = "this host has no memory left for the request"
 )
 
+// retryAfter returns the value of a Retry-After header, in seconds.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatFloat(max(d.Seconds(), 0), 'f', 2, 64)
+}
+
 // answerUnread answers a request whose body is not read, and closes its connection after the
 // caller had time to read the answer.
 func answerUnread(w http.ResponseWriter, r *http.Request, status int, reason string) {
@@ -57,11 +63,7 @@
 	c.account.Set(admission.ReadingHead, time.Now())
 	buf := make([]byte, lingerBytes)
 	for dropped := 0; dropped < maxLingerBytes; {
-		by := time.Now().Add(lingerQuiet)
-		if until.Before(by) {
-			by = until
-		}
-		if c.SetReadDeadline(by) != nil {
+		if c.SetReadDeadline(times.Earlier(time.Now().Add(lingerQuiet), until)) != nil {
 			return
 		}
 		n, err := c.Conn.Read(buf)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -183,7 +183,7 @@
 	case failure != nil:
 		x.relay(failure)
 	case x.possibleRuns == 0 && x.checkKey() == tamarackknot.AuthUnknown:
-		x.failUnauthorized("the key has been taken away")
+		x.failUnauthorized(takenAwayReason)
 	case x.possibleRuns == 0 && x.quotaRefusal != nil:
 		x.refuseQuota(*x.quotaRefusal)
 	case x.possibleRuns == 0 && refusal != nil:
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -12,7 +12,6 @@
 	"net/http/httptrace"
 	"os"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +23,7 @@
 	"tamarackknot.example/tamarackknot/admission"
 	"tamarackknot.example/tamarackknot/catalog"
 	"tamarackknot.example/tamarackknot/dispatch"
+	"tamarackknot.example/tamarackknot/internal/timedread"
 )
 
 const (
@@ -34,9 +34,6 @@
 	// noConfigRetryDelay is the Retry-After of requests while the host has no
 	// configuration or the route has no service.
 	noConfigRetryDelay = 500 * time.Millisecond
-	// overloadRetryDelay is the Retry-After of a request for which there is no memory: most
-	// requests end within it.
-	overloadRetryDelay = time.Second
 	// Callers abandon a stream when its first or next event takes longer than
 	// minEventTimeout, eventTimeoutObjectives latency objectives or
 	// eventTimeoutGaps gap objectives of the route, whichever is longest.
@@ -128,7 +125,7 @@
 		cfg.Isolated = func() bool { return false }
 	}
 	if cfg.BodyTimeout <= 0 {
-		cfg.BodyTimeout = defaultBodyTimeout
+		cfg.BodyTimeout = timedread.DefaultTimeout
 	}
 	if cfg.VersionsKnown == nil {
 		cfg.VersionsKnown = func(context.Context) bool { return true }
@@ -301,8 +298,9 @@
 	}
 	account.Set(admission.ReadingBody, time.Now())
 	rc := http.NewResponseController(x.w)
-	err := x.body.readFrom(&steadyReader{
-		r: http.MaxBytesReader(x.w, x.r.Body, limit), rc: rc, timeout: x.server.cfg.BodyTimeout, by: x.deadline,
+	err := x.body.readFrom(&timedread.Reader{
+		R: http.MaxBytesReader(x.w, x.r.Body, limit), Controller: rc, Timeout: x.server.cfg.BodyTimeout, By: x.deadline,
+		RenewAfter: x.server.cfg.BodyTimeout / renewShare,
 	})
 	account.Set(admission.Serving, time.Now())
 	var tooLarge *http.MaxBytesError
@@ -315,10 +313,7 @@
 	case errors.Is(err, errNoMemory), account.Evicted():
 		return x.refuseMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.body.release()
-		x.bodyBroken = true
-		x.shed = true
-		x.server.cfg.Shedding.Refused(reasonBodyTimeout)
+		x.shedBody(reasonBodyTimeout)
 		x.refuseWith(http.StatusRequestTimeout, "the body did not arrive in time", time.Time{})
 		return false
 	default:
@@ -331,12 +326,16 @@
 	return true
 }
 
+// shedBody drops a body whose rest must not be read.
+func (x *exchange) shedBody(reason string) {
+	x.body.release()
+	x.bodyBroken, x.shed = true, true
+	x.server.cfg.Shedding.Refused(reason)
+}
+
 // refuseMemory refuses a request for whose body there is no memory. It returns false.
 func (x *exchange) refuseMemory() bool {
-	x.body.release()
-	x.bodyBroken = true
-	x.shed = true
-	x.server.cfg.Shedding.Refused(admission.Bodies.String())
+	x.shedBody(admission.Bodies.String())
 	x.refuse(overloadReason, time.Now().Add(overloadRetryDelay))
 	return false
 }
@@ -385,10 +384,8 @@
 
 // refuseWith is refuse with a status that makes the same promise.
 func (x *exchange) refuseWith(status int, reason string, retryAt time.Time) {
-	h := x.w.Header()
 	if !retryAt.IsZero() {
-		after := max(time.Until(retryAt).Seconds(), 0)
-		h.Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
+		x.w.Header().Set("Retry-After", retryAfter(time.Until(retryAt)))
 	}
 	x.server.counters.refused.Inc(1)
 	x.writeError(status, reason)
--- a/ingress/shutdown_test.go
+++ b/ingress/shutdown_test.go
@@ -112,7 +112,7 @@
 			h.server.cfg.OtherHosts = func() []tamarackknot.HostEntry { return nil }
 			tcp, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			conns := NewConnTimeouts(func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} })
+			conns := NewConnTimeouts(ConnConfig{Limits: func() tamarackknot.CallerLimits { return tamarackknot.CallerLimits{} }})
 			server := &http.Server{Handler: h.server, ReadHeaderTimeout: time.Minute}
 			l := gatedListener{conns.Watch(server, tcp), make(chan struct{})}
 			served := make(chan error, 1)
--- a/ingress/workspace.go
+++ b/ingress/workspace.go
@@ -5,8 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/dispatch"
 )
@@ -18,11 +16,12 @@
 	// host does not know whether its configuration is the newest.
 	uncertainRetryDelay = 500 * time.Millisecond
 	bearerScheme        = "Bearer"
+	// uncertainReason is why the key of a request can't be checked, and takenAwayReason why it
+	// does not hold any more.
+	uncertainReason = "it is not known whether the configuration is the newest"
+	takenAwayReason = "the key has been taken away"
 )
 
-// errUncertain is why the key of a request can't be checked.
-var errUncertain = errors.New("it is not known whether the configuration is the newest")
-
 // needsKey reports whether the request needs the key of a workspace.
 func (x *exchange) needsKey() bool { return x.authenticated && !x.route.Anonymous }
 
@@ -95,9 +94,9 @@
 // keyRefusal returns the refusal of a request whose key did not hold any more when it was to be
 // sent.
 func keyRefusal(d tamarackknot.AuthDecision) *dispatch.Refusal {
-	r := &dispatch.Refusal{Reason: "the key has been taken away"}
+	r := &dispatch.Refusal{Reason: takenAwayReason}
 	if d == tamarackknot.AuthUncertain {
-		r.Reason, r.RetryAt = errUncertain.Error(), time.Now().Add(uncertainRetryDelay)
+		r.Reason, r.RetryAt = uncertainReason, time.Now().Add(uncertainRetryDelay)
 	}
 	return r
 }
@@ -108,7 +107,7 @@
 		x.failUnauthorized("the key is not known")
 		return
 	}
-	x.refuse(errUncertain.Error(), time.Now().Add(uncertainRetryDelay))
+	x.refuse(uncertainReason, time.Now().Add(uncertainRetryDelay))
 }
 
 func (x *exchange) failUnauthorized(reason string) {
