--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -507,6 +507,20 @@
 	}
 }
 
+// catalogStateAfter returns what a host that starts at 2 s takes from a message of the planner that
+// it receives at 10 s.
+func catalogStateAfter(echoMs int64, catalog streamMessage) (got tamarackknot.StreamState) {
+	now := 2 * time.Second
+	c := NewClient(ClientConfig{
+		Self: tamarackknot.HostEntry{Name: "a"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("a"), Logger: log.New(io.Discard),
+		Clock: func() time.Duration { return now }, OnView: func(tamarackknot.FleetView) {},
+		OnStreamStates: func(catalog, _ tamarackknot.StreamState) { got = catalog }, OnStoreEra: func(int64) {},
+	})
+	now = 10 * time.Second
+	c.applyView("p", viewMessage{Fence: 1, Sequence: 1, Full: true, EchoMs: echoMs, Catalog: catalog})
+	return got
+}
+
 // TestStreamsOfDelayedMessage guards against a host that takes what the planner had read
 // seconds ago for recent because the message was on its way since.
 func TestStreamsOfDelayedMessage(t *testing.T) {
@@ -521,15 +535,7 @@
 		"the planner has no report at all":           {0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			now := 2 * time.Second
-			var got tamarackknot.StreamState
-			c := NewClient(ClientConfig{
-				Self: tamarackknot.HostEntry{Name: "a"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("a"), Logger: log.New(io.Discard),
-				Clock: func() time.Duration { return now }, OnView: func(tamarackknot.FleetView) {},
-				OnStreamStates: func(catalog, _ tamarackknot.StreamState) { got = catalog }, OnStoreEra: func(int64) {},
-			})
-			now = 10 * time.Second
-			c.applyView("p", viewMessage{Fence: 1, Sequence: 1, Full: true, EchoMs: tt.echoMs, Catalog: streamMessage{Version: 7, AgeMs: 100}})
+			got := catalogStateAfter(tt.echoMs, streamMessage{Version: 7, AgeMs: 100})
 			require.Equal(t, int64(7), got.Version)
 			require.Equal(t, tt.recent, !got.ReadAt.IsZero())
 		})
@@ -612,15 +618,7 @@
 		"before the clock of this host": {9000, 9500, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			now := 2 * time.Second
-			var got tamarackknot.StreamState
-			c := NewClient(ClientConfig{
-				Self: tamarackknot.HostEntry{Name: "a"}, Peers: fake.NewPeers(fake.PeersConfig{}).Host("a"), Logger: log.New(io.Discard),
-				Clock: func() time.Duration { return now }, OnView: func(tamarackknot.FleetView) {},
-				OnStreamStates: func(catalog, _ tamarackknot.StreamState) { got = catalog }, OnStoreEra: func(int64) {},
-			})
-			now = 10 * time.Second
-			c.applyView("p", viewMessage{Fence: 1, Sequence: 1, Full: true, EchoMs: tt.echoMs, Catalog: streamMessage{Version: 7, ConfirmedMsAgo: tt.agoMs}})
+			got := catalogStateAfter(tt.echoMs, streamMessage{Version: 7, ConfirmedMsAgo: tt.agoMs})
 			require.Equal(t, tt.want, got.ConfirmedAt)
 		})
 	}
