--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -58,6 +58,7 @@
 	born int64
 
 	voice sync.RWMutex // held for writing while the replica is silent
+	link  *link        // between the hosts and the replica; nil without one
 
 	mu       sync.Mutex
 	models   []heldModel
@@ -93,8 +94,17 @@
 		}
 	}()
 	server := &http.Server{Handler: e}
-	go func() { _ = server.Serve(l) }()
-	w.onClose(func() { close(stop); _ = server.Close() })
+	listener := net.Listener(l)
+	if w.lossy {
+		// The hosts reach the replica over a link.
+		if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+		e.link = &link{to: listener.Addr().String()}
+		go e.link.serve(l)
+	}
+	go func() { _ = server.Serve(listener) }()
+	w.onClose(func() { close(stop); _ = server.Close(); _ = l.Close() })
 	return e, nil
 }
 
--- a/review/stand-2/turns.go
+++ b/review/stand-2/turns.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -102,9 +103,13 @@
 	return e.received[len(e.received)-1].Owner
 }
 
+// lossTime is how long the link to a replica loses packets.
+const lossTime = 300 * time.Millisecond
+
 // playTurns has a sound replica fall silent for a second, as it may, and with trouble sends SIGTERM
 // to the host that gives the orders meanwhile.
 func playTurns(w *world) (bool, error) {
+	w.lossy = os.Getenv("VARIANT") == "lossy"
 	w.configureModels(1)
 	var engines []*engine
 	for i := range 2 {
@@ -133,8 +138,15 @@
 		return false, fmt.Errorf("no order came, %d requests served", served.Load())
 	}
 	var silent sync.WaitGroup
-	silent.Go(func() { e.fallSilent(silence) })
-	time.Sleep(termAfter)
+	if w.lossy {
+		w.logf("the link to replica %s loses packets for %v", e.id, lossTime)
+		e.link.losing.Store(true)
+		time.Sleep(lossTime)
+		e.link.losing.Store(false)
+	} else {
+		silent.Go(func() { e.fallSilent(silence) })
+		time.Sleep(termAfter)
+	}
 	for _, h := range w.hosts {
 		if w.trouble && h.name == owner {
 			w.logf("host %s, which gives the orders, gets SIGTERM", h.name)
@@ -144,6 +156,9 @@
 	silent.Wait()
 	time.Sleep(8 * time.Second)
 	w.logf("%d requests served", served.Load())
+	if w.lossy {
+		w.logf("the link to replica %s lost %d of %d packets", e.id, e.link.lost.Load(), e.link.packets.Load())
+	}
 	broken := false
 	for _, e := range engines {
 		e.mu.Lock()
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -25,6 +25,7 @@
 // world is a small deployment: a store, replicas and hosts, and the record of what happened.
 type world struct {
 	trouble bool
+	lossy   bool // model replicas are reached over a link that can lose packets
 	begun   time.Time
 	dir     string // a temporary folder
 	net     string // the first three bytes of the addresses
