ingress: report a reset that the upload got, also at the end of an answer

Seen by callers: an endpoint answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to whichever call comes first. The write of the upload got ECONNRESET, and the read of the answer then found the end of the data. Without a length or chunks that is the end of an answer.

Evidence: TestAnswerResetDuringUpload holds reads back until the write has failed, over real sockets.

Change: answerConn keeps the error of the first write that failed. A read that finds the end of the data ends a write under way and returns its error if it was the connection's. The answer of another host takes the same way.

The other readers of answers are not affected: the API of the other mode rejects answers without an end mark, and orders, reports and the store's answers are JSON or framed.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -43,7 +43,7 @@
 			if err != nil {
 				return nil, errors.Mark(err, errNotSent)
 			}
-			return conn, nil
+			return newAnswerConn(conn), nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      !keepAlive,
