headcheck: reject answers with a status that no answer has

Seen by callers: an endpoint in trouble sent an answer whose status was 000. On other systems callers got it as an answer. Here a plain 000 of an endpoint was given up already, in the platform mode. But 000 in an answer that also said "not run" was believed, and the request was sent to another endpoint although it may have run; 000 from another host, and in the API of the other mode, ended the caller's connection without an answer, in a panic of net/http's server; an order was taken for refused. 600 to 999 reached callers as answers.

Cause: net/http's client takes any three characters that strconv.Atoi reads for a status. Each reader of answers looked at the headers first, and compared the status only with those that it knows.

Evidence: TestBrokenAnswers in ingress, caller, engine and platform, and TestBrokenAnswersOfHost, send 7 such statuses.

Change: headcheck.Transport returns an error for a status outside 100 to 599 (RFC 9110, section 15) and closes the connection. All clients of endpoints, other hosts, the store, the log and the host list use it, so that the answer counts as none: the request may have run.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"tamarackknot.example/tamarackknot/internal/headcheck"
 )
 
 const (
@@ -109,8 +111,8 @@
 
 // newTransport returns a transport that reuses connections, or one that makes a
 // new connection for each request.
-func newTransport(dial dialFunc, reuse bool) *http.Transport {
-	return &http.Transport{
+func newTransport(dial dialFunc, reuse bool) *headcheck.Transport {
+	return &headcheck.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -124,7 +126,7 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
-	}
+	}}
 }
 
 // dialError wraps a failure to connect.
--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/answertest"
 	"tamarackknot.example/tamarackknot/internal/timedread"
 )
 
@@ -26,21 +27,6 @@
 	completionsPath = "/v1/completions"
 )
 
-// rawResponse returns a handler that reads the request, writes text unchanged to
-// the connection and closes it.
-func rawResponse(text string) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		c, rw, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		_, _ = rw.WriteString(text)
-		_ = rw.Flush()
-		_ = c.Close()
-	}
-}
-
 // countRequests wraps a handler and counts its requests in n.
 func countRequests(n *atomic.Int64, h http.Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -93,7 +79,7 @@
 					if broken.Load() {
 						runs.Add(1)
 						keepAlive.Store(!r.Close)
-						rawResponse("").ServeHTTP(w, r)
+						answertest.Handler("").ServeHTTP(w, r)
 						return
 					}
 					echo(w, r)
@@ -136,21 +122,21 @@
 	}{
 		"refused":          {refuse: true, status: 503, run: NotRun, retryAfter: true},
 		"connect hangs":    {noAccept: true, status: 503, run: NotRun, retryAfter: true, elapsed: 30 * time.Second},
-		"cut before reply": {endpoint: rawResponse(""), status: 502, run: RunUnknown, requests: 1},
+		"cut before reply": {endpoint: answertest.Handler(""), status: 502, run: RunUnknown, requests: 1},
 		"declined": {
-			endpoint: rawResponse("HTTP/1.1 503 X\r\nRun: notRun\r\nContent-Length: 0\r\n\r\n"),
+			endpoint: answertest.Handler("HTTP/1.1 503 X\r\nRun: notRun\r\nContent-Length: 0\r\n\r\n"),
 			// It is queued again until its deadline, with at most 5 sends per second.
 			status: 504, run: NotRun, requests: 1, maxResends: 7 + 5*30, retryAfter: true,
 		},
 		"truncated": {
-			endpoint: rawResponse("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"), status: 502, run: RunUnknown, requests: 1,
+			endpoint: answertest.Handler("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"), status: 502, run: RunUnknown, requests: 1,
 		},
 		"truncated chunks": {
-			endpoint: rawResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+			endpoint: answertest.Handler("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
 			status:   502, run: RunUnknown, requests: 1,
 		},
 		"end of response not marked": {
-			endpoint: rawResponse("HTTP/1.1 200 OK\r\n\r\nabc"), status: 502, run: RunUnknown, requests: 1,
+			endpoint: answertest.Handler("HTTP/1.1 200 OK\r\n\r\nabc"), status: 502, run: RunUnknown, requests: 1,
 		},
 		"hangs": {
 			endpoint: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -205,7 +191,7 @@
 		h.addEndpoint("e1", "", 1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			go kill() // the second attempt cannot connect
 			synctest.Wait()
-			rawResponse("").ServeHTTP(w, r)
+			answertest.Handler("").ServeHTTP(w, r)
 		}))
 		h.loadModel("e1")
 		h.stops = append(h.stops, func() {})
@@ -224,7 +210,7 @@
 		n := 0
 		h.addEndpoint("e1", "", 1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if n++; n == 1 {
-				rawResponse("").ServeHTTP(w, r)
+				answertest.Handler("").ServeHTTP(w, r)
 				return
 			}
 			w.Header().Set(headerRun, string(NotRun))
@@ -261,7 +247,7 @@
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, 1, func(h *harness) {
 				t := h.t
-				h.addEndpoint("e1", "", 1, rawResponse(tt.text))
+				h.addEndpoint("e1", "", 1, answertest.Handler(tt.text))
 				h.loadModel("e1")
 				a := h.do(0, http.MethodPost, completionsPath, completionBody)
 				require.Equal(t, http.StatusOK, a.status, a.body)
@@ -293,7 +279,7 @@
 			inBubble(t, 1, func(h *harness) {
 				t := h.t
 				var failed atomic.Int64
-				h.addEndpoint("e1", "", 1, countRequests(&failed, rawResponse(text)))
+				h.addEndpoint("e1", "", 1, countRequests(&failed, answertest.Handler(text)))
 				h.addEndpoint("e2", "", 100, http.HandlerFunc(echo))
 				h.loadModel("e1", "e2")
 				for range 20 {
@@ -465,7 +451,7 @@
 	inBubble(t, 1, func(h *harness) {
 		t := h.t
 		var first, second atomic.Int64
-		h.addEndpoint("e1", "", 1000, countRequests(&first, rawResponse("HTTP/1.1 503 X\r\nLeaving: true\r\nContent-Length: 0\r\n\r\n")))
+		h.addEndpoint("e1", "", 1000, countRequests(&first, answertest.Handler("HTTP/1.1 503 X\r\nLeaving: true\r\nContent-Length: 0\r\n\r\n")))
 		h.addEndpoint("e2", "", 1, countRequests(&second, http.HandlerFunc(echo)))
 		h.loadModel("e1", "e2")
 		for range 10 {
--- a/caller/server.go
+++ b/caller/server.go
@@ -20,6 +20,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/endpoint"
+	"tamarackknot.example/tamarackknot/internal/headcheck"
 	"tamarackknot.example/tamarackknot/internal/timedread"
 	"tamarackknot.example/tamarackknot/routing"
 )
@@ -90,8 +91,8 @@
 // Server is the HTTP handler of the API for callers.
 type Server struct {
 	cfg          Config
-	pooled       *http.Transport // reuses connections; for repeatable requests
-	unpooled     *http.Transport // makes a new connection for each request
+	pooled       *headcheck.Transport // reuses connections; for repeatable requests
+	unpooled     *headcheck.Transport // makes a new connection for each request
 	keys         *keyStore
 	lastID       atomic.Uint64
 	pendingFrees sync.WaitGroup
--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackknot.example/tamarackknot"
+	"tamarackknot.example/tamarackknot/internal/headcheck"
 )
 
 const (
@@ -83,7 +84,7 @@
 
 func newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport: t,
+		Transport: &headcheck.Transport{Transport: t},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -16,6 +16,7 @@
 
 	"tamarackknot.example/tamarackknot"
 	"tamarackknot.example/tamarackknot/dispatch"
+	"tamarackknot.example/tamarackknot/internal/headcheck"
 )
 
 const (
@@ -36,8 +37,8 @@
 // requests, or one without for requests that run at most once: if the endpoint
 // closes an idle connection while a request is in flight, it is unknown whether
 // the request ran.
-func newTransport(dial DialFunc, keepAlive bool) *http.Transport {
-	return &http.Transport{
+func newTransport(dial DialFunc, keepAlive bool) *headcheck.Transport {
+	return &headcheck.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -50,7 +51,7 @@
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
 		IdleConnTimeout:        endpointIdleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 // dialEndpoint opens a connection to an endpoint and counts the failures since the last
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -23,6 +23,7 @@
 	"tamarackknot.example/tamarackknot/admission"
 	"tamarackknot.example/tamarackknot/catalog"
 	"tamarackknot.example/tamarackknot/dispatch"
+	"tamarackknot.example/tamarackknot/internal/headcheck"
 	"tamarackknot.example/tamarackknot/internal/timedread"
 )
 
@@ -95,9 +96,9 @@
 // Server is the HTTP handler for callers.
 type Server struct {
 	cfg                Config
-	onceTransport      *http.Transport
-	keepAliveTransport *http.Transport
-	hostTransport      *http.Transport
+	onceTransport      *headcheck.Transport
+	keepAliveTransport *headcheck.Transport
+	hostTransport      *headcheck.Transport
 	draining           atomic.Bool
 	// cut ends when the answers that are not complete are cut.
 	cut         context.Context
