ingress: measure the memory of all answers when the endpoints have come to rest

Cause, traced on: the check read the heap 1.5 s after the start. Under the race detector, beside load, the buffers still grow then, and the heap also holds those that they replace. What the answers reserve was at most 16.8 MB in all 18 runs of the trace, in those with 30 to 52 MB on the heap too, and the heap of 17 of them was at 19.7 to 21.2 MB 0.3 s later, of one at 29.3 MB.

Change: the test waits until no endpoint has sent anything for 0.3 s, and requires that the host still waits for the answers then. The bound and the requests are the same, the requests wait 5 s instead of 3 s.

--- a/ingress/buffer_test.go
+++ b/ingress/buffer_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,9 @@
 		// answerBytes is what each endpoint sends of an answer that does not end.
 		answerBytes = maxBufferedResponse - 1
 		eventBytes  = maxEventBytes - 1
-		timeout     = 3 * time.Second
+		timeout     = 5 * time.Second
+		// quiet is how long the endpoints send nothing once they can't any more.
+		quiet = 300 * time.Millisecond
 	)
 	for name, tc := range map[string]struct {
 		kind     tamarackknot.RouteKind
@@ -35,14 +38,16 @@
 		"events":              {stream, http.StatusOK, eventBytes, 6 * requests},
 	} {
 		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
 			h := newHarness(t, tamarackknot.Route{Kind: tc.kind, Attempts: 1}, func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				w.WriteHeader(tc.status)
 				block := strings.Repeat("x", 4096)
-				for sent := 0; sent+len(block) <= tc.bytes; sent += len(block) {
+				for n := 0; n+len(block) <= tc.bytes; n += len(block) {
 					if _, err := io.WriteString(w, block); err != nil {
 						return
 					}
+					sent.Add(int64(len(block)))
 				}
 				_ = http.NewResponseController(w).Flush()
 				<-r.Context().Done()
@@ -59,6 +64,7 @@
 				return m.HeapAlloc
 			}
 			before := heap()
+			began := time.Now()
 			var running sync.WaitGroup
 			for range tc.requests {
 				running.Go(func() {
@@ -68,8 +74,12 @@
 					}
 				})
 			}
-			time.Sleep(timeout / 2)
+			// While buffers grow, the heap also holds those that they replace.
+			for last := int64(-1); last != sent.Load(); time.Sleep(quiet) {
+				last = sent.Load()
+			}
 			held := int64(heap()) - int64(before)
+			require.Less(t, time.Since(began), timeout, "the host still waits for the answers")
 			running.Wait()
 			require.LessOrEqual(t, held, int64(2*maxBufferedResponses))
 			require.True(t, h.server.buffers.left.TryAcquire(maxBufferedResponses), "the memory of all is free again")
