headcheck: reject answers in whose head a field's name is none

Seen by callers: an endpoint in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer. Where the name was "Transfer-Encoding " the chunks' own lines were part of the body that it got (MIXED); where it was "Content-Length " the body ended with the connection; any other such line was dropped.

Other bytes that no name has, control bytes among them, it rejects.

Evidence: TestBrokenAnswers, TestBrokenAnswersOfHost and TestBrokenConflict send 11 such heads.

Change: headcheck.Transport returns an error unless the name of each field is a token, by the check of golang.org/x/net/http/httpguts, which net/http uses for what it sends itself. Informational answers before the answer are checked as well.

A line that begins with a blank, other than the first, is still joined to the one before it, as RFC 9112, section 5.2, allows.

--- a/internal/answertest/answer.go
+++ b/internal/answertest/answer.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"strings"
 )
 
 // Answer is an answer of a server.
@@ -24,7 +26,11 @@
 func (a Answer) Whole() string { return a.text(a.Status, a.length()) }
 
 // Broken returns bytes that begin like the answer and are none in HTTP, by what is wrong.
-func (a Answer) Broken() map[string]string { return a.badStatuses() }
+func (a Answer) Broken() map[string]string {
+	all := a.badStatuses()
+	maps.Copy(all, a.badNames())
+	return all
+}
 
 // badStatuses returns the answer with statuses that no answer has, by name.
 func (a Answer) badStatuses() map[string]string {
@@ -35,6 +41,25 @@
 	return all
 }
 
+// badNames returns the answer with a head in which the name of a field holds a byte that no
+// name has, by name.
+func (a Answer) badNames() map[string]string {
+	chunked := Answer{a.Status, a.Fields, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(a.Body), a.Body)}
+	return map[string]string{
+		"blank in a name":               a.text(a.Status, "A B: c\r\n"+a.length()),
+		"blank at the end of a name":    a.text(a.Status, "A : c\r\n"+a.length()),
+		"blank at the end of a length":  a.text(a.Status, strings.Replace(a.length(), ":", " :", 1)),
+		"blank at the end of an end":    chunked.text(a.Status, "Transfer-Encoding : chunked\r\n"),
+		"control byte in a name":        a.text(a.Status, "A\x01B: c\r\n"+a.length()),
+		"zero byte in a name":           a.text(a.Status, "A\x00: c\r\n"+a.length()),
+		"tab at the end of a name":      a.text(a.Status, "A\t: c\r\n"+a.length()),
+		"return in a name":              a.text(a.Status, "A\rB: c\r\n"+a.length()),
+		"delete byte in a length":       a.text(a.Status, strings.Replace(a.length(), "-", "\x7f", 1)),
+		"blank at the start of a head":  Answer{a.Status, "", a.Body}.text(a.Status, " A: c\r\n"+a.Fields+a.length()),
+		"blank in an informational one": "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + a.text(a.Status, a.length()),
+	}
+}
+
 // Handler returns a handler that reads the request, sends text as it is and closes the
 // connection.
 func Handler(text string) http.HandlerFunc {
--- a/internal/headcheck/transport.go
+++ b/internal/headcheck/transport.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -23,14 +25,16 @@
 var _ http.RoundTripper = (*Transport)(nil)
 
 // Transport is a transport that returns ErrMalformed for an answer whose status is not from 100
-// to 599. It closes the connection of such an answer.
+// to 599, or in whose head, or that of an informational answer before it, the name of a field
+// is no token (RFC 9112, section 5). It closes the connection of such an answer.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
 	})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
@@ -49,5 +53,16 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return errors.Wrapf(ErrMalformed, "status %d", resp.StatusCode)
 	}
+	return checkNames(resp.Header)
+}
+
+// checkNames checks the names of fields. net/http keeps those that hold a blank as they are,
+// and doesn't take a length or an encoding from them.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "field name %.40q", name)
+		}
+	}
 	return nil
 }
