answertest: cut heads of answers at each place

Here: handled already. net/http's client needs the empty line at the end of a head. TestBrokenAnswers, TestBrokenAnswersOfHost and TestBrokenConflict now also send heads cut at 11 places, from the status to the empty line, once with an informational answer before: endpoints and other hosts in the platform mode, endpoints in the other mode, orders, reports, the store, the log and the host list. No change to the product.

--- a/internal/answertest/answer.go
+++ b/internal/answertest/answer.go
@@ -29,6 +29,7 @@
 func (a Answer) Broken() map[string]string {
 	all := a.badStatuses()
 	maps.Copy(all, a.badNames())
+	maps.Copy(all, a.cutHeads())
 	return all
 }
 
@@ -60,6 +61,25 @@
 	}
 }
 
+// cutHeads returns the beginning of the answer up to places in its head, by name.
+func (a Answer) cutHeads() map[string]string {
+	whole := a.text(a.Status, "Zone: here\r\n"+a.length())
+	cut := func(after string) string { return whole[:strings.Index(whole, after)+len(after)] }
+	return map[string]string{
+		"in the status":              cut("HTTP/1.1 2"),
+		"after the status":           cut(a.Status),
+		"after the status line":      cut(a.Status + "\r\n"),
+		"in a name":                  cut("Zon"),
+		"after a name":               cut("Zone:"),
+		"in a value":                 cut("Zone: he"),
+		"between fields":             cut("Zone: here\r\n"),
+		"in the length":              cut("Content-Length: ") + "1",
+		"before the empty line":      strings.TrimSuffix(cut("\r\n\r\n"), "\r\n"),
+		"in the empty line":          strings.TrimSuffix(cut("\r\n\r\n"), "\n"),
+		"in an informational answer": "HTTP/1.1 103 Early Hints\r\nA: b\r\n",
+	}
+}
+
 // Handler returns a handler that reads the request, sends text as it is and closes the
 // connection.
 func Handler(text string) http.HandlerFunc {
