headcheck, answertest: plain words in comments and names of cases

A malformed answer is called so, and each case names the field that it changes. The case that cuts the status takes its first digit from the answer.

--- a/engine/answer_test.go
+++ b/engine/answer_test.go
@@ -10,8 +10,8 @@
 	"tamarackknot.example/tamarackknot/internal/answertest"
 )
 
-// TestBrokenAnswers guards against bytes that are no answer in the protocol and are taken for
-// the outcome of an order, or for a report.
+// TestBrokenAnswers guards against a malformed answer that is taken for the outcome of an order, or
+// for a report.
 func TestBrokenAnswers(t *testing.T) {
 	for name, answer := range map[string]answertest.Answer{
 		"done":    {Status: "200 OK", Body: `{"outcome":"done"}`},
--- a/ingress/answer_test.go
+++ b/ingress/answer_test.go
@@ -11,8 +11,8 @@
 	"tamarackknot.example/tamarackknot/internal/answertest"
 )
 
-// TestBrokenAnswers guards against bytes that are no answer in the protocol and reach the
-// caller as one, or say that a request which may have run has not.
+// TestBrokenAnswers guards against a malformed answer that reaches the caller as an answer, or that
+// says of a request which may have run that it has not.
 func TestBrokenAnswers(t *testing.T) {
 	for name, c := range map[string]struct {
 		kind   tamarackknot.RouteKind
--- a/internal/answertest/answer.go
+++ b/internal/answertest/answer.go
@@ -1,4 +1,4 @@
-// Package answertest holds answers of servers in trouble, for the tests of clients.
+// Package answertest holds malformed HTTP answers for the tests of clients.
 package answertest
 
 import (
@@ -9,7 +9,7 @@
 	"strings"
 )
 
-// Answer is an answer of a server.
+// Answer is a well-formed answer, from which malformed ones are made.
 type Answer struct {
 	Status string // for instance "200 OK"
 	Fields string // of the head, each with the end of its line
@@ -22,10 +22,10 @@
 
 func (a Answer) length() string { return fmt.Sprintf("Content-Length: %d\r\n", len(a.Body)) }
 
-// Whole returns the answer as a sound server sends it.
+// Whole returns the answer itself.
 func (a Answer) Whole() string { return a.text(a.Status, a.length()) }
 
-// Broken returns bytes that begin like the answer and are none in HTTP, by what is wrong.
+// Broken returns malformed variants of the answer by what is wrong with them.
 func (a Answer) Broken() map[string]string {
 	all := a.badStatuses()
 	maps.Copy(all, a.badNames())
@@ -33,7 +33,7 @@
 	return all
 }
 
-// badStatuses returns the answer with statuses that no answer has, by name.
+// badStatuses returns the answer with statuses outside 100 to 599.
 func (a Answer) badStatuses() map[string]string {
 	all := make(map[string]string)
 	for _, status := range []string{"000 OK", "000", "001 OK", "099 OK", "+20 OK", "600 X", "999 X"} {
@@ -42,41 +42,40 @@
 	return all
 }
 
-// badNames returns the answer with a head in which the name of a field holds a byte that no
-// name has, by name.
+// badNames returns the answer with a field whose name is no token.
 func (a Answer) badNames() map[string]string {
 	chunked := Answer{a.Status, a.Fields, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(a.Body), a.Body)}
 	return map[string]string{
-		"blank in a name":               a.text(a.Status, "A B: c\r\n"+a.length()),
-		"blank at the end of a name":    a.text(a.Status, "A : c\r\n"+a.length()),
-		"blank at the end of a length":  a.text(a.Status, strings.Replace(a.length(), ":", " :", 1)),
-		"blank at the end of an end":    chunked.text(a.Status, "Transfer-Encoding : chunked\r\n"),
-		"control byte in a name":        a.text(a.Status, "A\x01B: c\r\n"+a.length()),
-		"zero byte in a name":           a.text(a.Status, "A\x00: c\r\n"+a.length()),
-		"tab at the end of a name":      a.text(a.Status, "A\t: c\r\n"+a.length()),
-		"return in a name":              a.text(a.Status, "A\rB: c\r\n"+a.length()),
-		"delete byte in a length":       a.text(a.Status, strings.Replace(a.length(), "-", "\x7f", 1)),
-		"blank at the start of a head":  Answer{a.Status, "", a.Body}.text(a.Status, " A: c\r\n"+a.Fields+a.length()),
-		"blank in an informational one": "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + a.text(a.Status, a.length()),
+		"blank in a name":                  a.text(a.Status, "A B: c\r\n"+a.length()),
+		"blank after a name":               a.text(a.Status, "A : c\r\n"+a.length()),
+		"blank after Content-Length":       a.text(a.Status, strings.Replace(a.length(), ":", " :", 1)),
+		"blank after Transfer-Encoding":    chunked.text(a.Status, "Transfer-Encoding : chunked\r\n"),
+		"blank before the first name":      Answer{a.Status, "", a.Body}.text(a.Status, " A: c\r\n"+a.Fields+a.length()),
+		"blank in an informational answer": "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + a.Whole(),
+		"tab after a name":                 a.text(a.Status, "A\t: c\r\n"+a.length()),
+		"carriage return in a name":        a.text(a.Status, "A\rB: c\r\n"+a.length()),
+		"control byte in a name":           a.text(a.Status, "A\x01B: c\r\n"+a.length()),
+		"zero byte in a name":              a.text(a.Status, "A\x00: c\r\n"+a.length()),
+		"delete byte in Content-Length":    a.text(a.Status, strings.Replace(a.length(), "-", "\x7f", 1)),
 	}
 }
 
-// cutHeads returns the beginning of the answer up to places in its head, by name.
+// cutHeads returns the answer up to different places in its head.
 func (a Answer) cutHeads() map[string]string {
 	whole := a.text(a.Status, "Zone: here\r\n"+a.length())
 	cut := func(after string) string { return whole[:strings.Index(whole, after)+len(after)] }
 	return map[string]string{
-		"in the status":              cut("HTTP/1.1 2"),
-		"after the status":           cut(a.Status),
-		"after the status line":      cut(a.Status + "\r\n"),
-		"in a name":                  cut("Zon"),
-		"after a name":               cut("Zone:"),
-		"in a value":                 cut("Zone: he"),
-		"between fields":             cut("Zone: here\r\n"),
-		"in the length":              cut("Content-Length: ") + "1",
-		"before the empty line":      strings.TrimSuffix(cut("\r\n\r\n"), "\r\n"),
-		"in the empty line":          strings.TrimSuffix(cut("\r\n\r\n"), "\n"),
-		"in an informational answer": "HTTP/1.1 103 Early Hints\r\nA: b\r\n",
+		"cut in the status":              cut("HTTP/1.1 ") + a.Status[:1],
+		"cut after the status":           cut(a.Status),
+		"cut after the status line":      cut(a.Status + "\r\n"),
+		"cut in a name":                  cut("Zon"),
+		"cut after a name":               cut("Zone:"),
+		"cut in a value":                 cut("Zone: he"),
+		"cut between fields":             cut("Zone: here\r\n"),
+		"cut in Content-Length":          cut("Content-Length: ") + "1",
+		"cut before the empty line":      strings.TrimSuffix(cut("\r\n\r\n"), "\r\n"),
+		"cut in the empty line":          strings.TrimSuffix(cut("\r\n\r\n"), "\n"),
+		"cut in an informational answer": "HTTP/1.1 103 Early Hints\r\nA: b\r\n",
 	}
 }
 
--- a/internal/headcheck/transport.go
+++ b/internal/headcheck/transport.go
@@ -1,5 +1,4 @@
-// Package headcheck rejects answers with a head that is none in HTTP, although net/http
-// accepts it.
+// Package headcheck rejects HTTP answers whose head is malformed although net/http accepts it.
 package headcheck
 
 import (
@@ -19,14 +18,14 @@
 	maxStatus = 599
 )
 
-// ErrMalformed means that the head of an answer is none in HTTP: the request may have run.
+// ErrMalformed means that the head of an answer is malformed. The request may have run.
 var ErrMalformed = errors.New("malformed answer")
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// Transport is a transport that returns ErrMalformed for an answer whose status is not from 100
-// to 599, or in whose head, or that of an informational answer before it, the name of a field
-// is no token (RFC 9112, section 5). It closes the connection of such an answer.
+// Transport is a transport that returns ErrMalformed, and closes the connection, for an answer
+// whose status is not from 100 to 599 or that has a field whose name is no token (RFC 9112,
+// section 5). The fields of informational answers before it count as well.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -41,7 +40,7 @@
 		return nil, err //nolint:wrapcheck // a transport returns the errors of net/http
 	}
 	if err := check(resp); err != nil {
-		// Where the answer ends is not known either.
+		// It is not known where the answer ends.
 		_ = conn.Close()
 		_ = resp.Body.Close()
 		return nil, err
@@ -56,8 +55,8 @@
 	return checkNames(resp.Header)
 }
 
-// checkNames checks the names of fields. net/http keeps those that hold a blank as they are,
-// and doesn't take a length or an encoding from them.
+// checkNames checks the names of fields. net/http accepts names with a blank, but reads no
+// length and no encoding from such a field.
 func checkNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
