headcheck: leave informational answers to net/http

Change: their fields are not checked. They are dropped unread, as before, frame no body and reach no caller. The case for them, as new as the check, goes from the broken answers.

Measured: the tests of ingress, caller, engine and platform pass, TestEndlessAnswers among them.

--- a/internal/answertest/answer.go
+++ b/internal/answertest/answer.go
@@ -46,17 +46,16 @@
 func (a Answer) badNames() map[string]string {
 	chunked := Answer{a.Status, a.Fields, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(a.Body), a.Body)}
 	return map[string]string{
-		"blank in a name":                  a.text(a.Status, "A B: c\r\n"+a.length()),
-		"blank after a name":               a.text(a.Status, "A : c\r\n"+a.length()),
-		"blank after Content-Length":       a.text(a.Status, strings.Replace(a.length(), ":", " :", 1)),
-		"blank after Transfer-Encoding":    chunked.text(a.Status, "Transfer-Encoding : chunked\r\n"),
-		"blank before the first name":      Answer{a.Status, "", a.Body}.text(a.Status, " A: c\r\n"+a.Fields+a.length()),
-		"blank in an informational answer": "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + a.Whole(),
-		"tab after a name":                 a.text(a.Status, "A\t: c\r\n"+a.length()),
-		"carriage return in a name":        a.text(a.Status, "A\rB: c\r\n"+a.length()),
-		"control byte in a name":           a.text(a.Status, "A\x01B: c\r\n"+a.length()),
-		"zero byte in a name":              a.text(a.Status, "A\x00: c\r\n"+a.length()),
-		"delete byte in Content-Length":    a.text(a.Status, strings.Replace(a.length(), "-", "\x7f", 1)),
+		"blank in a name":               a.text(a.Status, "A B: c\r\n"+a.length()),
+		"blank after a name":            a.text(a.Status, "A : c\r\n"+a.length()),
+		"blank after Content-Length":    a.text(a.Status, strings.Replace(a.length(), ":", " :", 1)),
+		"blank after Transfer-Encoding": chunked.text(a.Status, "Transfer-Encoding : chunked\r\n"),
+		"blank before the first name":   Answer{a.Status, "", a.Body}.text(a.Status, " A: c\r\n"+a.Fields+a.length()),
+		"tab after a name":              a.text(a.Status, "A\t: c\r\n"+a.length()),
+		"carriage return in a name":     a.text(a.Status, "A\rB: c\r\n"+a.length()),
+		"control byte in a name":        a.text(a.Status, "A\x01B: c\r\n"+a.length()),
+		"zero byte in a name":           a.text(a.Status, "A\x00: c\r\n"+a.length()),
+		"delete byte in Content-Length": a.text(a.Status, strings.Replace(a.length(), "-", "\x7f", 1)),
 	}
 }
 
