--- a/ingress/answer_test.go
+++ b/ingress/answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -50,15 +49,8 @@
 		answer := answertest.Answer{Status: "200 OK", Fields: "Id: id-1\r\nSigned: a\r\n" + fields, Body: "ok"}
 		for broken, text := range answer.Broken() {
 			t.Run(name+", "+broken, func(t *testing.T) {
-				var hosts []tamarackknot.HostEntry
-				for _, handler := range []http.HandlerFunc{answertest.Handler(text), respond(200, "whole")} {
-					s := httptest.NewServer(handler)
-					t.Cleanup(s.Close)
-					hosts = append(hosts, tamarackknot.HostEntry{Address: s.Listener.Addr().String()})
-				}
 				h := newHarness(t, tamarackknot.Route{Kind: once})
-				h.server.cfg.Isolated = func() bool { return true }
-				h.server.cfg.OtherHosts = func() []tamarackknot.HostEntry { return hosts }
+				h.isolate(answertest.Handler(text), respond(200, "whole"))
 				resp, body, err := h.do(call{body: "question"})
 				require.NoError(t, err)
 				require.Equal(t, http.StatusBadGateway, resp.StatusCode, body)
--- a/ingress/answerconn_test.go
+++ b/ingress/answerconn_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -154,14 +153,9 @@
 
 // TestAnswerOfHostResetDuringUpload guards against the same with the answer of another host.
 func TestAnswerOfHostResetDuringUpload(t *testing.T) {
-	host := httptest.NewServer(answerEarly(answerHead+"\r\nhalf", resetDuringUpload))
-	t.Cleanup(host.Close)
 	h := newHarness(t, tamarackknot.Route{Kind: once})
 	h.view.Catalog.Limits.BodyBytes = longBodyBytes
-	h.server.cfg.Isolated = func() bool { return true }
-	h.server.cfg.OtherHosts = func() []tamarackknot.HostEntry {
-		return []tamarackknot.HostEntry{{Address: host.Listener.Addr().String()}}
-	}
+	h.isolate(answerEarly(answerHead+"\r\nhalf", resetDuringUpload))
 	h.server.hostTransport = newTransport(dialWriteFirst, false)
 	_, _, err := h.do(call{body: strings.Repeat("x", longBodyBytes)})
 	require.Error(t, err, "the answer must not look complete")
--- a/ingress/host_test.go
+++ b/ingress/host_test.go
@@ -13,6 +13,24 @@
 	"tamarackknot.example/tamarackknot"
 )
 
+// isolate makes the entry host reach no endpoint and know other hosts, of which nil can't be
+// reached either.
+func (h *harness) isolate(handlers ...http.HandlerFunc) {
+	var hosts []tamarackknot.HostEntry
+	for _, handler := range handlers {
+		s := httptest.NewServer(handler)
+		if handler == nil {
+			// Not before all have an address: one of them could get that of s.
+			defer s.Close()
+		} else {
+			h.t.Cleanup(s.Close)
+		}
+		hosts = append(hosts, tamarackknot.HostEntry{Address: s.Listener.Addr().String()})
+	}
+	h.server.cfg.Isolated = func() bool { return true }
+	h.server.cfg.OtherHosts = func() []tamarackknot.HostEntry { return hosts }
+}
+
 // TestForwardToOtherHost guards against an isolated host that fails what other hosts can
 // serve, that holds requests past their deadline, or that passes them on for ever.
 func TestForwardToOtherHost(t *testing.T) {
@@ -27,8 +45,6 @@
 			_, _ = io.WriteString(w, body)
 		}
 	}
-	unreachable := httptest.NewServer(nil)
-	unreachable.Close()
 	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 	cut := func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, event(0))
@@ -58,19 +74,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, tamarackknot.Route{Kind: stream, Resumable: true, Attempts: 2}, events(5, nil))
-			var hosts []tamarackknot.HostEntry
-			for _, handler := range tt.hosts {
-				address := unreachable.Listener.Addr().String()
-				if handler != nil {
-					s := httptest.NewServer(handler)
-					t.Cleanup(s.Close)
-					address = s.Listener.Addr().String()
-				}
-				hosts = append(hosts, tamarackknot.HostEntry{Address: address})
-			}
+			h.isolate(tt.hosts...)
 			h.server.cfg.Host = "h"
-			h.server.cfg.Isolated = func() bool { return true }
-			h.server.cfg.OtherHosts = func() []tamarackknot.HostEntry { return hosts }
 			header := map[string]string{"Patience": "600ms"}
 			if tt.forwarded {
 				header[headerForwardedBy] = "i"
