review: case 11, streams can't be taken up after a rolling restart (LOST)

Tried: all hosts stopped with SIGTERM in turn, 1 s apart, with replicas of two software versions side by side.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
-# the disruption out. KEEP_LOGS names a folder for the logs of the project's processes.
+# the disruption out. HOW=killed kills all hosts at once instead of stopping them in turn.
+# KEEP_LOGS names a folder for the logs of the project's processes.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/tamarackd target/stand3; do
 	if [ ! -x "$program" ]; then
@@ -8,4 +9,4 @@
 		exit 2
 	fi
 done
-exec target/stand3 in-place review/11/record.txt
+exec target/stand3 "${HOW:-rolling}" review/11/record.txt
--- a/review/stand-3/origins.go
+++ b/review/stand-3/killed.go
@@ -9,10 +9,10 @@
 
 const originStreams = 24
 
-// origins: replicas of two versions of their software serve side by side. All hosts are killed
+// killed: replicas of two versions of their software serve side by side. All hosts are killed
 // and start again; the clients take their streams up again once the hosts are in touch. Without
 // trouble the clients lose their connections at the same moment, and no host is killed.
-func origins(w *world, trouble bool) (bool, error) {
+func killed(w *world, trouble bool) (bool, error) {
 	for i, version := range []string{"v1", "v1", "v2", "v2"} {
 		w.newReplica(fmt.Sprintf("i-%d", i+1), "advisor", version, i).start(version)
 	}
