--- a/review/stand-3/rolling.go
+++ b/review/stand-3/rolling.go
@@ -43,6 +43,23 @@
 		w.newReplica(fmt.Sprintf("i-%d", i+1), "advisor", version, i).start(version)
 	}
 	w.config(1, route("advice", "/advice/", "streaming", "advisor", 2, true))
+	return w.roll(trouble)
+}
+
+// rollingSplit is rolling with one version and a route that is split between two services.
+func rollingSplit(w *world, trouble bool) (bool, error) {
+	for i, service := range []string{"advisor", "advisor", "adviser", "adviser"} {
+		w.newReplica(fmt.Sprintf("i-%d", i+1), service, "v1", i).start("v1")
+	}
+	r := route("advice", "/advice/", "streaming", "", 2, true)
+	delete(r, "svc")
+	r["split"] = []map[string]any{{"svc": "advisor", "weight": 90}, {"svc": "adviser", "weight": 10}}
+	w.config(1, r)
+	return w.roll(trouble)
+}
+
+// roll stops all hosts in turn, and judges.
+func (w *world) roll(trouble bool) (bool, error) {
 	if err := w.startHosts(6); err != nil {
 		return false, err
 	}
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -284,15 +286,15 @@
 	}
 }
 
-// config writes a configuration with one route to a service.
+// config writes a configuration with routes to the services of the replicas.
 func (w *world) config(version int, routes ...map[string]any) {
 	services := map[string]bool{}
+	for _, r := range w.replicas {
+		services[r.service] = true
+	}
 	list := []map[string]any{}
-	for _, r := range routes {
-		if name := r["svc"].(string); !services[name] {
-			services[name] = true
-			list = append(list, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 360, "proto": "h1", "tls": false})
-		}
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		list = append(list, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 360, "proto": "h1", "tls": false})
 	}
 	w.store.put("keyed.op", "config", map[string]any{
 		"version": version, "routes": routes, "services": list,
