--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15 that are scripts, into target/stand3. Run it in the
+# Builds the stand-ins of the cases 11 to 14 that are scripts, into target/stand3. Run it in the
 # repository, after the build of deploy/system.toml.
 set -eu
 cd "$(dirname "$0")/stand-3"
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	cases := map[string]func(w *world, trouble bool) (broken bool, err error){
-		"killed": killed, "rolling": rolling, "rolling-split": rollingSplit, "in-place": inPlace, "path": path, "other-writer": otherWriter,
+		"killed": killed, "rolling": rolling, "rolling-split": rollingSplit, "in-place": inPlace, "other-writer": otherWriter,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
