--- a/review/stand-3/replica.go
+++ b/review/stand-3/replica.go
@@ -18,8 +18,8 @@
 	workTime = 200 * time.Millisecond
 )
 
-// replica is a stand-in for a replica of a service: it answers requests of streams with
-// numbered events, all others with a short body.
+// replica is a stand-in for a replica of a service: it answers PUT with a short body, all other
+// requests with a stream of numbered events.
 type replica struct {
 	w       *world
 	id      string
@@ -34,8 +34,6 @@
 	server  *http.Server
 	conns   map[net.Conn]bool
 	up      bool
-	// answer, if set, answers requests that are no streams.
-	answer func(conn net.Conn, r *http.Request)
 }
 
 func (w *world) newReplica(id, service, version string, n int) *replica {
@@ -112,7 +110,7 @@
 
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
-	version, answer := r.version, r.answer
+	version := r.version
 	r.mu.Unlock()
 	h := w.Header()
 	id := req.Header.Get("X-Request-Id")
@@ -131,14 +129,7 @@
 	}
 	r.w.log("replica %s version %s runs request %s: %s %s last event %q resumes %q", r.id, version, id, req.Method, req.RequestURI,
 		req.Header.Get("Last-Event-Id"), req.Header.Get("Resumes"))
-	r.w.recordRun(id, r.id, version, req)
-	if answer != nil {
-		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			answer(conn, req)
-			_ = conn.Close()
-		}
-		return
-	}
+	r.w.recordRun(id, r.id)
 	h.Set("X-Request-Id", id)
 	h.Set("X-Server-Stamp", r.id+"."+version)
 	if req.Method == http.MethodPut {
@@ -146,10 +137,6 @@
 		_, _ = w.Write([]byte("booked\n"))
 		return
 	}
-	if req.Method == http.MethodGet {
-		_, _ = w.Write([]byte("whole body\n"))
-		return
-	}
 	h.Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	rc := http.NewResponseController(w)
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -40,8 +40,8 @@
 
 // run is a request that a replica ran.
 type run struct {
-	id, replica, version, target, host string
-	at                                 time.Time
+	id, replica string
+	at          time.Time
 }
 
 // newWorld starts the store.
@@ -71,10 +71,10 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f s  %s\n", time.Since(w.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (w *world) recordRun(id, replica, version string, r *http.Request) {
+func (w *world) recordRun(id, replica string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.runs = append(w.runs, run{id, replica, version, r.RequestURI, r.Host, time.Now()})
+	w.runs = append(w.runs, run{id, replica, time.Now()})
 }
 
 // runsOf returns the runs of a request.
